Set up the build, the shared interfaces and the HTTP layer

Cause: empty repository. Adds the Maven build with ktlint and detekt, the design page, the state and coordination types that all parts share, and an HTTP server and client on Netty. The client tells apart requests of which no byte was sent from those with an unknown outcome, since 'not run' depends on it. Ruled out: Netty's object aggregator, because its 413 answer carries no error object.

--- /dev/null
+++ b/src/main/kotlin/lacewingweir/coordination/peer/StateRequest.kt
@@ -0,0 +1,9 @@
+package lacewingweir.coordination.peer
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Asks a peer for its bundle, key records, epoch document and known instances. Sent after a start. */
+@Serializable
+@SerialName("stateRequest")
+public data object StateRequest : PeerMessage
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/state/bundle/EndpointKind.kt
@@ -0,0 +1,14 @@
+package lacewingweir.state.bundle
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** What an endpoint is: a model engine or a plain service. */
+@Serializable
+public enum class EndpointKind {
+    @SerialName("engine")
+    ENGINE,
+
+    @SerialName("service")
+    SERVICE,
+}
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/state/keys/KeyRecord.kt
@@ -0,0 +1,13 @@
+package lacewingweir.state.keys
+
+import kotlinx.serialization.Serializable
+import lacewingweir.state.id.CustomerId
+import lacewingweir.state.id.KeyDigest
+
+/** A key that was granted or withdrawn outside the bundle. A withdrawal is a tombstone and is kept for good. */
+@Serializable
+public data class KeyRecord(
+    val digest: KeyDigest,
+    val customer: CustomerId,
+    val status: KeyStatus,
+)
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/transport/http/HttpClient.kt
@@ -0,0 +1,163 @@
+package lacewingweir.transport.http
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.group.DefaultChannelGroup
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.util.concurrent.GlobalEventExecutor
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.suspendCancellableCoroutine
+import kotlinx.coroutines.withTimeoutOrNull
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedDeque
+import kotlin.coroutines.resume
+
+/**
+ * An HTTP/1.1 client on Netty with one request per connection at a time and pooled idle connections.
+ *
+ * Failures are told apart by whether any byte of the request was handed to a connection; see [ClientResult]. The
+ * client never retries. Up to [maxIdlePerAddress] idle connections are kept for each address.
+ */
+public class HttpClient(
+    private val group: EventLoopGroup,
+    private val maxIdlePerAddress: Int = 64,
+) : AutoCloseable {
+    private data class Address(
+        val host: String,
+        val port: Int,
+    )
+
+    private val idle = ConcurrentHashMap<Address, ConcurrentLinkedDeque<ClientConnection>>()
+    private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
+
+    /** Sends [request] and waits for the head of the answer. Cancelling the caller closes the connection. */
+    public suspend fun open(request: ClientRequest): ClientResult {
+        val connection =
+            when (val connected = acquire(request)) {
+                is Connected.Open -> connected.connection
+                is Connected.Failed -> return ClientResult.NotSent(connected.reason)
+            }
+        try {
+            return exchange(connection, request)
+        } catch (e: CancellationException) {
+            connection.close()
+            throw e
+        }
+    }
+
+    private suspend fun exchange(
+        connection: ClientConnection,
+        request: ClientRequest,
+    ): ClientResult {
+        connection.send(encode(request))
+        val head = withTimeoutOrNull(request.headTimeoutMillis) { connection.awaitHead() }
+        return when (head) {
+            null -> {
+                connection.close()
+                ClientResult.Unknown("no answer within ${request.headTimeoutMillis} ms")
+            }
+            is ClientConnection.Head.Received ->
+                ClientResult.Answered(NettyClientResponse(connection, head.response) { release(request, connection) })
+            is ClientConnection.Head.Failed -> {
+                connection.close()
+                ClientResult.Unknown(head.reason)
+            }
+        }
+    }
+
+    private fun encode(request: ClientRequest): DefaultFullHttpRequest {
+        val body = Unpooled.wrappedBuffer(request.body)
+        val message =
+            DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(request.method), request.path, body)
+        for ((name, value) in request.headers) message.headers().add(name, value)
+        message
+            .headers()
+            .set(HttpHeaderNames.HOST, "${request.host}:${request.port}")
+            .set(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
+        return message
+    }
+
+    private suspend fun acquire(request: ClientRequest): Connected {
+        if (!request.freshConnection) {
+            val pool = idle[Address(request.host, request.port)]
+            while (pool != null) {
+                val pooled = pool.pollLast() ?: break
+                if (pooled.takeFromPool()) return Connected.Open(pooled)
+            }
+        }
+        return connect(request)
+    }
+
+    private suspend fun connect(request: ClientRequest): Connected {
+        val connection = ClientConnection()
+        val bootstrap =
+            Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel::class.java)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, request.connectTimeoutMillis.toInt())
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.AUTO_READ, false)
+                .handler(
+                    object : ChannelInitializer<SocketChannel>() {
+                        override fun initChannel(channel: SocketChannel) {
+                            channel.pipeline().addLast(HttpClientCodec()).addLast(connection)
+                        }
+                    },
+                )
+        val future = bootstrap.connect(request.host, request.port)
+        return if (future.awaitCompletion()) {
+            connections.add(future.channel())
+            Connected.Open(connection)
+        } else {
+            Connected.Failed(future.cause()?.message ?: "connection failed")
+        }
+    }
+
+    private fun release(
+        request: ClientRequest,
+        connection: ClientConnection,
+    ) {
+        val pool = idle.computeIfAbsent(Address(request.host, request.port)) { ConcurrentLinkedDeque() }
+        if (request.freshConnection || pool.size >= maxIdlePerAddress || !connection.returnToPool()) {
+            connection.close()
+            return
+        }
+        pool.addLast(connection)
+    }
+
+    override fun close() {
+        idle.clear()
+        connections.close().awaitUninterruptibly()
+    }
+
+    private sealed interface Connected {
+        class Open(
+            val connection: ClientConnection,
+        ) : Connected
+
+        class Failed(
+            val reason: String,
+        ) : Connected
+    }
+}
+
+private suspend fun ChannelFuture.awaitCompletion(): Boolean =
+    suspendCancellableCoroutine { continuation ->
+        addListener { continuation.resume(isSuccess) }
+        continuation.invokeOnCancellation { closeQuietly(channel()) }
+    }
+
+private fun closeQuietly(channel: Channel?) {
+    channel?.close()
+}
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/transport/http/ServerConnectionHandler.kt
@@ -0,0 +1,201 @@
+package lacewingweir.transport.http
+
+import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.CompositeByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.handler.codec.TooLongFrameException
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.handler.codec.http.TooLongHttpHeaderException
+import io.netty.handler.codec.http.TooLongHttpLineException
+import io.netty.handler.timeout.IdleStateEvent
+
+/**
+ * Collects requests of one connection and hands them to [dispatch] one at a time.
+ *
+ * Runs on the connection's event loop only, so its fields need no synchronisation.
+ */
+internal class ServerConnectionHandler(
+    private val limits: HttpLimits,
+    private val draining: () -> Boolean,
+    private val dispatch: (NettyServerExchange) -> Unit,
+) : SimpleChannelInboundHandler<HttpObject>() {
+    private val waiting = ArrayDeque<NettyServerExchange>()
+    private var current: NettyServerExchange? = null
+    private var head: HttpRequest? = null
+    private var content: CompositeByteBuf? = null
+    private var rejected = false
+
+    override fun channelRead0(
+        ctx: ChannelHandlerContext,
+        message: HttpObject,
+    ) {
+        if (rejected) return
+        if (message.decoderResult().isFailure) {
+            rejectMalformed(ctx, message.decoderResult().cause())
+            return
+        }
+        if (message is HttpRequest) startRequest(ctx, message)
+        if (message is HttpContent) appendContent(ctx, message)
+    }
+
+    private fun startRequest(
+        ctx: ChannelHandlerContext,
+        request: HttpRequest,
+    ) {
+        if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes) {
+            reject(
+                ctx,
+                HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
+                "request body exceeds ${limits.maxBodyBytes} bytes",
+            )
+            return
+        }
+        head = request
+        content = Unpooled.compositeBuffer(MAX_BUFFER_PARTS)
+        if (HttpUtil.is100ContinueExpected(request)) {
+            ctx.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
+        }
+    }
+
+    private fun appendContent(
+        ctx: ChannelHandlerContext,
+        part: HttpContent,
+    ) {
+        val buffer = content ?: return
+        if (buffer.readableBytes() + part.content().readableBytes() > limits.maxBodyBytes) {
+            reject(
+                ctx,
+                HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
+                "request body exceeds ${limits.maxBodyBytes} bytes",
+            )
+            return
+        }
+        buffer.addComponent(true, part.content().retain())
+        if (part is LastHttpContent) completeRequest(ctx, buffer)
+    }
+
+    private fun completeRequest(
+        ctx: ChannelHandlerContext,
+        buffer: CompositeByteBuf,
+    ) {
+        val request = checkNotNull(head)
+        val body = ByteBufUtil.getBytes(buffer)
+        buffer.release()
+        head = null
+        content = null
+        val exchange =
+            NettyServerExchange(ctx, request, body, limits, draining) { ctx.executor().execute { next(ctx) } }
+        when {
+            current == null -> begin(exchange)
+            waiting.size < limits.maxPipelinedRequests -> waiting.addLast(exchange)
+            else -> ctx.close()
+        }
+    }
+
+    private fun begin(exchange: NettyServerExchange) {
+        current = exchange
+        dispatch(exchange)
+    }
+
+    private fun next(ctx: ChannelHandlerContext) {
+        current = null
+        if (!ctx.channel().isActive) return
+        waiting.removeFirstOrNull()?.let(::begin)
+    }
+
+    private fun rejectMalformed(
+        ctx: ChannelHandlerContext,
+        cause: Throwable,
+    ) {
+        val status =
+            when (cause) {
+                is TooLongHttpLineException -> HttpResponseStatus.REQUEST_URI_TOO_LONG
+                is TooLongHttpHeaderException, is TooLongFrameException ->
+                    HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+                else -> HttpResponseStatus.BAD_REQUEST
+            }
+        reject(ctx, status, "malformed HTTP request")
+    }
+
+    /** Answers with an error object and closes the connection, since the rest of its input can't be trusted. */
+    private fun reject(
+        ctx: ChannelHandlerContext,
+        status: HttpResponseStatus,
+        message: String,
+    ) {
+        rejected = true
+        releaseContent()
+        if (current != null) {
+            ctx.close()
+            return
+        }
+        val json = """{"error":{"message":"$message","type":"invalid_request_error","code":"${status.code()}"}}"""
+        val body = Unpooled.copiedBuffer(json, Charsets.UTF_8)
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
+        response
+            .headers()
+            .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+            .set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+            .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+            .set(RUN_STATE_HEADER, RUN_STATE_NOT_RUN)
+        ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
+    }
+
+    override fun userEventTriggered(
+        ctx: ChannelHandlerContext,
+        event: Any,
+    ) {
+        if (event !is IdleStateEvent || rejected || current != null) return
+        if (head ==
+            null
+        ) {
+            ctx.close()
+        } else {
+            reject(ctx, HttpResponseStatus.REQUEST_TIMEOUT, "request was not sent in time")
+        }
+    }
+
+    override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
+        current?.writabilityChanged()
+        ctx.fireChannelWritabilityChanged()
+    }
+
+    override fun channelInactive(ctx: ChannelHandlerContext) {
+        releaseContent()
+        waiting.clear()
+        current?.disconnected()
+        ctx.fireChannelInactive()
+    }
+
+    @Deprecated("Netty deprecates the method in its superinterface only")
+    override fun exceptionCaught(
+        ctx: ChannelHandlerContext,
+        cause: Throwable,
+    ) {
+        ctx.close()
+    }
+
+    private fun releaseContent() {
+        content?.release()
+        content = null
+        head = null
+    }
+
+    internal companion object {
+        const val RUN_STATE_HEADER: String = "X-Lacewingweir-Run"
+        const val RUN_STATE_NOT_RUN: String = "not-run"
+        private const val MAX_BUFFER_PARTS: Int = 1024
+    }
+}
