--- /dev/null
+++ b/src/test/kotlin/lacewingweir/coordination/routing/FleetEngineSchedulerTest.kt
@@ -0,0 +1,151 @@
+package lacewingweir.coordination.routing
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.runBlocking
+import lacewingweir.state.bundle.Bundle
+import lacewingweir.state.bundle.Customer
+import lacewingweir.state.bundle.Endpoint
+import lacewingweir.state.bundle.EndpointKind
+import lacewingweir.state.bundle.Model
+import lacewingweir.state.bundle.TrafficClass
+import lacewingweir.state.id.BundleNumber
+import lacewingweir.state.id.CustomerId
+import lacewingweir.state.id.EndpointId
+import lacewingweir.state.id.FailureDomain
+import lacewingweir.state.id.ModelName
+import lacewingweir.state.id.WeightsVersion
+import lacewingweir.state.placement.PrefixChain
+import lacewingweir.testing.ManualTimers
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
+import kotlin.random.Random
+
+internal class FleetEngineSchedulerTest {
+    private val timers = ManualTimers()
+    private val model = Model(ModelName("m"), WeightsVersion("v1"))
+    private val leavingIds = HashSet<EndpointId>()
+
+    private fun bundle(
+        engines: Int,
+        slots: Int,
+    ): Bundle =
+        Bundle(
+            number = BundleNumber(1),
+            customers = listOf(Customer(CustomerId("a"), 1_000, 1_000)),
+            models = listOf(model),
+            endpoints =
+                (1..engines).map {
+                    Endpoint(
+                        id = EndpointId("e$it"),
+                        kind = EndpointKind.ENGINE,
+                        host = "127.0.0.1",
+                        port = it,
+                        failureDomain = FailureDomain("d"),
+                        models = listOf(model.name),
+                        slots = slots,
+                    )
+                },
+            routes = emptyList(),
+        )
+
+    private fun scheduler(
+        engines: Int = 3,
+        slots: Int = 2,
+    ): FleetEngineScheduler {
+        val current = bundle(engines, slots)
+        return FleetEngineScheduler(
+            bundles = { current },
+            clock = timers,
+            timers = timers,
+            leaving = { it in leavingIds },
+            random = Random(7),
+        )
+    }
+
+    private fun request(
+        text: String = "prompt",
+        attempt: Int = 0,
+        excluded: Set<EndpointId> = emptySet(),
+        deadlineMillis: Long = timers.nowMillis() + 60_000,
+    ): ScheduleRequest =
+        ScheduleRequest(
+            customer = CustomerId("a"),
+            trafficClass = TrafficClass.INTERACTIVE,
+            model = model,
+            prefix = PrefixChain.of("s", text.toByteArray(), 8_000, 2_000),
+            promptTokens = 100,
+            maxAnswerTokens = 10,
+            deadlineMillis = deadlineMillis,
+            excluded = excluded,
+            attempt = attempt,
+        )
+
+    private suspend fun FleetEngineScheduler.lease(request: ScheduleRequest = request()): EngineLease =
+        (schedule(request) as ScheduleResult.Granted).lease
+
+    // Guards against a lost slot: a caller that leaves while it waits must not keep a place or a grant.
+    @Test
+    fun `a cancelled waiter gives its place to the next`() =
+        runBlocking<Unit> {
+            val scheduler = scheduler(engines = 1, slots = 1)
+            val first = scheduler.lease()
+            val scope = CoroutineScope(Dispatchers.Default)
+            val cancelled = scope.async(start = kotlinx.coroutines.CoroutineStart.UNDISPATCHED) { scheduler.lease() }
+            val next = scope.async(start = kotlinx.coroutines.CoroutineStart.UNDISPATCHED) { scheduler.lease() }
+            cancelled.cancelAndJoin()
+            first.finish(AttemptOutcome.COMPLETED)
+            expectThat(next.await().endpoint.id).isEqualTo(EndpointId("e1"))
+        }
+
+    // Guards against requests held back until their deadline although no engine is left.
+    @Test
+    fun `no engine is refused at once`() =
+        runBlocking<Unit> {
+            val scheduler = scheduler(engines = 2)
+            leavingIds += listOf(EndpointId("e1"), EndpointId("e2"))
+            expectThat(scheduler.schedule(request())).isA<ScheduleResult.Refused>()
+        }
+
+    // Guards against new work on a leaving engine (G11).
+    @Test
+    fun `an engine that reports to be leaving gets nothing more`() =
+        runBlocking<Unit> {
+            val scheduler = scheduler(engines = 2, slots = 100)
+            val first = scheduler.lease()
+            first.answered(lacewingweir.state.id.Incarnation("i"), load = null, leaving = true)
+            repeat(10) { expectThat(scheduler.lease().endpoint.id == first.endpoint.id).isEqualTo(false) }
+        }
+
+    // Guards against ejecting every engine when the fault is common to all.
+    @Test
+    fun `at least half of the engines stay in use`() =
+        runBlocking<Unit> {
+            val scheduler = scheduler(engines = 4, slots = 100)
+            repeat(40) { scheduler.lease(request("p$it")).finish(AttemptOutcome.FAILED) }
+            expectThat(scheduler.schedule(request())).isA<ScheduleResult.Granted>()
+            expectThat(scheduler.ejectedEndpoints().size).isLessThan(5)
+        }
+
+    @Test
+    fun `an engine with other weights is avoided for a while`() =
+        runBlocking<Unit> {
+            val scheduler = scheduler(engines = 2, slots = 100)
+            val first = scheduler.lease()
+            first.finish(AttemptOutcome.WRONG_VERSION)
+            repeat(5) { expectThat(scheduler.lease().endpoint.id == first.endpoint.id).isEqualTo(false) }
+        }
+
+    @Test
+    fun `retries beyond the budget are refused`() =
+        runBlocking<Unit> {
+            val scheduler = scheduler(slots = 1_000)
+            val results = (1..100).map { scheduler.schedule(request(attempt = 1)) }
+            expectThat(results.count { it is ScheduleResult.Granted }).isEqualTo(64)
+        }
+}
--- a/src/test/kotlin/lacewingweir/transport/http/HttpClientTest.kt
+++ b/src/test/kotlin/lacewingweir/transport/http/HttpClientTest.kt
@@ -84,7 +84,6 @@
                 thread { socket.accept().close() }
                 expectThat(client.open(request(socket.localPort))).isA<ClientResult.Unknown>()
             }
-            Unit
         }
 
     @Test
