--- /dev/null
+++ b/src/main/kotlin/lacewingweir/load/CallerClient.kt
@@ -0,0 +1,157 @@
+package lacewingweir.load
+
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.contentOrNull
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.longOrNull
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import kotlinx.serialization.json.putJsonObject
+import lacewingweir.transport.http.ClientRequest
+import lacewingweir.transport.http.ClientResponse
+import lacewingweir.transport.http.ClientResult
+import lacewingweir.transport.http.HttpClient
+import lacewingweir.transport.http.ReadResult
+import lacewingweir.transport.http.readAll
+
+/** Sends chat completion requests as a caller does and checks that the streamed answer is whole. */
+public class CallerClient(
+    private val http: HttpClient,
+) {
+    /** Sends one streamed request to `host:port` and reads its answer. [scheduledNanos] is when it was due. */
+    public suspend fun chat(
+        target: String,
+        key: String,
+        model: String,
+        prompt: String,
+        answerTokens: Int,
+        scheduledNanos: Long,
+    ): AnswerResult {
+        val (host, port) = target.split(':')
+        val request =
+            ClientRequest(
+                host = host,
+                port = port.toInt(),
+                method = "POST",
+                path = "/v1/chat/completions",
+                headers = listOf("Content-Type" to "application/json", "Authorization" to "Bearer $key"),
+                body = body(model, prompt, answerTokens).toByteArray(),
+                headTimeoutMillis = ANSWER_TIMEOUT_MILLIS,
+            )
+        return when (val result = http.open(request)) {
+            is ClientResult.Answered -> read(result.response, scheduledNanos)
+            is ClientResult.NotSent -> AnswerResult.Refused(0, "not-run")
+            is ClientResult.Unknown -> AnswerResult.Broken("no answer: ${result.reason}")
+        }
+    }
+
+    private fun body(
+        model: String,
+        prompt: String,
+        answerTokens: Int,
+    ): String =
+        buildJsonObject {
+            put("model", model)
+            put("stream", true)
+            put("max_tokens", answerTokens)
+            putJsonObject("stream_options") { put("include_usage", true) }
+            putJsonArray("messages") {
+                add(
+                    buildJsonObject {
+                        put("role", "user")
+                        put("content", prompt)
+                    },
+                )
+            }
+        }.toString()
+
+    private suspend fun read(
+        response: ClientResponse,
+        scheduledNanos: Long,
+    ): AnswerResult {
+        if (response.status != HTTP_OK) {
+            val runState = response.headers.get("X-Lacewingweir-Run") ?: "missing"
+            response.readAll(MAX_ERROR_BYTES)
+            return AnswerResult.Refused(response.status, runState)
+        }
+        val answer = StreamCheck(scheduledNanos)
+        while (true) {
+            when (val part = response.read(ANSWER_TIMEOUT_MILLIS)) {
+                is ReadResult.Data -> answer.feed(part.bytes)
+                ReadResult.End -> return answer.result("stream ended without [DONE]")
+                is ReadResult.Broken -> return answer.result("stream broke: ${part.reason}")
+            }
+        }
+    }
+
+    private class StreamCheck(
+        private val scheduledNanos: Long,
+    ) {
+        private val pending = StringBuilder()
+        private var firstTokenNanos = 0L
+        private var contentChunks = 0L
+        private var usage: JsonObject? = null
+        private var error: String? = null
+        private var done = false
+
+        fun feed(bytes: ByteArray) {
+            pending.append(bytes.decodeToString())
+            while (true) {
+                val end = pending.indexOf("\n\n")
+                if (end < 0) return
+                event(pending.substring(0, end))
+                pending.delete(0, end + 2)
+            }
+        }
+
+        private fun event(text: String) {
+            val lines = text.lines()
+            val data = lines.firstOrNull { it.startsWith("data:") }?.removePrefix("data:")?.trim() ?: return
+            when {
+                lines.any { it.startsWith("event:") && it.contains("error") } -> error = data
+                data == "[DONE]" -> done = true
+                else -> chunk(Json.parseToJsonElement(data).jsonObject)
+            }
+        }
+
+        private fun chunk(json: JsonObject) {
+            (json["usage"] as? JsonObject)?.let { usage = it }
+            val choice = json["choices"]?.jsonArray?.firstOrNull()?.jsonObject ?: return
+            val content = (choice["delta"] as? JsonObject)?.get("content") as? JsonPrimitive
+            if (content?.contentOrNull.isNullOrEmpty()) return
+            if (contentChunks++ == 0L) firstTokenNanos = System.nanoTime()
+        }
+
+        fun result(cutReason: String): AnswerResult {
+            error?.let { return AnswerResult.ExplicitError(it) }
+            val counts = usage
+            if (!done || counts == null) return AnswerResult.Broken(cutReason)
+            val completion = counts.long("completion_tokens")
+            if (completion != contentChunks) {
+                return AnswerResult.Broken("$contentChunks of $completion tokens arrived")
+            }
+            val details = counts["prompt_tokens_details"] as? JsonObject
+            return AnswerResult.Whole(
+                firstTokenMillis = (firstTokenNanos - scheduledNanos) / NANOS_PER_MILLI,
+                totalMillis = (System.nanoTime() - scheduledNanos) / NANOS_PER_MILLI,
+                promptTokens = counts.long("prompt_tokens"),
+                cachedTokens = details?.long("cached_tokens") ?: 0,
+                answerTokens = completion,
+            )
+        }
+
+        private fun JsonObject.long(name: String): Long = get(name)?.jsonPrimitive?.longOrNull ?: 0
+    }
+
+    private companion object {
+        const val HTTP_OK: Int = 200
+        const val MAX_ERROR_BYTES: Int = 65_536
+        const val ANSWER_TIMEOUT_MILLIS: Long = 60_000
+        const val NANOS_PER_MILLI: Double = 1e6
+    }
+}
