--- /dev/null
+++ b/src/main/kotlin/lacewingweir/protocol/etcd/EtcdJson.kt
@@ -0,0 +1,63 @@
+/** Messages of the etcd v3 JSON/HTTP gateway, as far as the configuration store uses it. */
+package lacewingweir.protocol.etcd
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.builtins.LongAsStringSerializer
+import kotlinx.serialization.json.Json
+import java.util.Base64
+
+/** A 64-bit integer, which the gateway writes as a JSON string. Plain numbers are read too, as in proto3 JSON. */
+internal typealias Int64 =
+    @Serializable(with = LongAsStringSerializer::class)
+    Long
+
+/** Reads answers with fields that this project doesn't use, and leaves out fields that hold their default. */
+internal val EtcdJson: Json =
+    Json {
+        ignoreUnknownKeys = true
+        isLenient = true
+        explicitNulls = false
+    }
+
+/** Bytes of a key or value, in Base64 on the wire. */
+@Serializable
+@JvmInline
+internal value class EtcdBytes(
+    val base64: String,
+) {
+    /** @throws IllegalArgumentException if the text is not Base64 */
+    fun toByteArray(): ByteArray = Base64.getDecoder().decode(base64)
+
+    /** @throws IllegalArgumentException if the text is not Base64 */
+    fun toText(): String = toByteArray().decodeToString()
+
+    companion object {
+        val EMPTY: EtcdBytes = EtcdBytes("")
+
+        fun of(bytes: ByteArray): EtcdBytes = EtcdBytes(Base64.getEncoder().encodeToString(bytes))
+
+        fun of(text: String): EtcdBytes = of(text.encodeToByteArray())
+
+        /** The `range_end` that makes a range cover every key starting with [prefix]. */
+        fun prefixEnd(prefix: String): EtcdBytes {
+            val bytes = prefix.encodeToByteArray()
+            val last = bytes.indexOfLast { it != 0xFF.toByte() }
+            // A prefix without an upper bound is written as a single zero byte, which means "to the last key".
+            if (last < 0) return of(byteArrayOf(0))
+            val end = bytes.copyOf(last + 1)
+            end[last]++
+            return of(end)
+        }
+    }
+}
+
+/** Paths of the gateway. */
+internal object EtcdPaths {
+    const val RANGE: String = "/v3/kv/range"
+    const val PUT: String = "/v3/kv/put"
+    const val TXN: String = "/v3/kv/txn"
+    const val LEASE_GRANT: String = "/v3/lease/grant"
+    const val LEASE_KEEP_ALIVE: String = "/v3/lease/keepalive"
+    const val LEASE_REVOKE: String = "/v3/lease/revoke"
+    const val WATCH: String = "/v3/watch"
+}
