Add the platform stand-in with limits and fault switches

Cause: store outages, lost answers and rate limits must be tested without a real key-value service. Ruled out: answering 503 for an outage, which clients can't tell from a proposal that timed out.

--- /dev/null
+++ b/src/main/kotlin/lacewingweir/standin/StandinServer.kt
@@ -0,0 +1,70 @@
+/** Stand-ins for outside systems, with fault switches. They can be embedded in tests or run as processes. */
+package lacewingweir.standin
+
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import lacewingweir.transport.http.HttpServer
+import lacewingweir.transport.http.ServerExchange
+import java.util.concurrent.TimeUnit
+
+/** Reads and writes the control messages of the stand-ins. Unknown fields are errors, so that typing mistakes show. */
+internal val StandinJson: Json = Json { encodeDefaults = true }
+
+internal val JSON_HEADERS: List<Pair<String, String>> = listOf("Content-Type" to "application/json")
+
+/** The thread group, coroutine scope and HTTP listeners of one stand-in. */
+internal class StandinServer(
+    private val host: String,
+    threads: Int = 1,
+) : AutoCloseable {
+    private val group = MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory())
+
+    private val job = SupervisorJob()
+
+    val scope: CoroutineScope = CoroutineScope(job + Dispatchers.Default)
+
+    fun listen(
+        port: Int,
+        handler: suspend (ServerExchange) -> Unit,
+    ): HttpServer = HttpServer(group, scope, host, port, handler = handler).start()
+
+    override fun close() {
+        // Handlers report their end on the event loops, so these must outlive them.
+        runBlocking { withTimeoutOrNull(SHUTDOWN_MILLIS) { job.cancelAndJoin() } }
+        group.shutdownGracefully(0, SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS).awaitUninterruptibly()
+    }
+
+    private companion object {
+        const val SHUTDOWN_MILLIS: Long = 1_000
+    }
+}
+
+internal suspend fun <T> ServerExchange.respondJson(
+    serializer: KSerializer<T>,
+    value: T,
+    status: Int = 200,
+    headers: List<Pair<String, String>> = emptyList(),
+) {
+    respond(status, JSON_HEADERS + headers, StandinJson.encodeToString(serializer, value).encodeToByteArray())
+}
+
+/** Reads the body, or answers with 400 and returns null if it doesn't fit. */
+internal suspend fun <T> ServerExchange.readJson(
+    serializer: KSerializer<T>,
+    json: Json = StandinJson,
+): T? =
+    try {
+        json.decodeFromString(serializer, body.decodeToString())
+    } catch (e: SerializationException) {
+        respond(400, listOf("Content-Type" to "text/plain"), (e.message ?: "malformed JSON").encodeToByteArray())
+        null
+    }
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/transport/store/EtcdConfigStoreTest.kt
@@ -0,0 +1,156 @@
+package lacewingweir.transport.store
+
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import lacewingweir.coordination.store.StoreResult
+import lacewingweir.coordination.store.valueOrNull
+import lacewingweir.protocol.etcd.EtcdBytes
+import lacewingweir.protocol.etcd.EtcdJson
+import lacewingweir.protocol.etcd.EtcdWatchCreate
+import lacewingweir.protocol.etcd.EtcdWatchRequest
+import lacewingweir.standin.platform.PlatformOutage
+import lacewingweir.standin.platform.StandinPlatform
+import lacewingweir.standin.platform.StandinPlatformFaults
+import lacewingweir.standin.platform.StandinPlatformOptions
+import lacewingweir.transport.http.ClientRequest
+import lacewingweir.transport.http.ClientResult
+import lacewingweir.transport.http.HttpClient
+import lacewingweir.transport.http.ReadResult
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+import java.net.ServerSocket
+
+internal class EtcdConfigStoreTest {
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val client = HttpClient(group)
+    private val platforms = mutableListOf<StandinPlatform>()
+
+    @AfterEach
+    fun tearDown() {
+        client.close()
+        platforms.forEach { it.close() }
+        group.shutdownGracefully()
+    }
+
+    private fun platform(options: StandinPlatformOptions = StandinPlatformOptions()): StandinPlatform =
+        StandinPlatform(options).start().also { platforms.add(it) }
+
+    private fun store(vararg ports: Int): EtcdConfigStore =
+        EtcdConfigStore(client, EtcdStoreSettings(ports.map { StoreAddress("127.0.0.1", it) }, callTimeoutMillis = 400))
+
+    @Test
+    fun `values are written by compare-and-set and listed since a revision`() =
+        runBlocking<Unit> {
+            val store = store(platform().port)
+            expectThat(store.compareAndSet("/lw/a", 0, "1".toByteArray())).isEqualTo(StoreResult.Ok(true))
+            expectThat(store.compareAndSet("/lw/a", 0, "2".toByteArray())).isEqualTo(StoreResult.Ok(false))
+            val first = store.get("/lw/a").valueOrNull()
+            expectThat(first).isNotNull().get { value.decodeToString() }.isEqualTo("1")
+            val listing = store.list("/lw/").valueOrNull()!!
+            store.compareAndSet("/lw/b", 0, byteArrayOf())
+            store.compareAndSet("/other", 0, byteArrayOf())
+            val newer = store.list("/lw/", listing.revision).valueOrNull()!!
+            expectThat(newer.entries.map { it.key }).isEqualTo(listOf("/lw/b"))
+            expectThat(newer.revision).isGreaterThan(newer.entries.single().modRevision)
+            expectThat(store.get("/none")).isEqualTo(StoreResult.Ok(null))
+        }
+
+    // Guards against taking a lost answer for a write that was not applied.
+    @Test
+    fun `an answer lost after the effect is unknown and the value was written`() =
+        runBlocking<Unit> {
+            val platform = platform()
+            val store = store(platform.port)
+            platform.setFaults(StandinPlatformFaults(loseAnswersAfterEffect = 1.0))
+            expectThat(store.compareAndSet("/lw/a", 0, "1".toByteArray())).isA<StoreResult.Unknown>()
+            expectThat(store.get("/lw/a")).isA<StoreResult.Unavailable>()
+            platform.setFaults(StandinPlatformFaults())
+            expectThat(store.get("/lw/a").valueOrNull()).isNotNull()
+        }
+
+    // Guards against calling a refused connection unknown, and against a call that outlives its timeout.
+    @Test
+    fun `refused is unavailable and a hanging write is unknown within the timeout`() =
+        runBlocking<Unit> {
+            val platform = platform()
+            val store = store(platform.port)
+            platform.setFaults(StandinPlatformFaults(down = PlatformOutage.REFUSE))
+            expectThat(store.compareAndSet("/lw/a", 0, byteArrayOf())).isA<StoreResult.Unavailable>()
+            platform.setFaults(StandinPlatformFaults(down = PlatformOutage.HANG))
+            val started = System.nanoTime()
+            expectThat(store.compareAndSet("/lw/a", 0, byteArrayOf())).isA<StoreResult.Unknown>()
+            expectThat((System.nanoTime() - started) / 1_000_000).isLessThan(800)
+            platform.setFaults(StandinPlatformFaults())
+            expectThat(store.get("/lw/a")).isEqualTo(StoreResult.Ok(null))
+        }
+
+    // Guards against losing the store when only one of its addresses is down.
+    @Test
+    fun `a call moves on from a dead and a hanging address`() =
+        runBlocking<Unit> {
+            val dead = ServerSocket(0).use { it.localPort }
+            val hanging = platform().also { it.setFaults(StandinPlatformFaults(down = PlatformOutage.HANG)) }
+            val live = platform()
+            val store = store(dead, live.port)
+            expectThat(store.compareAndSet("/lw/a", 0, byteArrayOf())).isEqualTo(StoreResult.Ok(true))
+            expectThat(store(hanging.port, live.port).get("/lw/a").valueOrNull()).isNotNull()
+        }
+
+    // Guards against counting a call over the platform's limit as possibly applied.
+    @Test
+    fun `a write over the limit or too large is unavailable`() =
+        runBlocking<Unit> {
+            val platform = platform(StandinPlatformOptions(writesPerSecond = 3))
+            val store = store(platform.port)
+            val results = (1..8).map { store.compareAndSet("/lw/$it", 0, byteArrayOf()) }
+            expectThat(results.count { it == StoreResult.Ok(true) }).isLessThan(8)
+            expectThat(results.last()).isA<StoreResult.Unavailable>()
+            expectThat(store.get("/lw/8")).isEqualTo(StoreResult.Ok(null))
+            expectThat(platform.stats().overLimit).isGreaterThan(0)
+            expectThat(store.compareAndSet("/big", 0, ByteArray(1_000_001))).isA<StoreResult.Unavailable>()
+        }
+
+    @Test
+    fun `a key goes with its lease`() =
+        runBlocking<Unit> {
+            val store = store(platform().port)
+            val lease = store.grantLease(1).valueOrNull()!!
+            expectThat(store.compareAndSet("/claims/a", 0, byteArrayOf(), lease)).isEqualTo(StoreResult.Ok(true))
+            expectThat(store.compareAndSet("/claims/b", 0, byteArrayOf(), lease + 1)).isA<StoreResult.Unavailable>()
+            delay(1_100)
+            expectThat(store.get("/claims/a").valueOrNull()).isNull()
+        }
+
+    // Guards against a watch that hides its stall, and against watches that are free of charge.
+    @Test
+    fun `a watch streams events, stalls on order and counts as reads`() =
+        runBlocking<Unit> {
+            val platform = platform()
+            val create = EtcdWatchCreate(EtcdBytes.of("/lw/"), EtcdBytes.prefixEnd("/lw/"))
+            val body = EtcdJson.encodeToString(EtcdWatchRequest.serializer(), EtcdWatchRequest(create))
+            val request = ClientRequest("127.0.0.1", platform.port, "POST", "/v3/watch", body = body.toByteArray())
+            val answer = (client.open(request) as ClientResult.Answered).response
+            expectThat(text(answer.read())).contains("\"created\":true")
+            platform.put("/lw/a", "x".toByteArray())
+            expectThat(text(answer.read())).contains(EtcdBytes.of("/lw/a").base64)
+            platform.setFaults(StandinPlatformFaults(stallWatches = true))
+            platform.put("/lw/b", "x".toByteArray())
+            delay(1_100)
+            expectThat(platform.stats().reads).isEqualTo(2)
+            platform.setFaults(StandinPlatformFaults())
+            expectThat(text(answer.read())).contains(EtcdBytes.of("/lw/b").base64)
+            answer.close()
+        }
+
+    private fun text(part: ReadResult): String = (part as ReadResult.Data).bytes.decodeToString()
+}
