Add the engine stand-in with a prefix cache and fault switches

Cause: routing, resume and cache safety need engines whose costs and faults are known. Answers depend only on prompt, model and weights, and each chunk names its answer and index, so that a lost, moved or foreign chunk shows. Eviction takes the deepest pieces of a chain first. Ruled out: parallel prefill, since engines share one compute resource and recomputation must cost others too.

--- /dev/null
+++ b/src/main/kotlin/lacewingweir/standin/engine/EngineMessages.kt
@@ -0,0 +1,127 @@
+package lacewingweir.standin.engine
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.contentOrNull
+
+internal val EngineJson: Json =
+    Json {
+        ignoreUnknownKeys = true
+        explicitNulls = false
+    }
+
+@Serializable
+internal data class CompletionRequest(
+    val model: String,
+    val messages: List<CompletionMessage>,
+    @SerialName("request_id") val requestId: String? = null,
+    @SerialName("cache_salt") val cacheSalt: String = "",
+    val priority: Int = 0,
+    @SerialName("resume_at") val resumeAt: Int = 0,
+    @SerialName("max_tokens") val maxTokens: Int? = null,
+    @SerialName("max_completion_tokens") val maxCompletionTokens: Int? = null,
+) {
+    /** The messages joined as both sides count and hash them. */
+    val prompt: String
+        get() = messages.joinToString("") { "${it.role}: ${it.text}\n" }
+}
+
+@Serializable
+internal data class CompletionMessage(
+    val role: String,
+    val content: JsonElement? = null,
+) {
+    /** The content, or the text parts of it. */
+    val text: String
+        get() =
+            when (content) {
+                is JsonPrimitive -> content.contentOrNull.orEmpty()
+                is JsonArray ->
+                    content.joinToString("") {
+                        ((it as? JsonObject)?.get("text") as? JsonPrimitive)?.contentOrNull.orEmpty()
+                    }
+                else -> ""
+            }
+}
+
+@Serializable
+internal data class CompletionChunk(
+    val id: String,
+    val model: String,
+    val choices: List<ChunkChoice>,
+    val usage: Usage? = null,
+    @SerialName("object") val kind: String,
+    val created: Long,
+)
+
+@Serializable
+internal data class ChunkChoice(
+    val index: Int,
+    val delta: ChunkDelta,
+    @SerialName("finish_reason") val finishReason: String? = null,
+)
+
+@Serializable
+internal data class ChunkDelta(
+    val content: String,
+    val role: String? = null,
+)
+
+@Serializable
+internal data class Usage(
+    @SerialName("prompt_tokens") val promptTokens: Int,
+    @SerialName("completion_tokens") val completionTokens: Int,
+    @SerialName("total_tokens") val totalTokens: Int,
+    @SerialName("prompt_tokens_details") val details: PromptTokensDetails,
+)
+
+@Serializable
+internal data class PromptTokensDetails(
+    @SerialName("cached_tokens") val cachedTokens: Int,
+)
+
+@Serializable
+internal data class CancelCommand(
+    @SerialName("request_id") val requestId: String,
+)
+
+@Serializable
+internal data class LoadCommand(
+    val model: String,
+    val weights: String,
+    val fencing: Long,
+    @SerialName("order_id") val orderId: String = "",
+)
+
+@Serializable
+internal data class StatusReport(
+    val incarnation: String,
+    val leaving: Boolean,
+    val running: Int,
+    val waiting: Int,
+    val models: List<ModelReport>,
+)
+
+@Serializable
+internal data class ModelReport(
+    val name: String,
+    val weights: String,
+    val state: String,
+)
+
+@Serializable
+internal data class EngineErrorBody(
+    val error: EngineErrorDetail,
+)
+
+@Serializable
+internal data class EngineErrorDetail(
+    val message: String,
+    val type: String,
+    val code: String,
+)
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/standin/engine/StandinEngine.kt
@@ -0,0 +1,334 @@
+/** A stand-in for a model engine. */
+package lacewingweir.standin.engine
+
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import lacewingweir.standin.JSON_HEADERS
+import lacewingweir.standin.RequestCapture
+import lacewingweir.standin.StandinServer
+import lacewingweir.standin.readJson
+import lacewingweir.standin.respondJson
+import lacewingweir.state.placement.PrefixChain
+import lacewingweir.state.time.MonotonicClock
+import lacewingweir.transport.http.HttpServer
+import lacewingweir.transport.http.ServerExchange
+import java.util.UUID
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+
+/**
+ * A model engine with the wire format of the design page, section 6.1.
+ *
+ * It computes no model: answers come from [StandinAnswer], and time passes as the options say. The prefix cache,
+ * priorities, resume, cancel, load commands and fencing behave as an engine's would. `POST /standin/faults` takes a
+ * [StandinEngineFaults] that replaces the one in force, and `GET /standin/stats` gives a [StandinEngineStats].
+ */
+public class StandinEngine(
+    private val options: StandinEngineOptions = StandinEngineOptions(),
+    clock: MonotonicClock = MonotonicClock.SYSTEM,
+) : AutoCloseable {
+    /** One accepted request. [weights] stay the same for the whole run, also if a load begins meanwhile. */
+    private class Run(
+        val request: CompletionRequest,
+        val id: String,
+        val weights: String,
+        val incarnation: String,
+        val faults: StandinEngineFaults,
+    ) {
+        val prompt: String = request.prompt
+        val promptBytes: ByteArray = prompt.encodeToByteArray()
+        val promptTokens: Int = (promptBytes.size + BYTES_PER_TOKEN - 1) / BYTES_PER_TOKEN
+        val pendingPrefill: AtomicLong = AtomicLong(promptTokens.toLong())
+    }
+
+    private val server = StandinServer(options.host)
+    private val models = EngineModels(options.models, options.loadMillis, options.ignoreFencing, clock)
+    private val cache = PieceCache(options.cachePieces, options.idleEvictionMillis, clock)
+    private val slots = PrioritySlots(options.slots)
+    private val prefill = PrioritySlots(1)
+    private val capture = RequestCapture(options.capture)
+    private val jobs = ConcurrentHashMap<Job, String>()
+    private val runs = ConcurrentHashMap<String, Int>()
+    private val running = AtomicInteger()
+    private val prefillTokens = AtomicLong()
+    private val recomputed = AtomicLong()
+    private val cached = AtomicLong()
+    private val completed = AtomicLong()
+    private val cancelled = AtomicLong()
+    private val refused = AtomicLong()
+    private val loads = AtomicLong()
+    private val fencedLoads = AtomicLong()
+    private var currentFaults = StandinEngineFaults()
+    private var listener: HttpServer? = null
+
+    @Volatile
+    private var incarnation = newIncarnation()
+
+    /** The bound port; valid after [start]. */
+    public val port: Int
+        get() = checkNotNull(listener) { "stand-in is not started" }.port
+
+    /** Binds the port. */
+    public fun start(): StandinEngine {
+        listener = server.listen(options.port, ::handle)
+        return this
+    }
+
+    /** Replaces the faults in force. */
+    @Synchronized
+    public fun setFaults(faults: StandinEngineFaults) {
+        currentFaults = faults.copy(reset = false)
+        if (faults.reset) {
+            incarnation = newIncarnation()
+            cache.clear()
+            models.reset()
+            jobs.keys.forEach { it.cancel() }
+        }
+    }
+
+    /** The faults in force. */
+    @Synchronized
+    public fun faults(): StandinEngineFaults = currentFaults
+
+    /** Takes the faults for one request. */
+    @Synchronized
+    private fun takeFaults(): StandinEngineFaults {
+        val faults = currentFaults
+        val times = faults.times ?: return faults
+        currentFaults =
+            if (times > 1) faults.copy(times = times - 1) else StandinEngineFaults(leaving = faults.leaving)
+        return faults
+    }
+
+    /** The counters since the start. */
+    public fun stats(): StandinEngineStats =
+        StandinEngineStats(
+            incarnation,
+            runs.toMap(),
+            recomputed.get(),
+            cached.get(),
+            cache.evictedPieces,
+            completed.get(),
+            cancelled.get(),
+            refused.get(),
+            loads.get(),
+            fencedLoads.get(),
+            capture.toList(),
+        )
+
+    private suspend fun handle(exchange: ServerExchange) {
+        when (exchange.method to exchange.path) {
+            "POST" to "/v1/chat/completions" -> {
+                capture.record(exchange)
+                complete(exchange)
+            }
+            "POST" to "/engine/cancel" -> cancel(exchange)
+            "POST" to "/engine/load" -> load(exchange)
+            "GET" to "/engine/status" -> exchange.respondJson(StatusReport.serializer(), status())
+            "POST" to "/standin/faults" -> {
+                val faults = exchange.readJson(StandinEngineFaults.serializer()) ?: return
+                setFaults(faults)
+                exchange.respondJson(StandinEngineFaults.serializer(), faults())
+            }
+            "GET" to "/standin/stats" -> exchange.respondJson(StandinEngineStats.serializer(), stats())
+            else -> refuse(exchange, 404, "not_found", "no such path")
+        }
+    }
+
+    private fun status(): StatusReport =
+        StatusReport(incarnation, faults().leaving, running.get(), slots.waiting, models.report())
+
+    private suspend fun cancel(exchange: ServerExchange) {
+        val command = exchange.readJson(CancelCommand.serializer(), EngineJson) ?: return
+        jobs.filterValues { it == command.requestId }.keys.forEach { it.cancel() }
+        exchange.respond(200, JSON_HEADERS, "{}".encodeToByteArray())
+    }
+
+    private suspend fun load(exchange: ServerExchange) {
+        val command = exchange.readJson(LoadCommand.serializer(), EngineJson) ?: return
+        if (!models.load(command)) {
+            fencedLoads.incrementAndGet()
+            return refuse(exchange, 409, "fenced", "a higher fencing number was seen")
+        }
+        loads.incrementAndGet()
+        exchange.respond(202, JSON_HEADERS, "{}".encodeToByteArray())
+    }
+
+    private suspend fun complete(exchange: ServerExchange) {
+        val request = exchange.readJson(CompletionRequest.serializer(), EngineJson) ?: return
+        val weights = models.servedWeights(request.model)
+        if (weights == null) {
+            val (status, code) = if (models.isKnown(request.model)) 503 to "loading" else 404 to "model_not_found"
+            return refuse(exchange, status, code, "model ${request.model} is not served")
+        }
+        val id = exchange.headers.get("X-Request-Id") ?: request.requestId ?: UUID.randomUUID().toString()
+        val run = Run(request, id, weights, incarnation, takeFaults())
+        try {
+            coroutineScope {
+                val job = launch { execute(exchange, run) }
+                jobs[job] = id
+                job.invokeOnCompletion { jobs.remove(job) }
+                exchange.onDisconnect { job.cancel() }
+                job.join()
+                if (job.isCancelled) {
+                    cancelled.incrementAndGet()
+                    exchange.abort()
+                }
+            }
+        } catch (e: CancellationException) {
+            exchange.abort()
+            throw e
+        }
+    }
+
+    private suspend fun execute(
+        exchange: ServerExchange,
+        run: Run,
+    ) {
+        if (run.faults.hang) awaitCancellation()
+        delay(run.faults.delayMillis)
+        prefillTokens.addAndGet(run.pendingPrefill.get())
+        try {
+            slots.use(run.request.priority) { serve(exchange, run) }
+        } finally {
+            endPrefill(run)
+        }
+    }
+
+    private suspend fun serve(
+        exchange: ServerExchange,
+        run: Run,
+    ) {
+        running.incrementAndGet()
+        runs.merge(run.id, 1, Int::plus)
+        try {
+            val cachedTokens = prefill.use(run.request.priority) { prefill(run) }
+            endPrefill(run)
+            decode(exchange, run, cachedTokens)
+        } finally {
+            running.decrementAndGet()
+        }
+    }
+
+    private fun endPrefill(run: Run) {
+        prefillTokens.addAndGet(-run.pendingPrefill.getAndSet(0))
+    }
+
+    /** Spends the time of the pieces that are not cached, and returns the number of prompt tokens that were. */
+    private suspend fun prefill(run: Run): Int {
+        val salt = "${run.request.cacheSalt}|${run.request.model}|${run.weights}"
+        val pieceBytes = options.pieceTokens * BYTES_PER_TOKEN
+        val hashes = PrefixChain.of(salt, run.promptBytes, pieceBytes, options.pieceTokens).hashes
+        val hits = cache.leadingHits(hashes)
+        val cachedTokens = minOf(hits * options.pieceTokens, run.promptTokens)
+        delay((run.promptTokens - cachedTokens) * options.prefillMillisPerPiece / options.pieceTokens)
+        // A run that a reset has cut must not fill the cache of the next incarnation.
+        if (run.incarnation == incarnation) cache.insert(hashes)
+        cached.addAndGet(hits.toLong())
+        recomputed.addAndGet((hashes.size - hits).toLong())
+        return cachedTokens
+    }
+
+    private suspend fun decode(
+        exchange: ServerExchange,
+        run: Run,
+        cachedTokens: Int,
+    ) {
+        val answer = StandinAnswer.of(run.request.model, run.weights, run.prompt)
+        val limit = run.request.maxCompletionTokens ?: run.request.maxTokens ?: Int.MAX_VALUE
+        val tokens = minOf(limit, options.answerTokens)
+        val shownId = if (run.faults.wrongRequestId) "crossed-${run.id}" else run.id
+        exchange.startStream(200, answerHeaders(run, shownId))
+        val end = if (run.faults.cutBeforeEnd) tokens - 1 else tokens
+        var sent = 0
+        for (index in run.request.resumeAt until end) {
+            if (run.faults.dropAfterChunks == sent) return exchange.abort()
+            delay(options.decodeMillisPerToken)
+            val reason =
+                if (index < tokens - 1) {
+                    null
+                } else if (limit <= options.answerTokens) {
+                    "length"
+                } else {
+                    "stop"
+                }
+            val choice = ChunkChoice(0, ChunkDelta(answer.chunk(index), "assistant".takeIf { index == 0 }), reason)
+            val shownIndex = if (run.faults.wrongIndexAt == index) index + 1 else index
+            exchange.write(event(shownIndex, chunk(run, shownId, listOf(choice))))
+            sent++
+        }
+        if (run.faults.dropAfterChunks == sent) return exchange.abort()
+        if (!run.faults.cutBeforeEnd) {
+            val details = PromptTokensDetails(cachedTokens)
+            val usage = Usage(run.promptTokens, tokens, run.promptTokens + tokens, details)
+            exchange.write(event(tokens, chunk(run, shownId, emptyList(), usage)))
+            exchange.write("data: [DONE]\n\n".encodeToByteArray())
+        }
+        exchange.finish()
+        completed.incrementAndGet()
+    }
+
+    private fun chunk(
+        run: Run,
+        shownId: String,
+        choices: List<ChunkChoice>,
+        usage: Usage? = null,
+    ): CompletionChunk = CompletionChunk(shownId, run.request.model, choices, usage, "chat.completion.chunk", CREATED)
+
+    private fun event(
+        index: Int,
+        chunk: CompletionChunk,
+    ): ByteArray {
+        val json = EngineJson.encodeToString(CompletionChunk.serializer(), chunk)
+        return "id: $index\ndata: $json\n\n".encodeToByteArray()
+    }
+
+    private fun answerHeaders(
+        run: Run,
+        shownId: String,
+    ): List<Pair<String, String>> =
+        listOf(
+            "Content-Type" to "text/event-stream",
+            "X-Request-Id" to shownId,
+            "X-Engine-Incarnation" to run.incarnation,
+            "X-Engine-Weights" to run.weights,
+        ) + loadHeaders()
+
+    private fun loadHeaders(): List<Pair<String, String>> {
+        val load = "running=${running.get()};waiting=${slots.waiting};prefill=${prefillTokens.get()}"
+        val leaving = if (faults().leaving) listOf("X-Engine-Leaving" to "true") else emptyList()
+        return listOf("X-Engine-Load" to load) + leaving
+    }
+
+    /** Answers with an error of which it is certain that nothing was run. */
+    private suspend fun refuse(
+        exchange: ServerExchange,
+        status: Int,
+        code: String,
+        message: String,
+    ) {
+        refused.incrementAndGet()
+        val headers = listOf("X-Run" to "not-run", "X-Engine-Incarnation" to incarnation) + loadHeaders()
+        val body = EngineErrorBody(EngineErrorDetail(message, "engine_error", code))
+        exchange.respondJson(EngineErrorBody.serializer(), body, status, headers)
+    }
+
+    override fun close() {
+        listener?.close()
+        server.close()
+    }
+
+    private companion object {
+        const val BYTES_PER_TOKEN: Int = 4
+
+        // Answers of different runs must not differ, so the time of creation is fixed.
+        const val CREATED: Long = 1_700_000_000
+
+        fun newIncarnation(): String = UUID.randomUUID().toString()
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/standin/StreamedAnswer.kt
@@ -0,0 +1,64 @@
+package lacewingweir.standin
+
+import lacewingweir.transport.http.ClientRequest
+import lacewingweir.transport.http.ClientResponse
+import lacewingweir.transport.http.ClientResult
+import lacewingweir.transport.http.HttpClient
+import lacewingweir.transport.http.ReadResult
+
+/** A streamed answer as far as it arrived. [whole] is false if the body was cut. */
+internal class StreamedAnswer(
+    val response: ClientResponse,
+    val text: String,
+    val whole: Boolean,
+) {
+    /** Indexes of the events in order of arrival. */
+    val indexes: List<Int> = Regex("(?m)^id: (\\d+)$").findAll(text).map { it.groupValues[1].toInt() }.toList()
+
+    /** The joined text of the chunks. */
+    val content: String =
+        Regex("\"content\":\"([^\"]*)\"").findAll(text).joinToString("") { it.groupValues[1] }
+
+    val cachedTokens: Int? =
+        Regex("\"cached_tokens\":(\\d+)")
+            .find(text)
+            ?.groupValues
+            ?.get(1)
+            ?.toInt()
+}
+
+internal suspend fun HttpClient.post(
+    port: Int,
+    path: String,
+    body: String,
+    headers: List<Pair<String, String>> = emptyList(),
+    headTimeoutMillis: Long = 3_000,
+): ClientResult =
+    open(
+        ClientRequest(
+            "127.0.0.1",
+            port,
+            "POST",
+            path,
+            headers,
+            body.toByteArray(),
+            headTimeoutMillis = headTimeoutMillis,
+        ),
+    )
+
+internal suspend fun HttpClient.stream(
+    port: Int,
+    path: String,
+    body: String,
+    headers: List<Pair<String, String>> = emptyList(),
+): StreamedAnswer {
+    val response = (post(port, path, body, headers) as ClientResult.Answered).response
+    val text = StringBuilder()
+    while (true) {
+        when (val part = response.read(3_000)) {
+            is ReadResult.Data -> text.append(part.bytes.decodeToString())
+            ReadResult.End -> return StreamedAnswer(response, text.toString(), whole = true)
+            is ReadResult.Broken -> return StreamedAnswer(response, text.toString(), whole = false)
+        }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/standin/engine/StandinEngineTest.kt
@@ -0,0 +1,198 @@
+package lacewingweir.standin.engine
+
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import lacewingweir.standin.StreamedAnswer
+import lacewingweir.standin.post
+import lacewingweir.standin.stream
+import lacewingweir.transport.http.ClientResult
+import lacewingweir.transport.http.HttpClient
+import lacewingweir.transport.http.readAll
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.endsWith
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import strikt.assertions.isNotEqualTo
+import strikt.assertions.isTrue
+
+internal class StandinEngineTest {
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val client = HttpClient(group)
+    private val engines = mutableListOf<StandinEngine>()
+    private val quick =
+        StandinEngineOptions(decodeMillisPerToken = 0, answerTokens = 6, pieceTokens = 10, prefillMillisPerPiece = 20)
+
+    @AfterEach
+    fun tearDown() {
+        client.close()
+        engines.forEach { it.close() }
+        group.shutdownGracefully()
+    }
+
+    private fun engine(options: StandinEngineOptions = quick): StandinEngine =
+        StandinEngine(options).start().also { engines.add(it) }
+
+    private fun body(
+        prompt: String,
+        fields: String = "",
+    ): String = """{"model":"model","messages":[{"role":"user","content":"$prompt"}]$fields}"""
+
+    private suspend fun StandinEngine.ask(
+        prompt: String,
+        fields: String = "",
+        id: String = "r1",
+    ): StreamedAnswer = client.stream(port, "/v1/chat/completions", body(prompt, fields), listOf("X-Request-Id" to id))
+
+    // Guards against a resumed stream that differs from the uninterrupted one on another engine.
+    @Test
+    fun `a dropped stream continues exactly on another engine`() =
+        runBlocking<Unit> {
+            val first = engine().also { it.setFaults(StandinEngineFaults(dropAfterChunks = 4)) }
+            val head = first.ask("hello")
+            expectThat(head.whole).isFalse()
+            expectThat(head.indexes).isEqualTo(listOf(0, 1, 2, 3))
+            val rest = engine().ask("hello", ""","resume_at":4""")
+            expectThat(rest.indexes).isEqualTo(listOf(4, 5, 6))
+            val expected = StandinAnswer.of("model", "v1", "user: hello\n").text(6)
+            expectThat(head.content + rest.content).isEqualTo(expected)
+            expectThat(rest.text).contains("\"completion_tokens\":6").endsWith("data: [DONE]\n\n")
+            expectThat(engine().ask("hello", ""","max_tokens":2""").text).contains("\"finish_reason\":\"length\"")
+        }
+
+    // Guards against cache hits across salts, and against a cache that never forgets.
+    @Test
+    fun `the cache is bound to the salt and evicts by use and by idle time`() =
+        runBlocking<Unit> {
+            val engine = engine(quick.copy(cachePieces = 4, idleEvictionMillis = 300))
+            val prompt = "x".repeat(120)
+            expectThat(engine.ask(prompt, ""","cache_salt":"a"""").cachedTokens).isEqualTo(0)
+            expectThat(engine.ask(prompt, ""","cache_salt":"a"""").cachedTokens).isEqualTo(30)
+            expectThat(engine.ask(prompt, ""","cache_salt":"b"""").cachedTokens).isEqualTo(0)
+            expectThat(engine.ask(prompt, ""","cache_salt":"a"""").cachedTokens).isEqualTo(10)
+            expectThat(engine.stats().evictedPieces).isGreaterThan(0)
+            delay(400)
+            expectThat(engine.ask(prompt, ""","cache_salt":"a"""").cachedTokens).isEqualTo(0)
+        }
+
+    // Guards against an engine that shows no cost of recomputation or no priority.
+    @Test
+    fun `prefill is serial and interactive requests go first`() =
+        runBlocking<Unit> {
+            val engine = engine(quick.copy(slots = 1, prefillMillisPerPiece = 100))
+            val ends = mutableListOf<String>()
+            val calls =
+                listOf("first" to 1, "batch" to 1, "interactive" to 0).map { (name, priority) ->
+                    val call =
+                        async {
+                            engine.ask(name + "y".repeat(40), ""","priority":$priority""", name)
+                            synchronized(ends) { ends.add(name) }
+                        }
+                    delay(30)
+                    call
+                }
+            calls.forEach { it.await() }
+            expectThat(ends).isEqualTo(mutableListOf("first", "interactive", "batch"))
+        }
+
+    // Guards against faults that a checker of streams could not see.
+    @Test
+    fun `wrong id, wrong index and an early end are visible`() =
+        runBlocking<Unit> {
+            val engine = engine()
+            engine.setFaults(StandinEngineFaults(wrongRequestId = true, times = 1))
+            expectThat(engine.ask("a").response.headers["X-Request-Id"]).isNotEqualTo("r1")
+            engine.setFaults(StandinEngineFaults(wrongIndexAt = 2, times = 1))
+            expectThat(engine.ask("a").indexes.take(4)).isEqualTo(listOf(0, 1, 3, 3))
+            engine.setFaults(StandinEngineFaults(cutBeforeEnd = true, times = 1))
+            val cut = engine.ask("a")
+            expectThat(cut.whole).isTrue()
+            expectThat(cut.text.contains("[DONE]")).isFalse()
+            expectThat(engine.ask("a").text).endsWith("data: [DONE]\n\n")
+            expectThat(engine.stats().runs).isEqualTo(mapOf("r1" to 4))
+        }
+
+    // Guards against an engine that keeps its cache or identity over a crash.
+    @Test
+    fun `a reset cuts streams and comes back empty with a new incarnation`() =
+        runBlocking<Unit> {
+            val engine = engine(quick.copy(decodeMillisPerToken = 50))
+            val prompt = "z".repeat(100)
+            val before = engine.ask(prompt)
+            val running = async { engine.ask(prompt) }
+            delay(150)
+            engine.setFaults(StandinEngineFaults(reset = true))
+            expectThat(running.await().whole).isFalse()
+            val after = engine.ask(prompt)
+            expectThat(after.cachedTokens).isEqualTo(0)
+            val header = "X-Engine-Incarnation"
+            expectThat(after.response.headers[header]).isNotEqualTo(before.response.headers[header])
+        }
+
+    // Guards against a cancelled request that keeps its slot.
+    @Test
+    fun `cancel and disconnect free the slot`() =
+        runBlocking<Unit> {
+            val engine = engine(quick.copy(slots = 1, decodeMillisPerToken = 500))
+            val running = async { engine.ask("a", id = "gone") }
+            delay(100)
+            client.post(engine.port, "/engine/cancel", """{"request_id":"gone"}""")
+            expectThat(running.await().whole).isFalse()
+            val open = client.post(engine.port, "/v1/chat/completions", body("b")) as ClientResult.Answered
+            open.response.close()
+            delay(100)
+            expectThat(engine.stats().cancelled).isEqualTo(2)
+            val status = client.post(engine.port, "/v1/chat/completions", body("c")) as ClientResult.Answered
+            expectThat(status.response.headers["X-Engine-Load"]).isEqualTo("running=1;waiting=0;prefill=0")
+            status.response.close()
+        }
+
+    // Guards against old commands that take effect on an engine that checks fencing.
+    @Test
+    fun `load takes its time and old fencing numbers are refused unless ignored`() =
+        runBlocking<Unit> {
+            val engine = engine(quick.copy(loadMillis = 200))
+            expectThat(engine.load("v2", 5)).isEqualTo(202)
+            expectThat(engine.load("v1", 4)).isEqualTo(409)
+            val loading = client.post(engine.port, "/v1/chat/completions", body("a")) as ClientResult.Answered
+            expectThat(loading.response.status).isEqualTo(503)
+            expectThat(loading.response.headers["X-Run"]).isEqualTo("not-run")
+            loading.response.readAll(10_000)
+            delay(250)
+            expectThat(engine.ask("a").response.headers["X-Engine-Weights"]).isEqualTo("v2")
+            val careless = engine(quick.copy(loadMillis = 0, ignoreFencing = true))
+            expectThat(careless.load("v2", 5)).isEqualTo(202)
+            expectThat(careless.load("v1", 4)).isEqualTo(202)
+            expectThat(careless.ask("a").response.headers["X-Engine-Weights"]).isEqualTo("v1")
+        }
+
+    private suspend fun StandinEngine.load(
+        weights: String,
+        fencing: Long,
+    ): Int {
+        val body = """{"model":"model","weights":"$weights","fencing":$fencing,"order_id":"o"}"""
+        val response = (client.post(port, "/engine/load", body) as ClientResult.Answered).response
+        response.readAll(10_000)
+        return response.status
+    }
+
+    @Test
+    fun `the control paths set faults and show stats`() =
+        runBlocking<Unit> {
+            val engine = engine(quick.copy(capture = true))
+            client.stream(engine.port, "/standin/faults", """{"leaving":true,"delayMillis":50}""")
+            val started = System.nanoTime()
+            val answer = engine.ask("secret-text")
+            expectThat((System.nanoTime() - started) / 1_000_000).isGreaterThan(49).isLessThan(2_000)
+            expectThat(answer.response.headers["X-Engine-Leaving"]).isEqualTo("true")
+            expectThat(engine.stats().captured.single()).contains("secret-text").contains("X-Request-Id: r1")
+            expectThat(client.stream(engine.port, "/standin/faults", """{"dely":1}""").response.status).isEqualTo(400)
+        }
+}
