Add the service stand-in and the standin subcommands

Cause: calls that must run at most once need a service that counts runs by key, also when the answer is lost or refused. Ruled out: counting by connection, which retries would hide. The subcommands compile and have no test.

--- /dev/null
+++ b/src/main/kotlin/lacewingweir/cli/standin/ProcessLifetime.kt
@@ -0,0 +1,15 @@
+package lacewingweir.cli.standin
+
+import java.util.concurrent.CountDownLatch
+
+/** Prints where [name] listens, waits until the process is told to end, and then closes [resource]. */
+internal fun runUntilTerminated(
+    name: String,
+    host: String,
+    port: Int,
+    resource: AutoCloseable,
+) {
+    Runtime.getRuntime().addShutdownHook(Thread { resource.close() })
+    println("standin: $name listening on $host:$port")
+    CountDownLatch(1).await()
+}
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/cli/standin/StandinCommand.kt
@@ -0,0 +1,15 @@
+/** Subcommands that run the stand-ins as processes. */
+package lacewingweir.cli.standin
+
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+
+/** The `standin` subcommand with one subcommand for each stand-in. */
+@OptIn(ExperimentalCli::class)
+public class StandinCommand : Subcommand("standin", "Run a stand-in of an outside system until SIGTERM") {
+    init {
+        subcommands(PlatformCommand(), EngineCommand(), ServiceCommand())
+    }
+
+    override fun execute(): Unit = Unit
+}
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/standin/service/StandinService.kt
@@ -0,0 +1,126 @@
+/** A stand-in for a plain service. */
+package lacewingweir.standin.service
+
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import lacewingweir.standin.JSON_HEADERS
+import lacewingweir.standin.RequestCapture
+import lacewingweir.standin.StandinServer
+import lacewingweir.standin.readJson
+import lacewingweir.standin.respondJson
+import lacewingweir.transport.http.HttpServer
+import lacewingweir.transport.http.ServerExchange
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+
+/**
+ * A plain service that answers every call with a [StandinServiceAnswer] and counts runs by key.
+ *
+ * `POST /standin/faults` takes a [StandinServiceFaults] that replaces the one in force, and `GET /standin/stats` gives
+ * a [StandinServiceStats].
+ */
+public class StandinService(
+    private val options: StandinServiceOptions = StandinServiceOptions(),
+) : AutoCloseable {
+    private val server = StandinServer(options.host)
+    private val capture = RequestCapture(options.capture)
+    private val runs = ConcurrentHashMap<String, Int>()
+    private val totalRuns = AtomicLong()
+    private val refused = AtomicLong()
+    private val answersDropped = AtomicLong()
+    private var currentFaults = StandinServiceFaults()
+    private var listener: HttpServer? = null
+
+    /** The bound port; valid after [start]. */
+    public val port: Int
+        get() = checkNotNull(listener) { "stand-in is not started" }.port
+
+    /** Binds the port. */
+    public fun start(): StandinService {
+        listener = server.listen(options.port, ::handle)
+        return this
+    }
+
+    /** Replaces the faults in force. */
+    @Synchronized
+    public fun setFaults(faults: StandinServiceFaults) {
+        currentFaults = faults
+    }
+
+    @Synchronized
+    private fun takeFaults(): StandinServiceFaults {
+        val faults = currentFaults
+        val times = faults.times ?: return faults
+        currentFaults = if (times > 1) faults.copy(times = times - 1) else StandinServiceFaults()
+        return faults
+    }
+
+    /** The counters since the start. */
+    public fun stats(): StandinServiceStats =
+        StandinServiceStats(
+            runs.toMap(),
+            totalRuns.get(),
+            refused.get(),
+            answersDropped.get(),
+            capture.toList(),
+        )
+
+    private suspend fun handle(exchange: ServerExchange) {
+        when (exchange.method to exchange.path) {
+            "POST" to "/standin/faults" -> {
+                val faults = exchange.readJson(StandinServiceFaults.serializer()) ?: return
+                setFaults(faults)
+                exchange.respondJson(StandinServiceFaults.serializer(), faults)
+            }
+            "GET" to "/standin/stats" -> exchange.respondJson(StandinServiceStats.serializer(), stats())
+            else -> serve(exchange)
+        }
+    }
+
+    private suspend fun serve(exchange: ServerExchange) {
+        capture.record(exchange)
+        val faults = takeFaults()
+        if (faults.hang) return hangUntilDisconnect(exchange)
+        delay(faults.delayMillis)
+        if (faults.refuse) {
+            refused.incrementAndGet()
+            val body = """{"error":"refused"}""".encodeToByteArray()
+            return exchange.respond(503, JSON_HEADERS + ("X-Run" to "not-run"), body)
+        }
+        // From here on the call counts as run, also if its caller has gone.
+        val key = exchange.headers.get("Idempotency-Key") ?: exchange.headers.get("X-Request-Id") ?: ""
+        val run = checkNotNull(runs.merge(key, 1, Int::plus))
+        totalRuns.incrementAndGet()
+        delay(options.workMillis)
+        if (faults.dropAnswer) {
+            answersDropped.incrementAndGet()
+            return exchange.abort()
+        }
+        val answer =
+            StandinServiceAnswer(
+                options.name,
+                exchange.method,
+                exchange.path,
+                exchange.query,
+                key,
+                run,
+                exchange.headers.get("X-Customer"),
+                exchange.body.size,
+            )
+        exchange.respondJson(StandinServiceAnswer.serializer(), answer)
+    }
+
+    private suspend fun hangUntilDisconnect(exchange: ServerExchange) {
+        coroutineScope {
+            val job = launch { awaitCancellation() }
+            exchange.onDisconnect { job.cancel() }
+        }
+    }
+
+    override fun close() {
+        listener?.close()
+        server.close()
+    }
+}
