Add the peer codec and the connections between instances

Cause: the coordination parts need a PeerNetwork. Messages are CBOR in an envelope with version, type name and opaque body, so unknown types are skipped. A structural check runs before the decoder, because the library reserves memory for a declared collection size before it reads the elements. Two hellos with nonces and two HMAC-SHA256 proofs authenticate a connection; the dialer proves first.

--- /dev/null
+++ b/src/test/kotlin/lacewingweir/transport/peer/KtorPeerNetworkTest.kt
@@ -0,0 +1,171 @@
+package lacewingweir.transport.peer
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import lacewingweir.coordination.peer.HeartbeatAck
+import lacewingweir.coordination.peer.PeerAddress
+import lacewingweir.coordination.peer.PeerAddresses
+import lacewingweir.coordination.peer.PeerMessage
+import lacewingweir.state.id.FailureDomain
+import lacewingweir.state.id.Incarnation
+import lacewingweir.state.id.InstanceName
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactlyInAnyOrder
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
+import java.io.DataInputStream
+import java.io.DataOutputStream
+import java.net.Socket
+import java.util.concurrent.ConcurrentLinkedQueue
+import kotlin.random.Random
+
+internal class KtorPeerNetworkTest {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val networks = ArrayList<KtorPeerNetwork>()
+
+    @AfterEach
+    fun tearDown() {
+        networks.forEach { it.close() }
+        scope.cancel()
+    }
+
+    private suspend fun network(
+        name: String,
+        seeds: List<HostPort> = emptyList(),
+        secret: String = "a shared secret of the fleet",
+        port: Int = 0,
+        incarnation: String = "$name-1",
+        limits: PeerLimits = PeerLimits(),
+    ): KtorPeerNetwork {
+        val address =
+            PeerAddress(InstanceName(name), Incarnation(incarnation), "127.0.0.1", port, 1, FailureDomain("liege"))
+        return KtorPeerNetwork(address, secret.toByteArray(), seeds, scope, limits = limits)
+            .also(networks::add)
+            .start()
+    }
+
+    private fun KtorPeerNetwork.endpoint() = HostPort(self.host, self.peerPort)
+
+    private suspend fun await(condition: () -> Boolean) = withTimeout(10_000) { while (!condition()) delay(10) }
+
+    private fun KtorPeerNetwork.received(): ConcurrentLinkedQueue<Pair<PeerAddress, PeerMessage>> =
+        ConcurrentLinkedQueue<Pair<PeerAddress, PeerMessage>>().also { all -> subscribe { f, m -> all.add(f to m) } }
+
+    @Test
+    fun `peers meet through one seed and addresses, and count their messages`() =
+        runBlocking<Unit> {
+            val a = network("a")
+            val b = network("b", listOf(a.endpoint()))
+            val c = network("c", listOf(a.endpoint()))
+            val inbox = c.received()
+            await { a.connectedPeers().size == 2 }
+            a.send(InstanceName("c"), PeerAddresses(listOf(b.self)))
+            await { c.connectedPeers().size == 2 && b.connectedPeers().size == 2 }
+            expectThat(c.connectedPeers()).containsExactlyInAnyOrder(a.self, b.self)
+            b.send(InstanceName("c"), HeartbeatAck(5, 1))
+            await { inbox.contains(b.self to HeartbeatAck(5, 1)) }
+            expectThat(c.traffic().getValue("heartbeatAck").receivedMessages).isEqualTo(1)
+            expectThat(c.traffic().getValue("heartbeatAck").receivedBytes).isGreaterThan(10)
+        }
+
+    // Guards against two lasting connections, or none, after both sides dialed at once.
+    @Test
+    fun `a pair that dials both ways keeps working connections`() =
+        runBlocking<Unit> {
+            val a = network("a")
+            val b = network("b")
+            a.addPeer(b.self)
+            b.addPeer(a.self)
+            val inbox = b.received()
+            await { a.connectedPeers().isNotEmpty() && b.connectedPeers().isNotEmpty() }
+            delay(700)
+            expectThat(a.send(b.self.name, HeartbeatAck(1, 1))).isEqualTo(true)
+            await { inbox.isNotEmpty() }
+        }
+
+    // Guards against an outsider that joins the fleet or learns its traffic.
+    @Test
+    fun `a wrong secret is refused on both sides`() =
+        runBlocking<Unit> {
+            val a = network("a")
+            val b = network("b", listOf(a.endpoint()), secret = "another secret altogether")
+            delay(1_000)
+            expectThat(a.connectedPeers()).isEmpty()
+            expectThat(b.connectedPeers()).isEmpty()
+            expectThat(b.send(a.self.name, HeartbeatAck(1, 1))).isFalse()
+            expectThat(b.traffic().getValue("heartbeatAck").droppedMessages).isEqualTo(1)
+        }
+
+    // Guards against messages that reach the former run of an instance.
+    @Test
+    fun `a restarted peer replaces its former incarnation`() =
+        runBlocking<Unit> {
+            val a = network("a")
+            val old = network("b", listOf(a.endpoint()))
+            await { a.connectedPeers().isNotEmpty() }
+            val successor = network("b", listOf(a.endpoint()), incarnation = "b-2")
+            await { a.connectedPeers().single().incarnation == successor.self.incarnation }
+            delay(700)
+            expectThat(a.connectedPeers()).isEqualTo(listOf(successor.self))
+            expectThat(old.connectedPeers()).isEmpty()
+            successor.close()
+            await { a.connectedPeers().isEmpty() }
+        }
+
+    @Test
+    fun `a lost connection is dialed again`() =
+        runBlocking<Unit> {
+            val a = network("a")
+            val b = network("b", listOf(a.endpoint()))
+            await { b.connectedPeers().isNotEmpty() }
+            val port = a.self.peerPort
+            a.close()
+            await { b.connectedPeers().isEmpty() }
+            network("a", port = port, incarnation = "a-2")
+            await { b.connectedPeers().singleOrNull()?.incarnation == Incarnation("a-2") }
+        }
+
+    @Test
+    fun `silent connections are closed, in the hello and after it`() =
+        runBlocking<Unit> {
+            val limits = PeerLimits(helloTimeoutMillis = 300, idleMillis = 500)
+            val a = network("a", limits = limits)
+            Socket("127.0.0.1", a.self.peerPort).use { socket ->
+                socket.soTimeout = 5_000
+                expectThat(socket.getInputStream().read()).isEqualTo(-1)
+            }
+            val b = network("b", listOf(a.endpoint()))
+            await { b.connectedPeers().isNotEmpty() }
+            await { b.connectedPeers().isEmpty() }
+        }
+
+    // Guards against a process that dies or leaks connections under random or oversized frames.
+    @Test
+    fun `random and oversized frames leave the listener working`() =
+        runBlocking<Unit> {
+            val seed = Random.nextLong()
+            println("KtorPeerNetworkTest seed $seed")
+            val random = Random(seed)
+            val a = network("a", limits = PeerLimits(helloTimeoutMillis = 500))
+            repeat(60) { round ->
+                Socket("127.0.0.1", a.self.peerPort).use { socket ->
+                    socket.soTimeout = 5_000
+                    val output = DataOutputStream(socket.getOutputStream())
+                    output.writeInt(if (round % 3 == 0) random.nextInt() else random.nextInt(1, 300))
+                    runCatching { output.write(random.nextBytes(random.nextInt(400))) }
+                    if (round % 5 == 0) runCatching { DataInputStream(socket.getInputStream()).readInt() }
+                }
+            }
+            network("b", listOf(a.endpoint()))
+            await { a.connectedPeers().size == 1 }
+        }
+}
