--- /dev/null
+++ b/src/main/kotlin/lacewingweir/state/membership/MembershipLimits.kt
@@ -0,0 +1,35 @@
+package lacewingweir.state.membership
+
+/**
+ * Times of the membership rules.
+ *
+ * [authorityMillis] is the age at which a proof of contact ends the right to spend. [silenceMillis] of silence lead to
+ * a removal. A report older than [freshMillis] says nothing about the present; it is below [authorityMillis], so that
+ * a confirmation of an earlier run is out of date before its successor may vote. A new instance listens for
+ * [joinListenMillis] before it proposes anything, and for [firstEpochWaitMillis] before it founds the first epoch
+ * while recorded instances are silent. [rejoinDelayMillis] keeps an instance that some peer can't hear from being
+ * removed and added in turns.
+ */
+public data class MembershipLimits(
+    val heartbeatMillis: Long = 1_000,
+    val authorityMillis: Long = 5_000,
+    val silenceMillis: Long = 10_000,
+    val freshMillis: Long = 3_000,
+    val joinListenMillis: Long = 2_000,
+    val firstEpochWaitMillis: Long = 15_000,
+    val rejoinDelayMillis: Long = 30_000,
+    val verifyStoreMillis: Long = 5_000,
+) {
+    init {
+        require(freshMillis < authorityMillis) { "freshMillis must be below authorityMillis" }
+    }
+
+    /** Time after a majority's confirmation by which every other proof of the old epoch has ended. */
+    val activationWaitMillis: Long
+        get() = authorityMillis + authorityMillis / CLOCK_MARGIN_DIVISOR + TRANSIT_MARGIN_MILLIS
+
+    private companion object {
+        const val CLOCK_MARGIN_DIVISOR = 100L
+        const val TRANSIT_MARGIN_MILLIS = 500L
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/state/membership/EpochDecisionsTest.kt
@@ -0,0 +1,91 @@
+package lacewingweir.state.membership
+
+import lacewingweir.state.id.Incarnation
+import lacewingweir.state.id.InstanceName
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
+
+internal class EpochDecisionsTest {
+    private val limits = MembershipLimits()
+    private val names = listOf("a", "b", "c").map(::InstanceName)
+    private val pending = EpochDocument(2, EpochPhase.PENDING, names, names + InstanceName("d"))
+    private val active = pending.copy(phase = EpochPhase.ACTIVE)
+
+    private fun report(
+        name: String,
+        epoch: Long = 2,
+        heard: Long = 10_000,
+        confirmedSince: Long? = 9_000,
+    ) = MemberReport(InstanceName(name), Incarnation("1"), epoch, epoch, true, heard, confirmedSince)
+
+    private fun reports(vararg all: MemberReport) = all.associateBy { it.name }
+
+    private fun activation(
+        now: Long,
+        vararg all: MemberReport,
+    ) = EpochDecisions.activation(pending, reports(*all), now, limits)
+
+    @Test
+    fun `all old members or an old majority activate`() {
+        expectThat(activation(10_000, report("a"), report("b"), report("c"))).isEqualTo(ActivationGround.ALL_CONFIRMED)
+        expectThat(activation(10_000, report("a"), report("b"))).isNull()
+        val wait = limits.activationWaitMillis
+        expectThat(wait).isEqualTo(5_550)
+        val two = arrayOf(report("a", heard = 14_000), report("b", heard = 14_000))
+        expectThat(activation(9_000 + wait - 1, *two)).isNull()
+        expectThat(activation(9_000 + wait, *two)).isEqualTo(ActivationGround.MAJORITY_AND_TIME)
+    }
+
+    // Guards against a vote of a former run, or for another epoch with the same or a higher number.
+    @Test
+    fun `stale confirmations and those of other epochs don't count`() {
+        expectThat(activation(10_000, report("a"), report("b"), report("c", heard = 6_999))).isNull()
+        expectThat(activation(10_000, report("a"), report("b"), report("c", epoch = 3))).isNull()
+        expectThat(activation(10_000, report("a"), report("b"), report("c", confirmedSince = null))).isNull()
+    }
+
+    @Test
+    fun `shares shrink to the smaller one while an epoch is pending`() {
+        expectThat(pending.ownedDivisor(names[0])).isEqualTo(4)
+        expectThat(pending.ownedDivisor(InstanceName("d"))).isNull()
+        expectThat(active.ownedDivisor(InstanceName("d"))).isEqualTo(4)
+        val shrinking = EpochDocument(3, EpochPhase.PENDING, names, names.take(2))
+        expectThat(shrinking.ownedDivisor(names[0])).isEqualTo(3)
+        expectThat(shrinking.divisorToConfirm(names[2])).isEqualTo(Int.MAX_VALUE)
+    }
+
+    // Guards against a deaf instance that removes everyone, and one that just woke from a pause.
+    @Test
+    fun `only the lowest live member that hears a majority removes the silent`() {
+        val d = InstanceName("d")
+
+        fun removal(
+            self: String,
+            watchedSince: Long,
+            vararg all: MemberReport,
+        ) = EpochDecisions.removal(active, InstanceName(self), reports(*all), watchedSince, 10_000, limits)
+        val heard = arrayOf(report("a"), report("b"), report("c"))
+        expectThat(removal("a", 0, *heard)?.members).isEqualTo(names)
+        expectThat(removal("b", 0, *heard)).isNull()
+        expectThat(removal("a", 0, report("b"))).isNull()
+        expectThat(removal("a", 1, *heard)).isNull()
+        expectThat(removal("a", 0, *heard, report(d.value, heard = 1))).isNull()
+    }
+
+    // Guards against a proposal on top of a document that a restored store brought back.
+    @Test
+    fun `a joiner waits for a majority at the same epoch`() {
+        val e = InstanceName("e")
+
+        fun join(
+            listened: Long,
+            vararg all: MemberReport,
+        ) = EpochDecisions.join(active, e, reports(*all), listened, 10_000, limits)
+        expectThat(join(3_000, report("a"), report("b"), report("c"))?.members?.last()).isEqualTo(e)
+        expectThat(join(3_000, report("a"), report("b"))).isNull()
+        expectThat(join(10_000, report("a"), report("b"))?.epoch).isEqualTo(3)
+        expectThat(join(10_000, report("a"), report("b"), report("c", epoch = 3))).isNull()
+    }
+}
