Read settings and bundles with a full check

Cause: operators' documents must be refused as a whole with every mistake named, before they reach an instance. Ruled out: decoding with serializers, because they stop at the first mistake.

--- /dev/null
+++ b/src/main/kotlin/lacewingweir/protocol/settings/FleetSecret.kt
@@ -0,0 +1,12 @@
+package lacewingweir.protocol.settings
+
+/** The secret that all instances of a fleet share. It never shows in logs or messages. */
+public class FleetSecret(
+    public val value: String,
+) {
+    override fun equals(other: Any?): Boolean = other is FleetSecret && other.value == value
+
+    override fun hashCode(): Int = value.hashCode()
+
+    override fun toString(): String = "(hidden)"
+}
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/protocol/json/JsonFuzz.kt
@@ -0,0 +1,63 @@
+package lacewingweir.protocol.json
+
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlin.random.Random
+
+/** Makes random changes to a valid document: replaced, removed, doubled and added values, and cut or altered text. */
+internal class JsonFuzz(
+    private val random: Random,
+) {
+    fun mutate(document: String): String {
+        var element = Json.parseToJsonElement(document)
+        repeat(random.nextInt(1, 4)) { element = change(element) }
+        val text = element.toString()
+        return when (random.nextInt(6)) {
+            0 -> text.take(random.nextInt(text.length + 1))
+            1 -> text.replaceFirst(text.random(random), Char(random.nextInt(1, 0xffff)))
+            else -> text
+        }
+    }
+
+    private fun change(element: JsonElement): JsonElement =
+        when {
+            random.nextInt(8) == 0 -> value()
+            element is JsonObject && element.isNotEmpty() -> changeObject(element)
+            element is JsonArray && element.isNotEmpty() -> changeArray(element)
+            else -> value()
+        }
+
+    private fun changeObject(element: JsonObject): JsonObject {
+        val name = element.keys.random(random)
+        return when (random.nextInt(6)) {
+            0 -> JsonObject(element - name)
+            1 -> JsonObject(element + ("x${random.nextInt(9)}" to value()))
+            else -> JsonObject(element + (name to change(element.getValue(name))))
+        }
+    }
+
+    private fun changeArray(element: JsonArray): JsonArray {
+        val i = random.nextInt(element.size)
+        return when (random.nextInt(4)) {
+            0 -> JsonArray(element.filterIndexed { n, _ -> n != i })
+            1 -> JsonArray(element + element[i])
+            else -> JsonArray(element.mapIndexed { n, item -> if (n == i) change(item) else item })
+        }
+    }
+
+    private fun value(): JsonElement =
+        when (random.nextInt(8)) {
+            0 -> JsonNull
+            1 -> JsonPrimitive(random.nextLong())
+            2 -> JsonPrimitive(random.nextDouble())
+            3 -> JsonPrimitive(random.nextBoolean())
+            4 -> JsonPrimitive(List(random.nextInt(9)) { Char(random.nextInt(32, 0xd7ff)) }.joinToString(""))
+            5 -> JsonArray(List(random.nextInt(3)) { JsonPrimitive(it) })
+            6 -> JsonPrimitive("1e999")
+            else -> JsonObject(mapOf("id" to JsonPrimitive(1)))
+        }
+}
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/protocol/settings/SettingsTest.kt
@@ -0,0 +1,116 @@
+package lacewingweir.protocol.settings
+
+import lacewingweir.protocol.json.Checked
+import lacewingweir.protocol.json.JsonFuzz
+import lacewingweir.state.bundle.Ed25519
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.containsExactlyInAnyOrder
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import kotlin.random.Random
+
+internal class SettingsTest {
+    private val publicKey = Ed25519.newKeyPair().publicKey
+    private val valid =
+        """
+        {"name": "lg-1", "failureDomain": "liege",
+         "callerListen": "127.0.0.1:8080", "operatorListen": "127.0.0.1:8081", "peerListen": "[::1]:8082",
+         "peerSeeds": ["127.0.0.2:8082"], "storeAddresses": ["127.0.0.1:2379"],
+         "fleetSecret": {"inline": "0123456789abcdef"}, "bundleSigners": {"alice": "$publicKey"},
+         "limits": {"keyFreshnessMillis": 2500}, "http": {"maxBodyBytes": 2048},
+         "shutdown": {"drainMillis": 10}, "logLevel": "DEBUG", "traceEndpoint": "http://127.0.0.1:4318/v1/traces"}
+        """.trimIndent()
+
+    private fun parse(text: String): Checked<Settings> =
+        Settings.parse(text) { if (it == "/run/secret") "fedcba9876543210\n" else null }
+
+    private fun paths(text: String): List<String> = (parse(text) as Checked.Invalid).mistakes.map { it.path }
+
+    @Test
+    fun `valid settings are read with defaults`() {
+        val settings = (parse(valid) as Checked.Valid).value
+        expectThat(settings.peerListen).isEqualTo(HostPort("::1", 8082))
+        expectThat(settings.peerListen.toString()).isEqualTo("[::1]:8082")
+        expectThat(settings.limits).isEqualTo(LimitSettings(2_500, 5_000))
+        expectThat(settings.logLevel).isEqualTo(LogLevel.DEBUG)
+        expectThat(settings.toString()).not().contains("0123456789abcdef")
+    }
+
+    @Test
+    fun `the secret is read from a file`() {
+        val text = valid.replace("\"inline\": \"0123456789abcdef\"", "\"file\": \"/run/secret\"")
+        expectThat((parse(text) as Checked.Valid).value.fleetSecret).isEqualTo(FleetSecret("fedcba9876543210"))
+    }
+
+    // Guards against an instance that starts with settings other than its operator meant: each row breaks one rule.
+    @ParameterizedTest
+    @CsvSource(
+        delimiter = '|',
+        quoteCharacter = '`',
+        value = [
+            "\"name\": \"lg-1\" | \"name\": \"\" | name",
+            "\"name\": \"lg-1\" | \"nam\": \"lg-1\" | nam",
+            "\"name\": \"lg-1\" | \"nam\": \"lg-1\" | name",
+            "\"liege\" | null | failureDomain",
+            "127.0.0.1:8080 | localhost:8080 | callerListen",
+            "127.0.0.1:8080 | 127.0.0.1 | callerListen",
+            "127.0.0.1:8081 | 127.0.0.1:8080 | operatorListen",
+            "[::1]:8082 | ::1:8082 | peerListen",
+            "[::1]:8082 | [::1]:70000 | peerListen",
+            "[\"127.0.0.2:8082\"] | [\"127.0.0.2:8082\", \"127.0.0.2:8082\"] | peerSeeds[1]",
+            "[\"127.0.0.2:8082\"] | {} | peerSeeds",
+            "[\"127.0.0.1:2379\"] | [] | storeAddresses",
+            "0123456789abcdef | short | fleetSecret.inline",
+            "{\"inline\": \"0123456789abcdef\"} | {} | fleetSecret",
+            "{\"inline\": \"0123456789abcdef\"} | 5 | fleetSecret",
+            "{\"inline\" | {\"file\": \"/run/secret\", \"inline\" | fleetSecret.inline",
+            "{\"inline\": \"0123456789abcdef\"} | {\"file\": \"/missing\"} | fleetSecret.file",
+            "\"alice\": \" | \"alice\": \"AAAA | bundleSigners.alice",
+            "\"alice\" | \"a b\" | bundleSigners.a b",
+            "2500 | 100 | limits.keyFreshnessMillis",
+            "keyFreshnessMillis\": 2500 | authorityMillis\": 1.5 | limits.authorityMillis",
+            "2048 | 0 | http.maxBodyBytes",
+            "maxBodyBytes | maxBody | http.maxBody",
+            "\"drainMillis\": 10 | \"balancerMillis\": -1 | shutdown.balancerMillis",
+            "\"DEBUG\" | \"debug\" | logLevel",
+            "http://127.0.0.1:4318/v1/traces | 127.0.0.1:4318 | traceEndpoint",
+        ],
+    )
+    fun `a broken rule is reported with its path`(
+        original: String,
+        replacement: String,
+        path: String,
+    ) {
+        val text = valid.replaceFirst(original, replacement)
+        expectThat(text).not().isEqualTo(valid)
+        expectThat(paths(text)).contains(path)
+    }
+
+    @Test
+    fun `all mistakes are reported at once`() {
+        val text = valid.replace("lg-1", "").replace("127.0.0.1:2379", "store:1").replace("DEBUG", "LOUD")
+        expectThat(paths(text)).containsExactlyInAnyOrder("name", "storeAddresses[0]", "logLevel")
+    }
+
+    @Test
+    fun `a rejected secret is not shown`() {
+        val text = valid.replace("0123456789abcdef", "hunter2")
+        expectThat((parse(text) as Checked.Invalid).mistakes.toString()).not().contains("hunter2")
+    }
+
+    // Guards against a document that stops the program instead of being refused.
+    @Test
+    fun `random documents give mistakes and never an exception`() {
+        val seed = System.nanoTime()
+        println("SettingsTest seed $seed")
+        val fuzz = JsonFuzz(Random(seed))
+        val invalid = (1..3_000).map { parse(fuzz.mutate(valid)) }.count { it is Checked.Invalid }
+        expectThat(invalid).isGreaterThan(1_000)
+        expectThat(parse("[1,2")).isA<Checked.Invalid>()
+    }
+}
