--- /dev/null
+++ b/src/test/kotlin/lacewingweir/coordination/bundle/BundleAgentTest.kt
@@ -0,0 +1,161 @@
+package lacewingweir.coordination.bundle
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import lacewingweir.coordination.peer.BundleOffer
+import lacewingweir.coordination.peer.FakePeers
+import lacewingweir.coordination.store.FakeConfigStore
+import lacewingweir.coordination.store.StorePoller
+import lacewingweir.coordination.time.ManualTimers
+import lacewingweir.protocol.bundle.BundleText
+import lacewingweir.protocol.json.Checked
+import lacewingweir.state.bundle.Bundle
+import lacewingweir.state.bundle.Ed25519
+import lacewingweir.state.bundle.SignedBundle
+import lacewingweir.state.bundle.SignedBundleText
+import lacewingweir.state.id.BundleNumber
+import lacewingweir.state.id.InstanceName
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.containsExactly
+import strikt.assertions.hasSize
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
+
+internal class BundleAgentTest {
+    private val keys = Ed25519.newKeyPair()
+    private val store = FakeConfigStore()
+    private val peers = FakePeers()
+    private val timers = ManualTimers()
+
+    private fun agent(name: String): BundleAgent {
+        val agent =
+            BundleAgent(
+                store,
+                peers.join(name),
+                timers,
+                mapOf("alice" to keys.publicKey),
+                ::check,
+                PrometheusRegistry(),
+            )
+        agent.start()
+        return agent
+    }
+
+    private fun poll(agent: BundleAgent): StorePoller {
+        val poller = StorePoller(store, timers, timers, { false }, PrometheusRegistry())
+        poller.onEntry(agent::storeEntry)
+        poller.onSuccess { agent.storePolled() }
+        poller.onRegression(agent::storeRegressed)
+        poller.start()
+        return poller
+    }
+
+    private fun check(payload: String): BundleCheck =
+        when (val checked = BundleText.parse(payload)) {
+            is Checked.Valid -> BundleCheck.Accepted(checked.value)
+            is Checked.Invalid -> BundleCheck.Refused(checked.mistakes.map { it.toString() })
+        }
+
+    private fun signed(
+        number: Long,
+        privateKey: String = keys.privateKey,
+        payload: String = BundleText.canonical(Bundle(BundleNumber(number), listOf(), listOf(), listOf(), listOf())),
+    ): SignedBundle = SignedBundle(payload, checkNotNull(Ed25519.sign(payload, privateKey)), "alice", "op-$number")
+
+    private fun publish(bundle: SignedBundle) = store.put(BundleAgent.STORE_KEY, SignedBundleText.encode(bundle))
+
+    private fun storeNumber(): Long? =
+        store.value(BundleAgent.STORE_KEY)?.let { SignedBundleText.decode(it) }?.let { bundle ->
+            (check(bundle.payload) as BundleCheck.Accepted).bundle.number.value
+        }
+
+    // Guards against a configuration that nobody trusted signed.
+    @Test
+    fun `bad signatures, unknown signers and bad payloads are refused and remembered`() {
+        val agent = agent("a")
+        poll(agent)
+        publish(signed(1))
+        timers.advance(1_200)
+        val forged = signed(2, Ed25519.newKeyPair().privateKey)
+        for (bundle in listOf(forged, signed(3).copy(signer = "mallory"), signed(4, payload = "{\"number\": 4}"))) {
+            publish(bundle)
+            timers.advance(4_000)
+            expectThat(store.value(BundleAgent.STORE_KEY)).isEqualTo(SignedBundleText.encode(bundle))
+        }
+        publish(signed(9).copy(payload = signed(10).payload))
+        timers.advance(1_200)
+        expectThat(agent.number.value).isEqualTo(1)
+        expectThat(agent.refused()).hasSize(4)
+        expectThat(agent.refused().map { it.reason }.joinToString())
+            .contains("signature of alice does not match")
+            .contains("signer mallory is not trusted")
+            .contains("customers: found nothing")
+    }
+
+    // Guards against a bundle that reverts after the store came back from an older copy (G13).
+    @Test
+    fun `an older bundle of a restored store is refused and the newer one written back`() {
+        val agent = agent("a")
+        poll(agent)
+        publish(signed(1))
+        val copy = store.copy()
+        publish(signed(2))
+        timers.advance(1_200)
+        expectThat(agent.number.value).isEqualTo(2)
+        store.restore(copy)
+        timers.advance(1_200)
+        expectThat(agent.number.value).isEqualTo(2)
+        expectThat(agent.refused().map { it.reason }).containsExactly("number 1 is not higher than 2 in force")
+        timers.advance(5_000)
+        expectThat(storeNumber()).isEqualTo(2)
+    }
+
+    @Test
+    fun `a store that lost its bundle altogether gets it back, also when the answer of the write is lost`() {
+        val agent = agent("a")
+        poll(agent)
+        val empty = store.copy()
+        publish(signed(5))
+        timers.advance(1_200)
+        store.restore(empty)
+        store.loseAnswers = 1
+        timers.advance(8_000)
+        expectThat(storeNumber()).isEqualTo(5)
+    }
+
+    @Test
+    fun `a peer with a lower number gets the bundle and a new instance asks for it while the store is down`() {
+        val first = agent("a")
+        poll(first)
+        publish(signed(1))
+        timers.advance(1_200)
+        store.down = true
+        val second = agent("b")
+        timers.advance(400)
+        expectThat(second.number.value).isEqualTo(1)
+        peers.silent = true
+        first.storeEntry(
+            lacewingweir.coordination.store.StoreEntry("/lw/bundle", SignedBundleText.encode(signed(2)), 9),
+        )
+        peers.silent = false
+        first.peerHas(InstanceName("b"), second.number)
+        expectThat(second.number.value).isEqualTo(2)
+        second.peerHas(InstanceName("a"), BundleNumber(1))
+        expectThat(first.number.value).isEqualTo(2)
+        expectThat(first.refused()).hasSize(0)
+    }
+
+    @Test
+    fun `a second bundle with the number in force is refused`() {
+        val network = peers.join("x")
+        val agent = agent("a")
+        expectThat(agent.current()).isNull()
+        network.send(InstanceName("a"), BundleOffer(signed(1)))
+        val other =
+            Bundle(BundleNumber(1), listOf(), listOf(), listOf(), listOf(), lacewingweir.state.bundle.RolloutLimits(3))
+        network.send(InstanceName("a"), BundleOffer(signed(1, payload = BundleText.canonical(other))))
+        expectThat(agent.current()?.rollout?.maxConcurrentLoads).isEqualTo(2)
+        expectThat(agent.refused()).hasSize(1)
+    }
+}
