--- a/src/main/kotlin/lacewingweir/protocol/peer/PeerCodec.kt
+++ b/src/main/kotlin/lacewingweir/protocol/peer/PeerCodec.kt
@@ -8,6 +8,7 @@
 import lacewingweir.coordination.peer.Heartbeat
 import lacewingweir.coordination.peer.HeartbeatAck
 import lacewingweir.coordination.peer.KeyChanges
+import lacewingweir.coordination.peer.KeyConfirmation
 import lacewingweir.coordination.peer.LoanGrant
 import lacewingweir.coordination.peer.LoanRefusal
 import lacewingweir.coordination.peer.LoanRequest
@@ -45,6 +46,7 @@
             LoanReturn.serializer(),
             BundleOffer.serializer(),
             KeyChanges.serializer(),
+            KeyConfirmation.serializer(),
             EpochOffer.serializer(),
             PeerAddresses.serializer(),
             StateRequest.serializer(),
@@ -112,6 +114,7 @@
                 is LoanReturn -> LoanReturn.serializer()
                 is BundleOffer -> BundleOffer.serializer()
                 is KeyChanges -> KeyChanges.serializer()
+                is KeyConfirmation -> KeyConfirmation.serializer()
                 is EpochOffer -> EpochOffer.serializer()
                 is PeerAddresses -> PeerAddresses.serializer()
                 StateRequest -> StateRequest.serializer()
