--- a/src/main/kotlin/lacewingweir/state/rate/BorrowPolicy.kt
+++ b/src/main/kotlin/lacewingweir/state/rate/BorrowPolicy.kt
@@ -38,7 +38,7 @@
         if (refillTermMillis <= 0) return 0
         val kept = (demand * refillMarginPercent / PERCENT * MICROS_PER_MILLI_IN_TOKEN_PER_SECOND).toLong()
         val spare = maxOf(0, account.ownRefillMicrosPerMilli - kept)
-        return minOf(spare, tokens * MICROS_PER_TOKEN / refillTermMillis)
+        return minOf(spare, account.lendableRefillMicrosPerMilli, tokens * MICROS_PER_TOKEN / refillTermMillis)
     }
 
     /**
--- a/src/main/kotlin/lacewingweir/state/rate/DemandEstimate.kt
+++ b/src/main/kotlin/lacewingweir/state/rate/DemandEstimate.kt
@@ -7,7 +7,7 @@
     private val timeConstantMillis: Double = 1_500.0,
 ) {
     private var weightedTokens = 0.0
-    private var lastMillis = 0L
+    private var lastMillis = Long.MIN_VALUE
 
     /** Counts [tokens] requested at [nowMillis]. */
     public fun add(
--- a/src/main/kotlin/lacewingweir/state/rate/RateAccount.kt
+++ b/src/main/kotlin/lacewingweir/state/rate/RateAccount.kt
@@ -28,11 +28,20 @@
     /** Loans given that have not ended. */
     public val loansGiven: Collection<LoanGiven> get() = given.values
 
+    /** Whether the loan was given and has not ended. */
+    public fun hasGiven(loan: Long): Boolean = loan in given
+
     /** Refill of the base share that is not lent, in micro-tokens per millisecond. */
     public val ownRefillMicrosPerMilli: Long get() = maxOf(0, baseRefillMicrosPerMilli - lentRefillMicrosPerMilli)
 
+    /** Refill of the base share that can still be lent. */
+    public val lendableRefillMicrosPerMilli: Long
+        get() = maxOf(0, lendable(baseRefillMicrosPerMilli) - lentRefillMicrosPerMilli)
+
     /** Capacity of the base share that can still be lent. */
-    public val lendableCapacityMicros: Long get() = maxOf(0, baseCapacityMicros - lentCapacityMicros)
+    public val lendableCapacityMicros: Long get() = maxOf(0, lendable(baseCapacityMicros) - lentCapacityMicros)
+
+    private val ownCapacityMicros: Long get() = maxOf(0, baseCapacityMicros - lentCapacityMicros)
 
     /** Moves the account to [nowMillis]: ends loans in the order of their ends, with the refill between. */
     public fun advance(nowMillis: Long): Expired {
@@ -75,8 +84,10 @@
         capacityMicros: Long,
         refillMicrosPerMilli: Long,
     ): Boolean =
-        maxOf(baseCapacityMicros, lentCapacityMicros) <= capacityMicros &&
-            maxOf(baseRefillMicrosPerMilli, lentRefillMicrosPerMilli) <= refillMicrosPerMilli
+        baseCapacityMicros <= capacityMicros &&
+            lentCapacityMicros <= lendable(capacityMicros) &&
+            baseRefillMicrosPerMilli <= refillMicrosPerMilli &&
+            lentRefillMicrosPerMilli <= lendable(refillMicrosPerMilli)
 
     /**
      * Lends [tokens] with as much capacity, and [refillMicrosPerMilli]. The caller sends the grant afterwards.
@@ -91,7 +102,7 @@
     ): LoanGiven? {
         val micros = tokens * MICROS_PER_TOKEN
         val enough = micros <= bucket.availableMicros && micros <= lendableCapacityMicros
-        if (tokens <= 0 || !enough || refillMicrosPerMilli !in 0..ownRefillMicrosPerMilli) return null
+        if (tokens <= 0 || !enough || refillMicrosPerMilli !in 0..lendableRefillMicrosPerMilli) return null
         check(loan !in given) { "loan number used twice" }
         val entry = LoanGiven(loan, borrower, micros, micros, refillMicrosPerMilli, nowMillis + term.lenderMillis)
         bucket.withdraw(micros)
@@ -172,6 +183,8 @@
         return tokens
     }
 
+    private fun lendable(amount: Long): Long = amount / PERCENT * term.lendablePercent
+
     private fun removeGiven(entry: LoanGiven) {
         given.remove(entry.loan)
         lentCapacityMicros -= entry.capacityMicros
@@ -186,7 +199,7 @@
 
     private fun resize() {
         bucket.resize(
-            lendableCapacityMicros + takenCapacityMicros,
+            ownCapacityMicros + takenCapacityMicros,
             ownRefillMicrosPerMilli + takenRefillMicrosPerMilli,
         )
     }
@@ -194,6 +207,7 @@
     private companion object {
         /** Keeps sums of micro-tokens far from overflow. */
         private const val MAX_TOKENS = 1_000_000_000_000
+        private const val PERCENT = 100
     }
 
     /** Numbers of loans that ended by time. */
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/coordination/rate/RateAgentTest.kt
@@ -0,0 +1,155 @@
+package lacewingweir.coordination.rate
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.launch
+import lacewingweir.coordination.membership.BaseShare
+import lacewingweir.state.bundle.Bundle
+import lacewingweir.state.bundle.Customer
+import lacewingweir.state.id.BundleNumber
+import lacewingweir.state.id.CustomerId
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.containsExactly
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+import kotlin.random.Random
+
+/** Guards what a caller of one agent sees, with two or three agents in simulated time. */
+class RateAgentTest {
+    private val time = SimulatedTime()
+    private val network = SimulatedNetwork(time) { 1_500 }
+    private val customer = CustomerId("c")
+    private val bundle =
+        Bundle(BundleNumber(1), listOf(Customer(customer, 1_000, 4_000)), emptyList(), emptyList(), emptyList())
+    private var proofAgeMillis = 0L
+
+    private inner class Instance(
+        name: String,
+        var share: BaseShare? = BaseShare(1, 2, true),
+    ) {
+        val process = SimulatedProcess(time)
+        val metrics = RateMetrics(PrometheusRegistry())
+        val agent =
+            RateAgent(
+                network.join(name, 1, process),
+                { share },
+                { proofAgeMillis },
+                { bundle },
+                process,
+                process.clock,
+                metrics = metrics,
+                random = Random(name.hashCode()),
+            )
+
+        fun reserve(
+            tokens: Long,
+            done: (ReserveResult) -> Unit,
+        ) {
+            CoroutineScope(Dispatchers.Unconfined).launch { done(agent.reserve(customer, tokens)) }
+        }
+    }
+
+    private fun runMillis(millis: Long) = time.runUntil(time.nowMicros + millis * 1_000)
+
+    /** A request beyond the local share must be admitted from what peers hold. */
+    @Test
+    fun `borrows what is missing and returns it when idle`() {
+        val a = Instance("a")
+        val b = Instance("b")
+        var result: ReserveResult? = null
+        a.reserve(3_000) { result = it }
+        runMillis(10)
+        val reserved = expectThat(result).isA<ReserveResult.Reserved>().subject
+        reserved.reservation.settle(500)
+        reserved.reservation.close()
+        runMillis(3_000)
+        expectThat(a.metrics.loanCount("borrower", "returned")).isGreaterThan(0)
+        expectThat(b.metrics.loanCount("lender", "returned")).isGreaterThan(0)
+        reserved.reservation.settle(100)
+        expectThat(a.metrics.overdraftCount()).isEqualTo(100)
+    }
+
+    /** A refusal must come within the wait, in order of arrival, and tell when a retry makes sense. */
+    @Test
+    fun `refuses after the bounded wait and serves in order`() {
+        val a = Instance("a")
+        Instance("b")
+        a.reserve(3_500) { (it as ReserveResult.Reserved).reservation.settle(3_500) }
+        runMillis(10)
+        val results = ArrayList<String>()
+        a.reserve(1_000) { results += "first ${it.javaClass.simpleName}" }
+        a.reserve(100) { results += "second ${it.javaClass.simpleName}" }
+        runMillis(240)
+        expectThat(results).isEqualTo(ArrayList())
+        runMillis(15)
+        expectThat(results).containsExactly("first Refused", "second Reserved")
+        var refused: ReserveResult? = null
+        a.reserve(2_000) { refused = it }
+        runMillis(255)
+        expectThat(refused).isA<ReserveResult.Refused>().get { retryAfterMillis }.isGreaterThan(1_000)
+    }
+
+    /** Waiting can't help a request above the burst. */
+    @Test
+    fun `refuses at once above the burst`() {
+        val a = Instance("a")
+        var result: ReserveResult? = null
+        a.reserve(4_001) { result = it }
+        expectThat(result).isA<ReserveResult.Refused>().get { reason }.contains("burst")
+    }
+
+    /** Without proof of contact the share may belong to others already. */
+    @Test
+    fun `spends and lends nothing without a recent proof`() {
+        val a = Instance("a")
+        val b = Instance("b")
+        proofAgeMillis = 5_001
+        var result: ReserveResult? = null
+        a.reserve(100) { result = it }
+        runMillis(200)
+        expectThat(result).isNull()
+        runMillis(60)
+        expectThat(result).isA<ReserveResult.Refused>()
+        expectThat(b.metrics.loanCount("lender", "refused")).isGreaterThan(0)
+    }
+
+    /** A newcomer without a share serves at once, and a lender confirms a shrunk share only when its loans fit. */
+    @Test
+    fun `newcomer runs on loans and the lender shrinks after them`() {
+        val a = Instance("a", BaseShare(1, 1, true))
+        val newcomer = Instance("n", null)
+        var result: ReserveResult? = null
+        newcomer.reserve(2_500) { result = it }
+        runMillis(10)
+        expectThat(result).isA<ReserveResult.Reserved>()
+        a.share = BaseShare(1, 2, false)
+        expectThat(a.agent.hasShrunkTo(2)).isFalse()
+        runMillis(6_000)
+        expectThat(a.agent.hasShrunkTo(2)).isTrue()
+        expectThat(a.agent.rateHints()[customer]).isNotNull().isLessThan(2_001)
+    }
+
+    /** A leaving instance gives its loans back instead of leaving them idle. */
+    @Test
+    fun `returns all loans when leaving`() {
+        val a = Instance("a")
+        val b = Instance("b")
+        a.reserve(2_500) { (it as ReserveResult.Reserved).reservation.close() }
+        runMillis(10)
+        CoroutineScope(Dispatchers.Unconfined).launch { a.agent.returnAll() }
+        runMillis(10)
+        expectThat(b.metrics.loanCount("lender", "returned")).isEqualTo(b.metrics.loanCount("lender", "granted"))
+        var result: ReserveResult? = null
+        a.reserve(1) { result = it }
+        expectThat(result).isA<ReserveResult.Refused>()
+    }
+}
--- a/src/test/kotlin/lacewingweir/state/rate/RateAccountTest.kt
+++ b/src/test/kotlin/lacewingweir/state/rate/RateAccountTest.kt
@@ -13,7 +13,7 @@
     private val rate = 100L * MICROS_PER_MILLI_IN_TOKEN_PER_SECOND
 
     private fun account(tokens: Long = 1_000): RateAccount =
-        RateAccount(0).apply {
+        RateAccount(0, LoanTerm(lendablePercent = 100)).apply {
             setBase(1_000 * MICROS_PER_TOKEN, rate)
             bucket.deposit(tokens * MICROS_PER_TOKEN)
         }
