--- /dev/null
+++ b/src/main/kotlin/lacewingweir/protocol/engine/EngineHead.kt
@@ -0,0 +1,85 @@
+package lacewingweir.protocol.engine
+
+import lacewingweir.coordination.routing.EngineLoad
+import lacewingweir.state.id.Incarnation
+import lacewingweir.state.id.RequestId
+import lacewingweir.state.id.WeightsVersion
+
+/** The checked head of an engine's answer. */
+public data class EngineHead(
+    val incarnation: Incarnation,
+    val weights: WeightsVersion,
+    val load: EngineLoad?,
+    val leaving: Boolean,
+) {
+    /** Outcome of checking a head. */
+    public sealed interface Check {
+        /** The head belongs to the request and the right weights. */
+        public data class Accepted(
+            val head: EngineHead,
+        ) : Check
+
+        /** The answer must be dropped. */
+        public data class Rejected(
+            val reason: DropReason,
+            val detail: String,
+        ) : Check
+    }
+
+    public companion object {
+        public const val REQUEST_ID_HEADER: String = "X-Request-Id"
+        public const val INCARNATION_HEADER: String = "X-Engine-Incarnation"
+        public const val WEIGHTS_HEADER: String = "X-Engine-Weights"
+        public const val LOAD_HEADER: String = "X-Engine-Load"
+        public const val LEAVING_HEADER: String = "X-Engine-Leaving"
+
+        private const val MAX_LABEL_CHARS: Int = 256
+
+        /** Checks the head of an answer to [requestId], whose header values [header] looks up by name. */
+        public fun check(
+            requestId: RequestId,
+            weights: WeightsVersion,
+            header: (String) -> String?,
+        ): Check {
+            val incarnation = header(INCARNATION_HEADER)
+            val answered = header(WEIGHTS_HEADER)
+            return when {
+                header(REQUEST_ID_HEADER) != requestId.value ->
+                    Check.Rejected(DropReason.REQUEST_ID, "the answer names another request")
+                incarnation.isNullOrBlank() || incarnation.length > MAX_LABEL_CHARS ->
+                    Check.Rejected(DropReason.INCARNATION, "the answer names no incarnation")
+                answered != weights.value ->
+                    Check.Rejected(DropReason.WEIGHTS, "the answer comes from other weights than $weights")
+                else -> Check.Accepted(read(Incarnation(incarnation), weights, header))
+            }
+        }
+
+        private fun read(
+            incarnation: Incarnation,
+            weights: WeightsVersion,
+            header: (String) -> String?,
+        ): EngineHead =
+            EngineHead(
+                incarnation,
+                weights,
+                header(LOAD_HEADER)?.let(::parseLoad),
+                header(LEAVING_HEADER).equals("true", ignoreCase = true),
+            )
+
+        /** Parses `running=3;waiting=1;prefill=4000`; null if a number is missing or not a number. */
+        public fun parseLoad(value: String): EngineLoad? {
+            if (value.length > MAX_LABEL_CHARS) return null
+            val numbers =
+                value.split(';').associate { part ->
+                    part.substringBefore('=').trim() to part.substringAfter('=', "").trim().toLongOrNull()
+                }
+            val running = numbers["running"].countOrNull()
+            val waiting = numbers["waiting"].countOrNull()
+            val prefill = numbers["prefill"]?.takeIf { it >= 0 }
+            if (running == null || waiting == null || prefill == null) return null
+            return EngineLoad(running, waiting, prefill)
+        }
+
+        private fun Long?.countOrNull(): Int? = this?.takeIf { it in 0..Int.MAX_VALUE }?.toInt()
+    }
+}
