Add the request path to engines and plain services

Cause: callers had no way through the instance. Ruled out: caller-chosen request ids, since a second customer could then cancel a request at an engine. The decoded path alone, since a service must get the path unchanged; ServerExchange has gained rawPath with a default.

--- /dev/null
+++ b/src/main/kotlin/lacewingweir/transport/gateway/HttpEngineStream.kt
@@ -0,0 +1,49 @@
+package lacewingweir.transport.gateway
+
+import lacewingweir.protocol.engine.DropReason
+import lacewingweir.protocol.engine.EngineEvent
+import lacewingweir.protocol.engine.EngineStreamCheck
+import lacewingweir.protocol.engine.SseEvent
+import lacewingweir.protocol.engine.SseReader
+import lacewingweir.transport.http.ClientResponse
+import lacewingweir.transport.http.ReadResult
+
+/** Reads an engine's event stream from an HTTP response. */
+internal class HttpEngineStream(
+    private val response: ClientResponse,
+    private val check: EngineStreamCheck,
+) : EngineStream {
+    private val reader = SseReader()
+    private val pending = ArrayDeque<SseEvent>()
+
+    override suspend fun next(timeoutMillis: Long): EngineEvent {
+        var failure: EngineEvent.Violation? = null
+        while (pending.isEmpty() && failure == null) failure = fill(timeoutMillis)
+        val event = failure ?: check.next(pending.removeFirst())
+        if (event is EngineEvent.Violation) response.close()
+        return event
+    }
+
+    private suspend fun fill(timeoutMillis: Long): EngineEvent.Violation? =
+        when (val part = response.read(timeoutMillis)) {
+            is ReadResult.Data -> {
+                val events = reader.feed(part.bytes)
+                events?.let(pending::addAll)
+                if (events == null) EngineEvent.Violation(DropReason.FORMAT, "an event is too long") else null
+            }
+            ReadResult.End -> EngineEvent.Violation(DropReason.CUT, "the body ended before the stream's end")
+            is ReadResult.Broken -> EngineEvent.Violation(DropReason.CUT, part.reason)
+        }
+
+    override suspend fun drain() {
+        if (response.read(DRAIN_TIMEOUT_MILLIS) != ReadResult.End) response.close()
+    }
+
+    override fun close() {
+        response.close()
+    }
+
+    private companion object {
+        const val DRAIN_TIMEOUT_MILLIS: Long = 100
+    }
+}
--- a/src/main/kotlin/lacewingweir/transport/http/NettyServerExchange.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/NettyServerExchange.kt
@@ -49,6 +49,7 @@
 
     override val method: String = request.method().name()
     override val path: String = decoder.path()
+    override val rawPath: String = request.uri().substringBefore('?').substringBefore('#')
     override val query: String = decoder.rawQuery()
     override val headers: HttpHeaders = request.headers()
 
--- a/src/main/kotlin/lacewingweir/transport/http/ServerExchange.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ServerExchange.kt
@@ -15,6 +15,10 @@
     /** The decoded path without the query. */
     public val path: String
 
+    /** The path as received, without the query. Percent escapes are kept, so it can be passed on unchanged. */
+    public val rawPath: String
+        get() = path
+
     /** The raw query string without the question mark; empty if there is none. */
     public val query: String
 
