Add the operator port and the view of live peers

Cause: balancers need readiness, operators need metrics, the fleet's state, traces and a way to withdraw a key while the store is down.

--- /dev/null
+++ b/src/main/kotlin/lacewingweir/protocol/operator/FleetReport.kt
@@ -0,0 +1,16 @@
+/** The JSON answers of the operator port. */
+package lacewingweir.protocol.operator
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Answer of `/fleet`: an instance's view of the fleet. [degraded] names the states in which something differs from
+ * ordinary operation.
+ */
+@Serializable
+public data class FleetReport(
+    val instance: InstanceReport,
+    val peers: List<PeerReport>,
+    val refusedBundles: List<RefusedBundleReport> = emptyList(),
+    val degraded: List<String> = emptyList(),
+)
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/protocol/operator/InstanceReport.kt
@@ -0,0 +1,15 @@
+package lacewingweir.protocol.operator
+
+import kotlinx.serialization.Serializable
+
+/** The instance that answers. [unreadyReasons] is empty if it is ready. */
+@Serializable
+public data class InstanceReport(
+    val name: String,
+    val failureDomain: String,
+    val incarnation: String,
+    val bundle: Long,
+    val epoch: Long,
+    val keyRecords: Int,
+    val unreadyReasons: List<String>,
+)
--- a/src/test/kotlin/lacewingweir/coordination/bundle/BundleAgentTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/bundle/BundleAgentTest.kt
@@ -5,7 +5,6 @@
 import lacewingweir.coordination.peer.FakePeers
 import lacewingweir.coordination.store.FakeConfigStore
 import lacewingweir.coordination.store.StorePoller
-import lacewingweir.coordination.time.ManualTimers
 import lacewingweir.protocol.bundle.BundleText
 import lacewingweir.protocol.json.Checked
 import lacewingweir.state.bundle.Bundle
@@ -14,6 +13,7 @@
 import lacewingweir.state.bundle.SignedBundleText
 import lacewingweir.state.id.BundleNumber
 import lacewingweir.state.id.InstanceName
+import lacewingweir.testing.ManualTimers
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.contains
--- a/src/test/kotlin/lacewingweir/coordination/keys/KeyAgentTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/keys/KeyAgentTest.kt
@@ -5,7 +5,6 @@
 import lacewingweir.coordination.peer.FakePeers
 import lacewingweir.coordination.store.FakeConfigStore
 import lacewingweir.coordination.store.StorePoller
-import lacewingweir.coordination.time.ManualTimers
 import lacewingweir.state.bundle.Bundle
 import lacewingweir.state.bundle.Customer
 import lacewingweir.state.id.BundleNumber
@@ -15,6 +14,7 @@
 import lacewingweir.state.keys.KeyRecord
 import lacewingweir.state.keys.KeyRecordText
 import lacewingweir.state.keys.KeyStatus
+import lacewingweir.testing.ManualTimers
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
--- a/src/test/kotlin/lacewingweir/coordination/store/StorePollerTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/store/StorePollerTest.kt
@@ -2,7 +2,7 @@
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.prometheus.metrics.model.snapshots.CounterSnapshot
-import lacewingweir.coordination.time.ManualTimers
+import lacewingweir.testing.ManualTimers
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
--- a/src/test/kotlin/lacewingweir/testing/FaultProxy.kt
+++ b/src/test/kotlin/lacewingweir/testing/FaultProxy.kt
@@ -14,7 +14,9 @@
  *
  * Cutting a direction swallows its bytes and keeps the connection open, as a one-way link does.
  */
-internal class FaultProxy(private val targetPort: Int) : AutoCloseable {
+internal class FaultProxy(
+    private val targetPort: Int,
+) : AutoCloseable {
     private val server = ServerSocket()
     private val sockets: MutableSet<Socket> = ConcurrentHashMap.newKeySet()
 
--- a/src/test/kotlin/lacewingweir/testing/ProgramProcess.kt
+++ b/src/test/kotlin/lacewingweir/testing/ProgramProcess.kt
@@ -54,7 +54,13 @@
             val log = File.createTempFile("$name-", ".log", directory.toFile())
             val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
             val command =
-                listOf(java, "-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Dlogback.configurationFile=logback.xml") +
+                listOf(
+                    java,
+                    "-Xmx128m",
+                    "-XX:+UseSerialGC",
+                    "-XX:TieredStopAtLevel=1",
+                    "-Dlogback.configurationFile=logback.xml",
+                ) +
                     listOf("-cp", System.getProperty("java.class.path"), "lacewingweir.cli.MainKt") + args
             val process =
                 ProcessBuilder(command)
