Add the command line for settings, bundles, keys and the fleet

Cause: operators need to check, sign, publish and compare bundles, grant and withdraw keys, and look at the fleet, with exit codes that a script can rely on. A lost answer at publish is settled by the operation id; if the key did not change, the same compare-and-set is sent again, so that at most one of the two takes effect. The stand-ins are added to the list of subcommands in Commands.kt. Ruled out: kotlinx-cli's own exit, because it ends the process with code 127 on bad usage. Its hook is not public and is set by reflection. A key on the command line is not accepted, because other users see command lines.

--- /dev/null
+++ b/src/main/kotlin/lacewingweir/cli/BundlePublishCommand.kt
@@ -0,0 +1,63 @@
+package lacewingweir.cli
+
+import kotlinx.cli.ArgType
+import kotlinx.coroutines.runBlocking
+import lacewingweir.cli.io.CommandContext
+import lacewingweir.cli.io.Documents
+import lacewingweir.cli.operations.BundlePublisher
+import lacewingweir.cli.operations.PublishResult
+import lacewingweir.state.bundle.Ed25519
+import lacewingweir.state.bundle.SignedBundle
+import lacewingweir.state.id.BundleNumber
+
+/**
+ * `bundle publish FILE`: replaces the store's bundle if that has the expected number, by default the number before.
+ * With settings the signature is checked first; without, only the instances check it.
+ */
+internal class BundlePublishCommand(
+    context: CommandContext,
+) : StoreCommand(context, "publish", "Publish a signed bundle") {
+    private val file by argument(ArgType.String, "file", description = "Signed bundle")
+    private val expected by
+        option(ArgType.Int, "expected", description = "Number that the store must hold, 0 for none; default: one less")
+
+    override fun run(): Int {
+        val target = storeTarget() ?: return ExitCode.BAD_INPUT
+        val (signed, bundle) = Documents.signedBundle(context, file) ?: return ExitCode.BAD_INPUT
+        val signers = target.settings?.bundleSigners
+        if (signers != null && !trusted(signed, signers)) return ExitCode.BAD_INPUT
+        val before = BundleNumber(expected?.toLong() ?: (bundle.number.value - 1))
+        val result =
+            context.openStore(target.addresses).use { handle ->
+                runBlocking { BundlePublisher(handle.store).publish(signed, bundle.number, before) }
+            }
+        return when (result) {
+            PublishResult.Published -> {
+                context.out("published bundle ${bundle.number}, operation ${signed.operationId}")
+                ExitCode.DONE
+            }
+            is PublishResult.Conflict -> failed("conflict: ${result.reason}", ExitCode.CONFLICT)
+            is PublishResult.Unknown ->
+                failed("outcome unknown: ${result.reason}; publish the same file again to settle it", ExitCode.UNKNOWN)
+            is PublishResult.Unreachable -> failed("store unreachable: ${result.reason}", ExitCode.UNREACHABLE)
+        }
+    }
+
+    private fun trusted(
+        signed: SignedBundle,
+        signers: Map<String, String>,
+    ): Boolean {
+        val key = signers[signed.signer]
+        val good = key != null && Ed25519.verify(signed.payload, signed.signature, key)
+        if (!good) context.err("$file: the instances would refuse the signature of ${signed.signer}")
+        return good
+    }
+
+    private fun failed(
+        text: String,
+        code: Int,
+    ): Int {
+        context.err(text)
+        return code
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/cli/Commands.kt
@@ -0,0 +1,30 @@
+package lacewingweir.cli
+
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import lacewingweir.cli.io.CommandContext
+import lacewingweir.cli.standin.StandinCommand
+
+/** All subcommands of the program. A new subcommand is added to this list. */
+@OptIn(ExperimentalCli::class)
+internal fun allCommands(context: CommandContext): List<Subcommand> =
+    listOf(
+        CommandGroup(context, "settings", "Settings of an instance", listOf(SettingsCheckCommand(context))),
+        CommandGroup(
+            context,
+            "bundle",
+            "Bundles of customers, keys, rates, routes, models and endpoints",
+            listOf(
+                BundleKeygenCommand(context),
+                BundleCheckCommand(context),
+                BundleSignCommand(context),
+                BundlePublishCommand(context),
+                BundleStatusCommand(context),
+                BundleDiffCommand(context),
+            ),
+        ),
+        CommandGroup(context, "key", "Callers' keys", listOf(KeyGrantCommand(context), KeyWithdrawCommand(context))),
+        CommandGroup(context, "fleet", "The instances", listOf(FleetStatusCommand(context))),
+        ExplainCommand(context),
+        StandinCommand(),
+    )
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/cli/SettingsCheckCommand.kt
@@ -0,0 +1,18 @@
+package lacewingweir.cli
+
+import kotlinx.cli.ArgType
+import lacewingweir.cli.io.CommandContext
+import lacewingweir.cli.io.Documents
+
+/** `settings check FILE`. */
+internal class SettingsCheckCommand(
+    context: CommandContext,
+) : OperatorCommand(context, "check", "Check a settings file and show all its mistakes") {
+    private val file by argument(ArgType.String, "file", description = "Settings file")
+
+    override fun run(): Int {
+        val settings = Documents.settings(context, file) ?: return ExitCode.BAD_INPUT
+        context.out("$file: settings of instance ${settings.name} are valid")
+        return ExitCode.DONE
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/cli/io/Documents.kt
@@ -0,0 +1,78 @@
+package lacewingweir.cli.io
+
+import lacewingweir.protocol.bundle.BundleText
+import lacewingweir.protocol.json.Checked
+import lacewingweir.protocol.settings.Settings
+import lacewingweir.state.bundle.Bundle
+import lacewingweir.state.bundle.SignedBundle
+import lacewingweir.state.bundle.SignedBundleText
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.InvalidPathException
+import java.nio.file.Path
+
+/** Reading of the files that operators hand to the program. */
+internal object Documents {
+    /** The text of the file; null if it can't be read. */
+    fun readOrNull(path: String): String? =
+        try {
+            Files.readString(Path.of(path))
+        } catch (_: IOException) {
+            null
+        } catch (_: InvalidPathException) {
+            null
+        }
+
+    /** The settings in the file, or null after all its mistakes were shown. */
+    fun settings(
+        context: CommandContext,
+        path: String,
+    ): Settings? = read(context, path) { Settings.parse(it, ::readOrNull) }
+
+    /** The bundle in the file, or null after all its mistakes were shown. */
+    fun bundle(
+        context: CommandContext,
+        path: String,
+    ): Bundle? = read(context, path, BundleText::parse)
+
+    /** The signed bundle in the file and its content, or null after all its mistakes were shown. */
+    fun signedBundle(
+        context: CommandContext,
+        path: String,
+    ): Pair<SignedBundle, Bundle>? {
+        val text = readOrNull(path)
+        val signed = text?.let { SignedBundleText.decode(it.encodeToByteArray()) }
+        if (signed == null) {
+            context.err(if (text == null) "$path: can't be read" else "$path: not a signed bundle")
+            return null
+        }
+        return accept(context, path, BundleText.parse(signed.payload))?.let { signed to it }
+    }
+
+    private fun <T> read(
+        context: CommandContext,
+        path: String,
+        parse: (String) -> Checked<T>,
+    ): T? {
+        val text = readOrNull(path)
+        if (text == null) {
+            context.err("$path: can't be read")
+            return null
+        }
+        return accept(context, path, parse(text))
+    }
+
+    private fun <T> accept(
+        context: CommandContext,
+        path: String,
+        checked: Checked<T>,
+    ): T? =
+        when (checked) {
+            is Checked.Valid -> checked.value
+            is Checked.Invalid -> {
+                context.err("$path: ${checked.mistakes.size} mistake(s)")
+                checked.mistakes.forEach { context.err("  $it") }
+                null
+            }
+        }
+}
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/cli/io/OperatorClient.kt
@@ -0,0 +1,45 @@
+package lacewingweir.cli.io
+
+import lacewingweir.protocol.settings.HostPort
+import java.io.IOException
+import java.net.ConnectException
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpConnectTimeoutException
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.time.Duration
+
+/** Calls the operator ports of instances. */
+public open class OperatorClient {
+    private val client: HttpClient by lazy {
+        HttpClient.newBuilder().connectTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MILLIS)).build()
+    }
+
+    /** Sends one request. [body] null makes it a GET, otherwise it is a POST of that JSON text. */
+    public open fun call(
+        address: HostPort,
+        path: String,
+        body: String? = null,
+    ): OperatorAnswer {
+        val request = HttpRequest.newBuilder(URI("http://$address$path")).timeout(Duration.ofMillis(TIMEOUT_MILLIS))
+        if (body != null) request.POST(HttpRequest.BodyPublishers.ofString(body))
+        return try {
+            val answer = client.send(request.build(), HttpResponse.BodyHandlers.ofString())
+            OperatorAnswer.Answered(answer.statusCode(), answer.body())
+        } catch (e: ConnectException) {
+            OperatorAnswer.Unreachable(e.message ?: "connection refused")
+        } catch (e: HttpConnectTimeoutException) {
+            OperatorAnswer.Unreachable(e.message ?: "connection timed out")
+        } catch (e: IOException) {
+            OperatorAnswer.Unknown(e.message ?: e.javaClass.simpleName)
+        }
+    }
+
+    private companion object {
+        const val CONNECT_TIMEOUT_MILLIS: Long = 1_000
+
+        /** Longer than the 2 s for which an instance waits for confirmations of a withdrawal. */
+        const val TIMEOUT_MILLIS: Long = 5_000
+    }
+}
--- a/src/main/kotlin/lacewingweir/protocol/settings/HostPort.kt
+++ b/src/main/kotlin/lacewingweir/protocol/settings/HostPort.kt
@@ -1,9 +1,17 @@
 package lacewingweir.protocol.settings
 
+import lacewingweir.protocol.json.TextRule
+
 /** An IP address and a port. */
 public data class HostPort(
     val host: String,
     val port: Int,
 ) {
     override fun toString(): String = if (':' in host) "[$host]:$port" else "$host:$port"
+
+    public companion object {
+        /** Reads `address:port`, an IPv6 address in brackets; null if it is malformed or names a host. */
+        public fun parse(text: String): HostPort? =
+            TextRule.splitHostPort(text)?.let { (host, port) -> HostPort(host, port) }
+    }
 }
--- a/src/test/kotlin/lacewingweir/coordination/store/FakeConfigStore.kt
+++ b/src/test/kotlin/lacewingweir/coordination/store/FakeConfigStore.kt
@@ -18,6 +18,10 @@
     @Volatile
     var beforeWrite: (() -> Unit)? = null
 
+    /** Runs once after the next write took effect. */
+    @Volatile
+    var afterWrite: (() -> Unit)? = null
+
     @Synchronized
     fun put(
         key: String,
@@ -64,6 +68,7 @@
         return synchronized(this) {
             val matches = (entries[key]?.modRevision ?: 0) == expectedModRevision
             if (matches) put(key, value)
+            afterWrite.also { afterWrite = null }?.invoke()
             if (loseAnswers > 0) {
                 loseAnswers--
                 StoreResult.Unknown("answer lost")
