--- a/src/main/kotlin/lacewingweir/cli/demo/DemoCommand.kt
+++ b/src/main/kotlin/lacewingweir/cli/demo/DemoCommand.kt
@@ -37,13 +37,13 @@
     override fun execute(): Unit =
         runBlocking {
             val fleet = EmbeddedFleet(options(port)).start()
-            Runtime.getRuntime().addShutdownHook(Thread { fleet.close() })
             println("demo: platform on ${fleet.platform.port}, instances on ${fleet.callerTargets.joinToString()}")
             sendRequests(fleet)
             if (exit) {
                 fleet.close()
                 return@runBlocking
             }
+            Runtime.getRuntime().addShutdownHook(Thread { fleet.close() })
             println("demo: running; end with Ctrl-C. Operator ports start at ${port + OPERATOR_PORT_OFFSET}.")
             awaitCancellation()
         }
