Add the rollout of model weights and its leader election

Cause: engines must reach the bundle's weights with few loads at a time and without losing the last serving engine, also when a paused former leader's command arrives late. The leader's right counts from the send of its renewal and a challenger's wait from its read, each on its own clock. A leader that is fenced off raises its number, since a restored store may have lost the latest ones. Ruled out: a store lease, which would delete a key under /lw/.

--- /dev/null
+++ b/src/main/kotlin/lacewingweir/coordination/rollout/RolloutSettings.kt
@@ -0,0 +1,19 @@
+package lacewingweir.coordination.rollout
+
+/**
+ * Times of a [RolloutAgent].
+ *
+ * The leader renews its leadership every [periodMillis] and holds it for [leaseMillis] after each successful renewal.
+ * [commandMillis] is the longest time that one command takes; none is sent later than that before the end.
+ */
+public data class RolloutSettings(
+    val periodMillis: Long = 3_000,
+    val leaseMillis: Long = 15_000,
+    val commandMillis: Long = 2_000,
+    val parallelReports: Int = 128,
+) {
+    init {
+        require(leaseMillis > 2 * periodMillis + commandMillis) { "leaseMillis must cover two missed renewals" }
+        require(parallelReports > 0) { "parallelReports must be positive" }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/coordination/rollout/RolloutTerm.kt
@@ -0,0 +1,29 @@
+package lacewingweir.coordination.rollout
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+
+/**
+ * The leadership of rollouts as it stands in the configuration store.
+ *
+ * [term] is unique to one leadership of one process, and [fencing] grows with each leadership. [renewal] counts
+ * renewals, each of which changes the key's revision. With [resigned] the next leader needn't wait.
+ */
+@Serializable
+internal data class RolloutTerm(
+    val holder: String,
+    val term: String,
+    val fencing: Long,
+    val renewal: Long = 0,
+    val resigned: Boolean = false,
+) {
+    fun encode(): ByteArray = JSON.encodeToString(serializer(), this).encodeToByteArray()
+
+    companion object {
+        private val JSON = Json { ignoreUnknownKeys = true }
+
+        /** @throws SerializationException if [bytes] can't be read */
+        fun decode(bytes: ByteArray): RolloutTerm = JSON.decodeFromString(serializer(), bytes.decodeToString())
+    }
+}
--- a/src/main/kotlin/lacewingweir/standin/engine/EngineMessages.kt
+++ b/src/main/kotlin/lacewingweir/standin/engine/EngineMessages.kt
@@ -2,19 +2,12 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.contentOrNull
 
-internal val EngineJson: Json =
-    Json {
-        ignoreUnknownKeys = true
-        explicitNulls = false
-    }
-
 @Serializable
 internal data class CompletionRequest(
     val model: String,
@@ -85,35 +78,6 @@
     @SerialName("cached_tokens") val cachedTokens: Int,
 )
 
-@Serializable
-internal data class CancelCommand(
-    @SerialName("request_id") val requestId: String,
-)
-
-@Serializable
-internal data class LoadCommand(
-    val model: String,
-    val weights: String,
-    val fencing: Long,
-    @SerialName("order_id") val orderId: String = "",
-)
-
-@Serializable
-internal data class StatusReport(
-    val incarnation: String,
-    val leaving: Boolean,
-    val running: Int,
-    val waiting: Int,
-    val models: List<ModelReport>,
-)
-
-@Serializable
-internal data class ModelReport(
-    val name: String,
-    val weights: String,
-    val state: String,
-)
-
 @Serializable
 internal data class EngineErrorBody(
     val error: EngineErrorDetail,
--- a/src/main/kotlin/lacewingweir/standin/engine/EngineModels.kt
+++ b/src/main/kotlin/lacewingweir/standin/engine/EngineModels.kt
@@ -1,5 +1,8 @@
 package lacewingweir.standin.engine
 
+import lacewingweir.protocol.engine.EngineLoadMessage
+import lacewingweir.protocol.engine.EngineModelMessage
+import lacewingweir.protocol.engine.EngineModelState
 import lacewingweir.state.time.MonotonicClock
 
 /** The models on an engine, their load state, and the highest fencing number seen. */
@@ -37,7 +40,7 @@
 
     /** Begins to load. Returns false if the command is fenced off. A repeated command doesn't start over. */
     @Synchronized
-    fun load(command: LoadCommand): Boolean {
+    fun load(command: EngineLoadMessage): Boolean {
         if (!ignoreFencing && command.fencing < highestFencing) return false
         highestFencing = maxOf(highestFencing, command.fencing)
         if (models[command.model]?.weights == command.weights) return true
@@ -46,8 +49,10 @@
     }
 
     @Synchronized
-    fun report(): List<ModelReport> =
-        models.map { (name, state) -> ModelReport(name, state.weights, if (state.loading()) "loading" else "serving") }
+    fun report(): List<EngineModelMessage> =
+        models.map { (name, state) -> EngineModelMessage(name, state.weights, state.shown()) }
+
+    private fun State.shown(): EngineModelState = if (loading()) EngineModelState.LOADING else EngineModelState.SERVING
 
     private fun State.loading(): Boolean = servesAtMillis != 0L && clock.nowMillis() < servesAtMillis
 }
--- a/src/main/kotlin/lacewingweir/standin/engine/StandinEngine.kt
+++ b/src/main/kotlin/lacewingweir/standin/engine/StandinEngine.kt
@@ -7,6 +7,10 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import lacewingweir.protocol.engine.EngineCancelMessage
+import lacewingweir.protocol.engine.EngineJson
+import lacewingweir.protocol.engine.EngineLoadMessage
+import lacewingweir.protocol.engine.EngineStatusMessage
 import lacewingweir.standin.JSON_HEADERS
 import lacewingweir.standin.RequestCapture
 import lacewingweir.standin.StandinServer
@@ -129,7 +133,7 @@
             }
             "POST" to "/engine/cancel" -> cancel(exchange)
             "POST" to "/engine/load" -> load(exchange)
-            "GET" to "/engine/status" -> exchange.respondJson(StatusReport.serializer(), status())
+            "GET" to "/engine/status" -> exchange.respondJson(EngineStatusMessage.serializer(), status())
             "POST" to "/standin/faults" -> {
                 val faults = exchange.readJson(StandinEngineFaults.serializer()) ?: return
                 setFaults(faults)
@@ -140,17 +144,17 @@
         }
     }
 
-    private fun status(): StatusReport =
-        StatusReport(incarnation, faults().leaving, running.get(), slots.waiting, models.report())
+    private fun status(): EngineStatusMessage =
+        EngineStatusMessage(incarnation, faults().leaving, running.get(), slots.waiting, models.report())
 
     private suspend fun cancel(exchange: ServerExchange) {
-        val command = exchange.readJson(CancelCommand.serializer(), EngineJson) ?: return
+        val command = exchange.readJson(EngineCancelMessage.serializer(), EngineJson) ?: return
         jobs.filterValues { it == command.requestId }.keys.forEach { it.cancel() }
         exchange.respond(200, JSON_HEADERS, "{}".encodeToByteArray())
     }
 
     private suspend fun load(exchange: ServerExchange) {
-        val command = exchange.readJson(LoadCommand.serializer(), EngineJson) ?: return
+        val command = exchange.readJson(EngineLoadMessage.serializer(), EngineJson) ?: return
         if (!models.load(command)) {
             fencedLoads.incrementAndGet()
             return refuse(exchange, 409, "fenced", "a higher fencing number was seen")
@@ -319,7 +323,6 @@
     }
 
     override fun close() {
-        listener?.close()
         server.close()
     }
 
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/coordination/rollout/RolloutAgentTest.kt
@@ -0,0 +1,193 @@
+package lacewingweir.coordination.rollout
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.runBlocking
+import lacewingweir.state.bundle.Bundle
+import lacewingweir.state.bundle.Endpoint
+import lacewingweir.state.bundle.EndpointKind
+import lacewingweir.state.bundle.Model
+import lacewingweir.state.id.BundleNumber
+import lacewingweir.state.id.EndpointId
+import lacewingweir.state.id.FailureDomain
+import lacewingweir.state.id.Incarnation
+import lacewingweir.state.id.InstanceName
+import lacewingweir.state.id.ModelName
+import lacewingweir.state.id.WeightsVersion
+import lacewingweir.testing.ManualTimers
+import lacewingweir.testing.MemoryConfigStore
+import lacewingweir.testing.MemoryConfigStore.Fault
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+import kotlin.random.Random
+
+internal class RolloutAgentTest {
+    /** Two engines that load in no time and may ignore fencing. [beforeLoad] can hold a command back. */
+    private class Engines(
+        private val checksFencing: Boolean,
+    ) : EngineControl {
+        val weights = mutableMapOf(EndpointId("a") to "v1", EndpointId("b") to "v1")
+        val commands = mutableListOf<Long>()
+        var beforeStatus: suspend () -> Unit = {}
+        var beforeLoad: suspend () -> Unit = {}
+        var highest = 0L
+
+        override suspend fun status(endpoint: Endpoint): EngineStatus {
+            beforeStatus()
+            val model = LoadedModel(ModelName("m"), WeightsVersion(weights.getValue(endpoint.id)), false)
+            return EngineStatus(Incarnation("i"), false, 0, 0, listOf(model))
+        }
+
+        override suspend fun load(
+            endpoint: Endpoint,
+            model: ModelName,
+            weights: WeightsVersion,
+            fencing: Long,
+        ): CommandResult {
+            beforeLoad()
+            if (checksFencing && fencing < highest) return CommandResult.Fenced
+            highest = maxOf(highest, fencing)
+            commands.add(fencing)
+            this.weights[endpoint.id] = weights.value
+            return CommandResult.Accepted
+        }
+    }
+
+    private val store = MemoryConfigStore()
+    private val clock = ManualTimers()
+
+    private fun bundle(weights: String): Bundle =
+        Bundle(
+            BundleNumber(1),
+            emptyList(),
+            listOf(Model(ModelName("m"), WeightsVersion(weights))),
+            listOf("a", "b").map {
+                val models = listOf(ModelName("m"))
+                Endpoint(EndpointId(it), EndpointKind.ENGINE, "127.0.0.1", 1, FailureDomain("d"), models)
+            },
+            emptyList(),
+        )
+
+    private fun agent(
+        name: String,
+        engines: EngineControl,
+        weights: String = "v2",
+    ): RolloutAgent = RolloutAgent(InstanceName(name), store, { bundle(weights) }, engines, clock, random = Random(1))
+
+    private suspend fun takeOver(agent: RolloutAgent) {
+        agent.pass()
+        expectThat(agent.fencing).isNull()
+        clock.advance(15_000 + 650 + 3_001)
+        agent.pass()
+    }
+
+    @Test
+    fun `the leader brings engines to the bundle's weights and renews`() =
+        runBlocking<Unit> {
+            val engines = Engines(checksFencing = true)
+            val leader = agent("one", engines)
+            val other = agent("two", engines)
+            repeat(10) {
+                leader.pass()
+                other.pass()
+                clock.advance(3_000)
+            }
+            expectThat(leader.fencing).isEqualTo(1)
+            expectThat(other.fencing).isNull()
+            expectThat(engines.weights.values.toSet()).isEqualTo(setOf("v2"))
+            expectThat(engines.commands).isEqualTo(mutableListOf(1L, 1L))
+            leader.resign()
+            other.pass()
+            expectThat(other.fencing).isEqualTo(2)
+        }
+
+    // Guards against a leader that was paused through its lease and goes on commanding beside its successor.
+    @Test
+    fun `a leader paused before its commands sends none after its time`() =
+        runBlocking<Unit> {
+            val engines = Engines(checksFencing = false)
+            val resume = CompletableDeferred<Unit>()
+            val asked = CompletableDeferred<Unit>()
+            engines.beforeStatus = {
+                asked.complete(Unit)
+                resume.await()
+            }
+            val paused = agent("one", engines, weights = "old")
+            val pass = async { paused.pass() }
+            asked.await()
+            expectThat(paused.fencing).isEqualTo(1)
+            engines.beforeStatus = {}
+            val next = agent("two", engines)
+            takeOver(next)
+            expectThat(next.fencing).isEqualTo(2)
+            resume.complete(Unit)
+            pass.await()
+            expectThat(engines.commands.toSet()).isEqualTo(setOf(2L))
+            paused.pass()
+            expectThat(paused.fencing).isNull()
+        }
+
+    // Guards against a late command that stays in force on an engine without fencing.
+    @Test
+    fun `a late command of a former leader is fenced off or corrected`() =
+        runBlocking<Unit> {
+            for (checksFencing in listOf(true, false)) {
+                val engines = Engines(checksFencing)
+                val resume = CompletableDeferred<Unit>()
+                val checked = CompletableDeferred<Unit>()
+                engines.beforeLoad = {
+                    checked.complete(Unit)
+                    resume.await()
+                }
+                val paused = agent("one-$checksFencing", engines, weights = "old")
+                val pass = async { paused.pass() }
+                checked.await()
+                engines.beforeLoad = {}
+                val next = agent("two-$checksFencing", engines)
+                takeOver(next)
+                repeat(2) { next.pass() }
+                resume.complete(Unit)
+                pass.await()
+                expectThat(engines.weights.values.count { it == "old" }).isEqualTo(if (checksFencing) 0 else 1)
+                repeat(2) { next.pass() }
+                expectThat(engines.weights.values.toSet()).isEqualTo(setOf("v2"))
+                next.resign()
+            }
+        }
+
+    // Guards against losing the leadership, or believing in a lost one, after an answer of the store was lost.
+    @Test
+    fun `lost answers and refused renewals`() =
+        runBlocking<Unit> {
+            val leader = agent("one", Engines(true))
+            store.writeFaults.add(Fault.LOSE_ANSWER)
+            leader.pass()
+            expectThat(leader.fencing).isEqualTo(1)
+            repeat(4) {
+                clock.advance(3_000)
+                store.writeFaults.add(if (it % 2 == 0) Fault.LOSE_REQUEST else Fault.UNAVAILABLE)
+                leader.pass()
+                expectThat(leader.fencing).isNotNull()
+            }
+            clock.advance(3_000)
+            expectThat(leader.fencing).isNull()
+        }
+
+    // Guards against a fleet that can't command engines any more after its store lost the latest fencing numbers.
+    @Test
+    fun `a fenced leader raises its number`() =
+        runBlocking<Unit> {
+            val engines = Engines(checksFencing = true)
+            engines.highest = 3
+            val leader = agent("one", engines)
+            repeat(6) {
+                leader.pass()
+                clock.advance(3_000)
+            }
+            expectThat(engines.commands.first()).isEqualTo(3)
+            expectThat(engines.weights.values.toSet()).isEqualTo(setOf("v2"))
+        }
+}
