Test the request path and the caller and engine protocols

Cause: services, refusals, key handling and the protocol readers had no tests. A refusing engine's load and leaving report was also ignored, so that a leaving engine could get new work until the next status report, and request records lacked the decision on the key. Type-use annotations on list elements don't reach jqwik from Kotlin, so cuts are taken modulo the length instead.

--- a/src/main/kotlin/lacewingweir/transport/gateway/EngineAnswer.kt
+++ b/src/main/kotlin/lacewingweir/transport/gateway/EngineAnswer.kt
@@ -1,7 +1,9 @@
 package lacewingweir.transport.gateway
 
+import lacewingweir.coordination.routing.EngineLoad
 import lacewingweir.protocol.engine.DropReason
 import lacewingweir.protocol.engine.EngineHead
+import lacewingweir.state.id.Incarnation
 
 /** Outcome of sending a request to an engine. */
 public sealed interface EngineAnswer {
@@ -11,12 +13,15 @@
         public val stream: EngineStream,
     ) : EngineAnswer
 
-    /** The engine refused. [notRun] is what it said itself; [leaving] tells that it takes no new work. */
+    /** The engine refused. [notRun] is what it said itself; [leaving] tells that it takes no new work. Errors of an
+     * engine may lack [incarnation] and [load]. */
     public data class Refused(
         val status: Int,
         val message: String,
         val notRun: Boolean,
         val leaving: Boolean,
+        val incarnation: Incarnation?,
+        val load: EngineLoad?,
     ) : EngineAnswer
 
     /** The answer failed a check and was dropped. */
--- a/src/main/kotlin/lacewingweir/transport/gateway/EngineRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/gateway/EngineRelay.kt
@@ -266,10 +266,9 @@
         attempt: Attempt,
         answer: EngineAnswer.Refused,
     ): AttemptEnd {
-        if (answer.notRun) {
-            attempt.call.context.run
-                .notRun()
-        }
+        val run = attempt.call.context.run
+        if (answer.notRun) run.notRun()
+        answer.incarnation?.let { attempt.lease.answered(it, answer.load, answer.leaving) }
         val detail = "engine refused with ${answer.status}: ${answer.message}"
         val outcome = if (answer.notRun) AttemptOutcome.NOT_RUN else AttemptOutcome.FAILED
         if (answer.status !in REQUEST_ERRORS) return failed(attempt, outcome, detail)
--- a/src/main/kotlin/lacewingweir/transport/gateway/Gateway.kt
+++ b/src/main/kotlin/lacewingweir/transport/gateway/Gateway.kt
@@ -15,12 +15,12 @@
 import lacewingweir.coordination.claims.ClaimRegister
 import lacewingweir.coordination.keys.KeyAuthority
 import lacewingweir.coordination.rate.RateAdmission
+import lacewingweir.coordination.routing.EndpointFilter
 import lacewingweir.coordination.routing.EngineScheduler
 import lacewingweir.protocol.openai.ErrorObject
 import lacewingweir.protocol.resume.ResumeTokenCodec
 import lacewingweir.state.bundle.Bundle
 import lacewingweir.state.id.BundleNumber
-import lacewingweir.state.id.EndpointId
 import lacewingweir.state.id.RequestId
 import lacewingweir.state.time.MonotonicClock
 import lacewingweir.transport.http.HttpClient
@@ -35,8 +35,8 @@
  * Serves callers. [handle] is the handler of the caller-facing HTTP server.
  *
  * [saltSecret] is the fleet secret that cache salts are derived from; it must be the same on all instances. [scope]
- * runs work that outlives a request, such as cancel commands. [isServiceAvailable] tells whether a plain service may
- * get new work, for example because it isn't leaving.
+ * runs work that outlives a request, such as cancel commands. [leaving] names plain services that must get no new
+ * work.
  */
 public class Gateway(
     private val bundles: BundleSource,
@@ -54,7 +54,7 @@
     openTelemetry: OpenTelemetry = OpenTelemetry.noop(),
     private val settings: GatewaySettings = GatewaySettings(),
     private val clock: MonotonicClock = MonotonicClock.SYSTEM,
-    isServiceAvailable: (EndpointId) -> Boolean = { true },
+    leaving: EndpointFilter = EndpointFilter { false },
 ) {
     private val tracing = GatewayTracing(openTelemetry)
     private val authenticator = Authenticator(keys)
@@ -63,7 +63,7 @@
             authenticator = authenticator,
             claims = claims,
             client = services,
-            endpoints = ServiceEndpoints(clock, isServiceAvailable),
+            endpoints = ServiceEndpoints(clock, leaving),
             metrics = metrics,
             tracing = tracing,
             settings = settings,
--- a/src/main/kotlin/lacewingweir/transport/gateway/HttpEngineAdapter.kt
+++ b/src/main/kotlin/lacewingweir/transport/gateway/HttpEngineAdapter.kt
@@ -80,6 +80,8 @@
             message = error?.text("message")?.take(MAX_MESSAGE_CHARS) ?: "status ${response.status}",
             notRun = response.headers.get(RUN_HEADER) == "not-run",
             leaving = response.headers.get(EngineHead.LEAVING_HEADER).equals("true", ignoreCase = true),
+            incarnation = response.headers.get(EngineHead.INCARNATION_HEADER)?.let(::Incarnation),
+            load = response.headers.get(EngineHead.LOAD_HEADER)?.let(EngineHead::parseLoad),
         )
     }
 
--- a/src/main/kotlin/lacewingweir/transport/gateway/RequestContext.kt
+++ b/src/main/kotlin/lacewingweir/transport/gateway/RequestContext.kt
@@ -33,6 +33,7 @@
 
     fun identified(customer: CustomerId) {
         trace.customer = customer
+        trace.step("key", "accepted for customer $customer")
         hop.span.setAttribute("lacewingweir.customer", customer.value)
     }
 
--- a/src/main/kotlin/lacewingweir/transport/gateway/ServiceEndpoints.kt
+++ b/src/main/kotlin/lacewingweir/transport/gateway/ServiceEndpoints.kt
@@ -1,5 +1,6 @@
 package lacewingweir.transport.gateway
 
+import lacewingweir.coordination.routing.EndpointFilter
 import lacewingweir.state.bundle.Bundle
 import lacewingweir.state.bundle.Endpoint
 import lacewingweir.state.bundle.Route
@@ -14,7 +15,7 @@
  */
 internal class ServiceEndpoints(
     private val clock: MonotonicClock,
-    private val isAvailable: (EndpointId) -> Boolean,
+    private val leaving: EndpointFilter,
 ) {
     private class Load {
         val running = AtomicInteger()
@@ -31,7 +32,7 @@
         route: Route,
         excluded: Set<EndpointId>,
     ): Endpoint? {
-        val usable = route.services.filter { it !in excluded && isAvailable(it) }.mapNotNull(bundle::endpoint)
+        val usable = route.services.filter { it !in excluded && !leaving.isLeaving(it) }.mapNotNull(bundle::endpoint)
         val now = clock.nowMillis()
         val healthy = usable.filter { load(it.id).avoidUntilMillis <= now }
         val chosen = healthy.ifEmpty { usable }.shuffled().minByOrNull { load(it.id).running.get() }
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/protocol/resume/ResumeTokenCodecTest.kt
@@ -0,0 +1,73 @@
+package lacewingweir.protocol.resume
+
+import lacewingweir.state.id.CustomerId
+import lacewingweir.state.id.ModelName
+import lacewingweir.state.id.RequestId
+import lacewingweir.state.id.WeightsVersion
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.constraints.IntRange
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
+
+internal class ResumeTokenCodecTest {
+    private var now = 1_000_000L
+    private val codec = ResumeTokenCodec("secret".encodeToByteArray(), 60_000) { now }
+    private val position =
+        StreamPosition(RequestId("0af7651916cd43dd8448eb211c80319c"), 7, StreamPosition.Phase.CONTENT)
+
+    private fun identity(
+        customer: String = "alpha",
+        model: String = "m",
+        weights: String = "w",
+        body: Byte = 1,
+    ) = StreamIdentity(CustomerId(customer), ModelName(model), WeightsVersion(weights), byteArrayOf(body))
+
+    private val token = codec.issue(identity(), position)
+
+    @Test
+    fun `a token gives its position on any instance with the secret`() {
+        val other = ResumeTokenCodec("secret".encodeToByteArray(), 60_000) { now }
+        expectThat(other.check(token, identity())).isEqualTo(ResumeTokenResult.Valid(position))
+        expectThat(token.length).isLessThan(200)
+        val foreign = ResumeTokenCodec("other".encodeToByteArray(), 60_000) { now }
+        expectThat(foreign.check(token, identity())).isEqualTo(ResumeTokenResult.Invalid)
+    }
+
+    // Guards against a stream that another customer or request could read.
+    @Test
+    fun `a token of another stream is refused with the part that differs`() {
+        fun part(identity: StreamIdentity): String = (codec.check(token, identity) as ResumeTokenResult.Mismatch).part
+        expectThat(part(identity(customer = "beta"))).isEqualTo("customer")
+        expectThat(part(identity(model = "n"))).isEqualTo("model")
+        expectThat(part(identity(weights = "v"))).isEqualTo("weights version")
+        expectThat(part(identity(body = 2))).isEqualTo("request body")
+    }
+
+    @Test
+    fun `a token expires`() {
+        now += 61_000
+        expectThat(codec.check(token, identity())).isEqualTo(ResumeTokenResult.Expired)
+    }
+
+    // Guards against forged positions.
+    @Property
+    fun `no changed token is accepted`(
+        @ForAll @IntRange(max = 500) at: Int,
+        @ForAll char: Char,
+    ) {
+        val index = at % token.length
+        val changed = token.replaceRange(index, index + 1, char.toString())
+        val expected = if (changed == token) ResumeTokenResult.Valid(position) else ResumeTokenResult.Invalid
+        expectThat(codec.check(changed, identity())).isEqualTo(expected)
+    }
+
+    @Property
+    fun `arbitrary text is no token`(
+        @ForAll text: String,
+    ) {
+        expectThat(codec.check(text, identity())).isEqualTo(ResumeTokenResult.Invalid)
+    }
+}
--- a/src/test/kotlin/lacewingweir/transport/gateway/ChatStreamTest.kt
+++ b/src/test/kotlin/lacewingweir/transport/gateway/ChatStreamTest.kt
@@ -255,7 +255,7 @@
             val record = fleet.requests.find(id)
             expectThat(record).isNotNull()
             expectThat(record!!.steps.map { it.what })
-                .containsExactly("route", "rate", "schedule", "attempt failed", "schedule", "completed")
+                .containsExactly("key", "route", "rate", "schedule", "attempt failed", "schedule", "completed")
             expectThat(
                 fleet.requests
                     .find(RequestId("unknown"))
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/transport/gateway/FakeService.kt
@@ -0,0 +1,65 @@
+package lacewingweir.transport.gateway
+
+import kotlinx.coroutines.delay
+import lacewingweir.state.bundle.Endpoint
+import lacewingweir.state.bundle.EndpointKind
+import lacewingweir.state.id.EndpointId
+import lacewingweir.state.id.FailureDomain
+import lacewingweir.transport.http.HttpServer
+import lacewingweir.transport.http.ServerExchange
+import java.net.ServerSocket
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
+
+/** A plain service in the test process that records all that reaches it. */
+internal class FakeService(
+    name: String,
+    fleet: GatewayFixture,
+    private val answer: suspend (ServerExchange) -> Unit = { it.respond(200, body = "ok".encodeToByteArray()) },
+) : AutoCloseable {
+    val seen = CopyOnWriteArrayList<String>()
+    private val server = HttpServer(fleet.group, fleet.scope, "127.0.0.1", 0, handler = ::handle).start()
+    val endpoint = serviceEndpoint(name, server.port)
+
+    private suspend fun handle(exchange: ServerExchange) {
+        val uri = exchange.rawPath + if (exchange.query.isEmpty()) "" else "?${exchange.query}"
+        seen += "${exchange.method} $uri ${exchange.headers.entries()} ${exchange.body.decodeToString()}"
+        delay(1)
+        answer(exchange)
+    }
+
+    override fun close() {
+        server.close()
+    }
+}
+
+/** Accepts connections, reads what is sent and closes them without an answer. */
+internal class SilentService(
+    name: String,
+) : AutoCloseable {
+    val connections = AtomicInteger()
+    private val socket = ServerSocket(0)
+    val endpoint = serviceEndpoint(name, socket.localPort)
+
+    init {
+        thread(isDaemon = true) {
+            while (!socket.isClosed) {
+                val accepted = runCatching { socket.accept() }.getOrNull() ?: break
+                connections.incrementAndGet()
+                accepted.use { it.getInputStream().read(ByteArray(4096)) }
+            }
+        }
+    }
+
+    override fun close() {
+        socket.close()
+    }
+}
+
+internal fun serviceEndpoint(
+    name: String,
+    port: Int,
+): Endpoint = Endpoint(EndpointId(name), EndpointKind.SERVICE, "127.0.0.1", port, FailureDomain("d"))
+
+internal fun closedPort(): Int = ServerSocket(0).use { it.localPort }
--- a/src/test/kotlin/lacewingweir/transport/gateway/GatewayFixture.kt
+++ b/src/test/kotlin/lacewingweir/transport/gateway/GatewayFixture.kt
@@ -251,7 +251,7 @@
 }
 
 internal class FakeScheduler(
-    private val endpoints: () -> List<Endpoint>,
+    @Volatile var endpoints: () -> List<Endpoint>,
 ) : EngineScheduler {
     val outcomes = CopyOnWriteArrayList<AttemptOutcome>()
 
