--- a/src/main/kotlin/lacewingweir/cli/CommandGroup.kt
+++ b/src/main/kotlin/lacewingweir/cli/CommandGroup.kt
@@ -10,9 +10,10 @@
     private val context: CommandContext,
     name: String,
     description: String,
-    commands: List<OperatorCommand>,
+    private val commands: List<OperatorCommand>,
 ) : Subcommand(name, description) {
-    init {
+    /** Adds the subcommands. Called when the group itself was added, so that their usage shows the whole command. */
+    fun addCommands() {
         commands.forEach { subcommands(it) }
     }
 
--- a/src/main/kotlin/lacewingweir/cli/CommandLine.kt
+++ b/src/main/kotlin/lacewingweir/cli/CommandLine.kt
@@ -1,8 +1,10 @@
 package lacewingweir.cli
 
 import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
+import kotlinx.cli.default
 import lacewingweir.cli.io.CommandContext
 
 /** Parses a command line, runs its subcommand and determines the exit code. */
@@ -19,17 +21,18 @@
 
     /** Runs [args] and returns the exit code. */
     fun run(args: List<String>): Int {
-        if (args == listOf("--version")) {
-            context.out("lacewingweir ${version()}")
-            return ExitCode.DONE
-        }
-        val parser = ArgParser("lacewingweir")
+        val parser = ArgParser("lacewingweir", strictSubcommandOptionsOrder = true)
+        val showVersion by
+            parser.option(ArgType.Boolean, "version", description = "Show the version").default(false)
         commands.forEach { parser.subcommands(it) }
-        (commands + parser).forEach(::redirectExit)
+        commands.filterIsInstance<CommandGroup>().forEach { it.addCommands() }
+        (commands + parser).forEach(::prepare)
         val given = args.ifEmpty { listOf("--help") }
         return try {
             val result = parser.parse(given.toTypedArray())
-            context.exitCode ?: if (result.commandName == parser.programName) ExitCode.BAD_INPUT else ExitCode.DONE
+            if (showVersion) context.out("lacewingweir ${version()}")
+            val ran = showVersion || result.commandName != parser.programName
+            context.exitCode ?: if (ran) ExitCode.DONE else ExitCode.BAD_INPUT
         } catch (e: EarlyExit) {
             val asked = e.code == 0
             (if (asked) context.out else context.err)(e.message.orEmpty())
@@ -44,10 +47,11 @@
     }
 
     /**
-     * Replaces the exit of [parser] and its subcommands, because kotlinx-cli ends the process with code 127 on bad
+     * Replaces the exit of [parser] and its subcommands, and lets options after a subcommand's name belong to that.
+     * The exit is replaced because kotlinx-cli ends the process with code 127 on bad
      * usage and its hook for this is not part of its public interface.
      */
-    private fun redirectExit(parser: ArgParser) {
+    private fun prepare(parser: ArgParser) {
         val exit: (String, Int) -> Nothing = { message, code -> throw EarlyExit(code, message) }
         ArgParser::class.java
             .getMethod(
@@ -55,7 +59,7 @@
                 Function2::class.java,
             ).invoke(parser, exit)
         val nested = ArgParser::class.java.getDeclaredMethod("getSubcommands").apply { isAccessible = true }
-        (nested.invoke(parser) as Map<*, *>).values.forEach { if (it is ArgParser && it !== parser) redirectExit(it) }
+        (nested.invoke(parser) as Map<*, *>).values.forEach { if (it is ArgParser && it !== parser) prepare(it) }
     }
 
     private fun version(): String = CommandLine::class.java.`package`?.implementationVersion ?: "development"
--- a/src/test/kotlin/lacewingweir/cli/CommandLineTest.kt
+++ b/src/test/kotlin/lacewingweir/cli/CommandLineTest.kt
@@ -105,7 +105,7 @@
         for (command in commands) {
             val words = command.split(' ').filter { it.isNotEmpty() } + "--help"
             expectThat(run(*words.toTypedArray())).describedAs(command).isEqualTo(0)
-            expectThat(output.toString()).contains("Usage: lacewingweir")
+            expectThat(output.toString()).contains("Usage: lacewingweir $command".trim() + " options_list")
         }
         expectThat(run("--version")).isEqualTo(0)
         for (words in listOf(
