Test the rate bound in randomised runs and measure wrongful refusals

RateBoundTest runs 3 to 8 agents with lost, late and reordered messages, pauses, restarts, share and rate changes and clocks that differ by 0.5%, and compares every window with rate x time + burst. It prints its seeds.

The run led to one rule: a restarted instance confirms no smaller share until loans of its predecessor have ended.

--- a/src/main/kotlin/lacewingweir/coordination/rate/CustomerRate.kt
+++ b/src/main/kotlin/lacewingweir/coordination/rate/CustomerRate.kt
@@ -301,10 +301,12 @@
     fun hasShrunkTo(divisor: Int): Boolean {
         sync()
         val limit = customer
-        return account.fitsInto(
-            (limit?.burstTokens ?: 0) * MICROS_PER_TOKEN / divisor,
-            (limit?.tokensPerSecond ?: 0) * MICROS_PER_MILLI_IN_TOKEN_PER_SECOND / divisor,
-        )
+        // Loans that an earlier process of this name gave out of a larger share may still run.
+        return !young &&
+            account.fitsInto(
+                (limit?.burstTokens ?: 0) * MICROS_PER_TOKEN / divisor,
+                (limit?.tokensPerSecond ?: 0) * MICROS_PER_MILLI_IN_TOKEN_PER_SECOND / divisor,
+            )
     }
 
     fun hasGiven(loan: Long): Boolean = account.hasGiven(loan)
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/coordination/rate/BalanceRun.kt
@@ -0,0 +1,177 @@
+package lacewingweir.coordination.rate
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.launch
+import lacewingweir.coordination.membership.BaseShare
+import lacewingweir.coordination.peer.Heartbeat
+import lacewingweir.coordination.peer.PeerMessage
+import lacewingweir.state.bundle.Bundle
+import lacewingweir.state.bundle.Customer
+import lacewingweir.state.id.BundleNumber
+import lacewingweir.state.id.CustomerId
+import lacewingweir.state.rate.MICROS_PER_TOKEN
+import lacewingweir.state.rate.TokenBucket
+import kotlin.math.ln
+import kotlin.random.Random
+
+/** Load of a [BalanceRun]. A [hotPart] of each customer's traffic goes to one instance, which shifts. */
+data class BalanceLoad(
+    val seed: Long,
+    val instances: Int = 7,
+    val rates: List<Long> = listOf(60_000, 30_000, 12_000, 6_000, 20_000),
+    val burstSeconds: List<Long> = listOf(4, 5, 7, 10, 5),
+    val loads: List<Double> = listOf(0.9, 0.9, 0.9, 0.9, 5.0),
+    val hotPart: Double = 0.6,
+    val shiftMillis: Long = 20_000,
+    val seconds: Long = 300,
+    val settings: RateSettings = RateSettings(),
+)
+
+/** What became of one customer's requests. [wrongful] were refused although one central bucket admits them. */
+class BalanceCount {
+    var requests = 0L
+    var wrongful = 0L
+    var wrongfulByFixedSplit = 0L
+    var refusedByCentral = 0L
+    var waitedMillis = 0L
+}
+
+/**
+ * Poisson arrivals of long prompts at several instances, judged beside a fixed 1/N split and one central bucket that
+ * see the same requests. A central bucket answers at arrival, while the fleet may wait for loans.
+ */
+class BalanceRun(
+    private val load: BalanceLoad,
+) {
+    private val random = Random(load.seed)
+    private val time = SimulatedTime()
+    private val network = SimulatedNetwork(time) { random.nextLong(1_000, 2_000) }
+    private val customers =
+        load.rates.mapIndexed { i, rate -> Customer(CustomerId("c$i"), rate, rate * load.burstSeconds[i]) }
+    private val bundle = Bundle(BundleNumber(1), customers, emptyList(), emptyList(), emptyList())
+    private val processes = List(load.instances) { SimulatedProcess(time, 1.0) }
+    private val agents = processes.mapIndexed { i, process -> agent(i, process) }
+    private val central = customers.map { bucket(it, 1) }
+    private val split = customers.map { customer -> List(load.instances) { bucket(customer, load.instances) } }
+
+    /** Per customer, in the order of [BalanceLoad.rates]. */
+    val counts = customers.map { BalanceCount() }
+
+    /** Loan messages sent, without heartbeats, and their bytes as the field contents have them. */
+    val loanMessages: Long get() = network.messages - heartbeats
+    private var heartbeats = 0L
+
+    /** Called for each message, for counting bytes. */
+    var onMessage: (PeerMessage) -> Unit = {}
+
+    private fun agent(
+        index: Int,
+        process: SimulatedProcess,
+    ): RateAgent {
+        val peer = network.join("n$index", 1, process)
+        val agent =
+            RateAgent(
+                peer,
+                { BaseShare(1, load.instances, true) },
+                { 0 },
+                { bundle },
+                process,
+                process.clock,
+                load.settings,
+                RateMetrics(PrometheusRegistry()),
+                Random(random.nextLong()),
+            )
+        process.every("heartbeat", 1_000) {
+            val hints = agent.rateHints()
+            for (to in peer.connectedPeers()) {
+                heartbeats++
+                peer.send(to.name, Heartbeat(1, 1, 1, bundle.number, 0, true, hints))
+            }
+        }
+        return agent
+    }
+
+    private fun bucket(
+        customer: Customer,
+        parts: Int,
+    ) = TokenBucket(0).apply {
+        resize(customer.burstTokens * MICROS_PER_TOKEN / parts, customer.tokensPerSecond * 1_000 / parts)
+        deposit(capacityMicros)
+    }
+
+    fun go(): BalanceRun {
+        network.onMessage = { onMessage(it) }
+        customers.indices.forEach { arrive(it) }
+        time.runUntil(load.seconds * 1_000_000)
+        return this
+    }
+
+    private fun arrive(index: Int) {
+        // Mean of the request sizes below: 3,000 prompt tokens and 300 answer tokens.
+        val perSecond = customers[index].tokensPerSecond * load.loads[index] / MEAN_TOKENS
+        val gap = -ln(1.0 - random.nextDouble()) / perSecond
+        time.at(time.nowMicros + (gap * 1e6).toLong()) {
+            request(index)
+            arrive(index)
+        }
+    }
+
+    private fun request(index: Int) {
+        val prompt = random.nextLong(1_000, 5_001)
+        val answer = random.nextLong(100, 501)
+        val reserved = prompt + MOST_ANSWER_TOKENS
+        val hot = ((time.nowMicros / 1_000 / load.shiftMillis + index) % load.instances).toInt()
+        val at = if (random.nextDouble() < load.hotPart) hot else random.nextInt(load.instances)
+        val count = counts[index]
+        count.requests++
+        val centralAdmits = offer(central[index], reserved, prompt, answer)
+        if (!centralAdmits) count.refusedByCentral++
+        if (!offer(split[index][at], reserved, prompt, answer) && centralAdmits) count.wrongfulByFixedSplit++
+        val arrived = time.nowMicros
+        CoroutineScope(Dispatchers.Unconfined).launch {
+            when (val result = agents[at].reserve(customers[index].id, reserved)) {
+                is ReserveResult.Refused -> if (centralAdmits) count.wrongful++
+                is ReserveResult.Reserved -> {
+                    count.waitedMillis += (time.nowMicros - arrived) / 1_000
+                    val reservation = result.reservation
+                    reservation.settle(prompt)
+                    later(answer) {
+                        reservation.settle(answer)
+                        reservation.close()
+                    }
+                }
+            }
+        }
+    }
+
+    private fun offer(
+        bucket: TokenBucket,
+        reserved: Long,
+        prompt: Long,
+        answer: Long,
+    ): Boolean {
+        bucket.advance(time.nowMicros / 1_000)
+        if (!bucket.reserve(reserved * MICROS_PER_TOKEN)) return false
+        bucket.settle(prompt * MICROS_PER_TOKEN)
+        later(answer) {
+            bucket.advance(time.nowMicros / 1_000)
+            bucket.settle(answer * MICROS_PER_TOKEN)
+            bucket.giveBack((reserved - prompt - answer) * MICROS_PER_TOKEN)
+        }
+        return true
+    }
+
+    /** Runs [done] once an answer of [tokens] has streamed, at 26 ms a token. */
+    private fun later(
+        tokens: Long,
+        done: () -> Unit,
+    ) = time.at(time.nowMicros + tokens * TOKEN_MICROS, done)
+
+    private companion object {
+        const val MEAN_TOKENS = 3_300.0
+        const val MOST_ANSWER_TOKENS = 500L
+        const val TOKEN_MICROS = 26_000L
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/coordination/rate/RateBoundTest.kt
@@ -0,0 +1,349 @@
+package lacewingweir.coordination.rate
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.launch
+import lacewingweir.coordination.membership.BaseShare
+import lacewingweir.state.bundle.Bundle
+import lacewingweir.state.bundle.Customer
+import lacewingweir.state.id.BundleNumber
+import lacewingweir.state.id.CustomerId
+import lacewingweir.state.rate.BorrowPolicy
+import lacewingweir.state.rate.LoanTerm
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.fail
+import kotlin.random.Random
+
+/** Guards G7: whatever messages and processes do, no window sees more than rate x time + burst. */
+class RateBoundTest {
+    private val violations = ArrayList<String>()
+    private val reached = sortedMapOf<String, Long>()
+
+    private fun count(
+        path: String,
+        times: Long = 1,
+    ) {
+        reached.merge(path, times, Long::plus)
+    }
+
+    @Test
+    fun `no window exceeds rate and burst`() {
+        val first = System.getProperty("rate.seed")?.toLong() ?: System.nanoTime()
+        for (seed in first until first + RUNS) {
+            println("RateBoundTest seed $seed (repeat with -Drate.seed=$seed)")
+            Run(seed).go()
+        }
+        println("RateBoundTest reached $reached")
+        val interesting =
+            listOf(
+                "lender granted",
+                "grant lost",
+                "borrower late",
+                "lender expired",
+                "borrower expired",
+                "lender returned",
+                "borrower returned",
+                "borrower renewal",
+                "refused rate",
+                "overdraft",
+                "shrink with loans outstanding",
+                "restart",
+                "pause longer than a loan",
+                "rate change",
+            )
+        if (violations.isNotEmpty()) fail(violations.take(10).joinToString("\n"))
+        val missed = interesting.filter { (reached[it] ?: 0L) == 0L }
+        if (missed.isNotEmpty()) fail("paths never reached: $missed")
+    }
+
+    /** One admission; [countedTokens] falls when unused tokens are returned. */
+    private class Admission(
+        val atMicros: Long,
+        var countedTokens: Long,
+    )
+
+    private inner class Run(
+        private val seed: Long,
+    ) {
+        private val random = Random(seed)
+        private val time = SimulatedTime()
+        private val network =
+            SimulatedNetwork(time) { message ->
+                val lost = random.nextInt(100) < 5
+                if (lost && message::class.simpleName == "LoanGrant") count("grant lost")
+                when {
+                    lost -> null
+                    random.nextInt(100) < 3 -> random.nextLong(1_000, 9_000_000)
+                    else -> random.nextLong(500, 5_000)
+                }
+            }
+        private val customer = CustomerId("c")
+        private val names = List(random.nextInt(3, 9)) { "n$it" }
+        private val instances = LinkedHashMap<String, Instance>()
+        private val admissions = ArrayDeque<Admission>()
+        private var limit = Customer(customer, 2_000, 8_000)
+        private var bundle = bundleOf(1)
+        private var limitChanges = ArrayList<Pair<Long, Customer>>()
+        private var epoch = 1L
+        private var members = names.take(random.nextInt(2, names.size + 1))
+        private var incarnations = 0
+
+        private fun bundleOf(number: Long) =
+            Bundle(BundleNumber(number), listOf(limit), emptyList(), emptyList(), emptyList())
+
+        private inner class Instance(
+            val name: String,
+            var share: BaseShare?,
+        ) {
+            val process = SimulatedProcess(time, 1.0 + random.nextDouble(-0.0025, 0.0025))
+            val metrics = RateMetrics(PrometheusRegistry())
+            var held = bundle
+            var proofMillis = process.clock.nowMillis()
+            val agent =
+                RateAgent(
+                    network.join(name, ++incarnations, process),
+                    { share },
+                    { process.clock.nowMillis() - proofMillis },
+                    { held },
+                    process,
+                    process.clock,
+                    RateSettings(policy = POLICY, term = TERM),
+                    metrics,
+                    Random(random.nextLong()),
+                )
+
+            init {
+                process.every("proof", 1_000) {
+                    if (random.nextInt(100) < 95) proofMillis = process.clock.nowMillis()
+                }
+                process.at(time.nowMicros) { offer() }
+            }
+
+            private fun offer() {
+                val tokens = random.nextLong(50, 1_500)
+                CoroutineScope(Dispatchers.Unconfined).launch {
+                    val result = agent.reserve(customer, tokens)
+                    if (result is ReserveResult.Reserved) admitted(tokens, result.reservation)
+                }
+                val meanMicros = if (busy()) 60_000L else 4_000_000L
+                process.at(time.nowMicros + minOf(random.nextLong(1_000, 2 * meanMicros), PHASE_MICROS / 2)) { offer() }
+            }
+
+            /** Calm phases fill the buckets, phases of one busy instance move loans, and full load then spends both. */
+            private fun busy(): Boolean {
+                val phase = time.nowMicros / PHASE_MICROS
+                return when (phase % 3) {
+                    0L -> false
+                    1L -> names.indexOf(name).toLong() == phase % names.size
+                    else -> true
+                }
+            }
+
+            private fun admitted(
+                tokens: Long,
+                reservation: Reservation,
+            ) {
+                val admission = Admission(time.nowMicros, tokens)
+                admissions.addLast(admission)
+                checkWindows()
+                val quick = random.nextInt(4) > 0
+                val used = if (quick) tokens + random.nextLong(0, 2) else random.nextLong(0, tokens + 1)
+                val first = minOf(used, tokens / 2)
+                reservation.settle(first)
+                process.at(time.nowMicros + random.nextLong(10_000, if (quick) 20_000 else 9_000_000)) {
+                    reservation.settle(used - first)
+                    reservation.close()
+                    admission.countedTokens = minOf(used, tokens)
+                }
+            }
+
+            fun collect() {
+                for (side in listOf("lender", "borrower")) {
+                    for (step in listOf("granted", "expired", "returned", "late", "renewal")) {
+                        count("$side $step", metrics.loanCount(side, step))
+                    }
+                }
+                count("refused rate", metrics.refusedCount("rate"))
+                count("overdraft", metrics.overdraftCount())
+            }
+        }
+
+        fun go() {
+            limitChanges += 0L to limit
+            for (name in names) {
+                instances[name] = Instance(name, if (name in members) BaseShare(1, members.size, true) else null)
+            }
+            faults()
+            changeMembers()
+            changeRate()
+            time.runUntil(RUN_MICROS)
+            instances.values.forEach { it.collect() }
+        }
+
+        private fun faults() {
+            time.at(time.nowMicros + random.nextLong(500_000, 6_000_000)) {
+                val instance = instances.values.random(random)
+                when (random.nextInt(3)) {
+                    0 -> instance.process.pausedUntilMicros = time.nowMicros + random.nextLong(1_000, 4_000_000)
+                    1 -> {
+                        instance.process.pausedUntilMicros = time.nowMicros + random.nextLong(5_000_000, 12_000_000)
+                        count("pause longer than a loan")
+                    }
+                    else -> restart(instance)
+                }
+                faults()
+            }
+        }
+
+        private fun restart(instance: Instance) {
+            instance.process.stopped = true
+            instance.collect()
+            count("restart")
+            time.at(time.nowMicros + random.nextLong(1_000, 3_000_000)) {
+                // The successor of the same name gets what its predecessor had, but nothing to start with.
+                if (instances[instance.name] === instance) {
+                    instances[instance.name] = Instance(instance.name, instance.share?.copy(startsFull = false))
+                }
+            }
+        }
+
+        /** Shrink first, grow after: members grow once all of them, old and new, have confirmed. */
+        private fun changeMembers() {
+            time.at(time.nowMicros + random.nextLong(4_000_000, 15_000_000)) {
+                val old = members
+                val next = names.shuffled(random).take(random.nextInt(2, names.size + 1))
+                val divisor = maxOf(old.size, next.size)
+                epoch++
+                for (name in old) {
+                    tell(name) {
+                        if (it.agent.hasShrunkTo(divisor).not()) count("shrink with loans outstanding")
+                        it.share = BaseShare(epoch, divisor, false)
+                    }
+                }
+                awaitShrunk(old, next, divisor)
+            }
+        }
+
+        private fun awaitShrunk(
+            old: List<String>,
+            next: List<String>,
+            divisor: Int,
+        ) {
+            time.at(time.nowMicros + 100_000) {
+                val confirmed =
+                    old.all { name ->
+                        val instance = instances.getValue(name)
+                        val live = !instance.process.stopped && time.nowMicros >= instance.process.pausedUntilMicros
+                        live && instance.share?.epoch == epoch && instance.agent.hasShrunkTo(divisor)
+                    }
+                if (confirmed) leave(old, next) else awaitShrunk(old, next, divisor)
+            }
+        }
+
+        /** Those that leave give up first; the rest may grow once their loans have ended, too. */
+        private fun leave(
+            old: List<String>,
+            next: List<String>,
+        ) {
+            val leaving = old - next.toSet()
+            leaving.forEach { instances.getValue(it).share = null }
+            time.at(time.nowMicros + TERM.lenderMillis * 1_010) {
+                val grown = BaseShare(epoch, next.size, false)
+                for (name in next) tell(name) { if (epoch == grown.epoch) it.share = grown }
+                time.at(time.nowMicros + 15_000_000) {
+                    members = next
+                    changeMembers()
+                }
+            }
+        }
+
+        /** Runs [change] at an instance with a delay, and at its successor if it restarts before that. */
+        private fun tell(
+            name: String,
+            change: (Instance) -> Unit,
+        ) {
+            time.at(time.nowMicros + random.nextLong(1_000, 800_000)) {
+                val instance = instances.getValue(name)
+                val live = !instance.process.stopped && time.nowMicros >= instance.process.pausedUntilMicros
+                if (live) change(instance) else tell(name, change)
+            }
+        }
+
+        private fun changeRate() {
+            time.at(time.nowMicros + random.nextLong(8_000_000, 25_000_000)) {
+                val rate = random.nextLong(800, 4_000)
+                limit = Customer(customer, rate, rate * random.nextLong(3, 8))
+                limitChanges += time.nowMicros to limit
+                bundle = bundleOf(bundle.number.value + 1)
+                count("rate change")
+                for (name in names) adopt(name, bundle)
+                changeRate()
+            }
+        }
+
+        /** An instance that pauses over the change holds the new bundle when it goes on. */
+        private fun adopt(
+            name: String,
+            next: Bundle,
+        ) {
+            val instance = instances.getValue(name)
+            val paused = time.nowMicros < instance.process.pausedUntilMicros
+            val delay = if (paused) 0 else random.nextLong(1_000, 800_000)
+            time.at(time.nowMicros + delay) {
+                val now = instances.getValue(name)
+                if (now.held.number < next.number) now.held = next
+            }
+        }
+
+        /**
+         * Compares every window that ends with the newest admission. For [SETTLING_MICROS] after a change the larger
+         * rate and burst apply, since bundles spread within a second and loans of the old size end after their term.
+         */
+        private fun checkWindows() {
+            val now = time.nowMicros
+            while (admissions.first().atMicros < now - LONGEST_WINDOW_MICROS) admissions.removeFirst()
+            var sum = 0L
+            var index = admissions.size - 1
+            while (index >= 0) {
+                sum += admissions[index].countedTokens
+                val start = admissions[index].atMicros
+                val allowed = allowed(start, now)
+                if (sum > allowed) {
+                    val millis = (now - start) / 1_000
+                    val changes = limitChanges.map { (at, c) -> listOf(at / 1_000, c.tokensPerSecond, c.burstTokens) }
+                    violations +=
+                        "seed $seed: $sum tokens in $millis ms, allowed $allowed at ${now / 1_000} ms, $changes"
+                    return
+                }
+                index--
+            }
+        }
+
+        private fun allowed(
+            start: Long,
+            end: Long,
+        ): Double {
+            val inForce =
+                limitChanges.filterIndexed { index, (from, _) ->
+                    val until = limitChanges.getOrNull(index + 1)?.first ?: FAR_MICROS
+                    from <= end && until + SETTLING_MICROS >= start
+                }
+            val rate = inForce.maxOf { it.second.tokensPerSecond }
+            // Clocks up to 0.25% fast, and one millisecond of rounding at each instance.
+            val refill = rate * ((end - start) / 1e6 * 1.0026 + 0.002)
+            return inForce.maxOf { it.second.burstTokens } + refill
+        }
+    }
+
+    private companion object {
+        const val RUNS = 12
+        const val RUN_MICROS = 180_000_000L
+        const val LONGEST_WINDOW_MICROS = 60_000_000L
+        const val PHASE_MICROS = 3_000_000L
+        const val FAR_MICROS = Long.MAX_VALUE / 2
+        const val SETTLING_MICROS = 7_000_000L
+        val POLICY = BorrowPolicy(lookAheadMillis = 4_000, reserveMillis = 0, refillTermMillis = 1_000)
+        val TERM = LoanTerm()
+    }
+}
