--- a/src/main/kotlin/lacewingweir/cli/serve/EntryInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/serve/EntryInstance.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.Json
 import lacewingweir.coordination.claims.StoreClaimRegister
+import lacewingweir.coordination.rollout.RolloutAgent
 import lacewingweir.coordination.routing.FleetEngineScheduler
 import lacewingweir.protocol.resume.ResumeTokenCodec
 import lacewingweir.protocol.settings.HttpSettings
@@ -55,6 +56,8 @@
         )
     private val readiness: Readiness = Readiness(settings, { fleet }, { scheduler }, { stopping })
 
+    private val rollout = RolloutAgent(settings.name, fleet.store, fleet.bundles, engines, runtime.clock)
+
     private val gateway =
         Gateway(
             bundles = fleet.bundles,
@@ -71,6 +74,7 @@
             requests = requests,
             openTelemetry = tracing,
             clock = runtime.clock,
+            leaving = fleet.endpoints,
         )
 
     private val callers =
@@ -126,6 +130,7 @@
     public suspend fun start(): EntryInstance {
         operators.start()
         fleet.start()
+        rollout.start(runtime.timers)
         callers.start()
         logger.info { "serve: instance ${settings.name} listens for callers on ${settings.callerListen}" }
         return this
--- a/src/test/kotlin/lacewingweir/testing/ProgramProcess.kt
+++ b/src/test/kotlin/lacewingweir/testing/ProgramProcess.kt
@@ -71,3 +71,14 @@
         }
     }
 }
+
+/** Waits for the line with which stand-in [name] says where it listens, and returns the port. */
+internal fun ProgramProcess.awaitPort(name: String): Int {
+    val line = Regex("standin: $name listening on [^ ]*:(\\d+)")
+    repeat(200) {
+        line.find(log.readText())?.let { return it.groupValues[1].toInt() }
+        check(isAlive) { "$name ended: ${log.readText()}" }
+        Thread.sleep(100)
+    }
+    error("$name did not start: ${log.readText()}")
+}
