Check that a claimed call's outcome survives its caller

Cause: the test of a caller that leaves in the middle of a claimed call only looked at the refusal of a withdrawn key, and not at the outcome that a repeat must find. Ruled out: a repeat after the withdrawal, as claims belong to one customer. The caller now disconnects and repeats the call; the withdrawal is a second case.

--- a/src/test/kotlin/lacewingweir/transport/gateway/ServiceCallTest.kt
+++ b/src/test/kotlin/lacewingweir/transport/gateway/ServiceCallTest.kt
@@ -1,7 +1,9 @@
 package lacewingweir.transport.gateway
 
+import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
 import lacewingweir.state.bundle.ClaimOutage
 import lacewingweir.state.bundle.Endpoint
 import lacewingweir.state.bundle.Route
@@ -200,14 +202,16 @@
             }.use { service ->
                 use(service.endpoint, repeatable = false)
                 val key = listOf("Idempotency-Key" to "k1")
-                fleet.keys.let { keys ->
-                    val withdrawal = Thread { Thread.sleep(150).also { keys.withdraw(GatewayFixture.KEY) } }
-                    withdrawal.start()
-                }
-                val stopped = book(key)
-                expectThat(stopped.status).isEqualTo(401)
-                expectThat(stopped.headers.get("X-Lacewingweir-Run")).isEqualTo("unknown")
+                expectThat(withTimeoutOrNull(150) { book(key) }).isNull()
+                delay(600)
+                expectThat(book(key).text()).isEqualTo("booked")
                 expectThat(service.seen).hasSize(1)
+                val stopped = async { book(listOf("Idempotency-Key" to "k2")) }
+                fleet.eventually { service.seen.size == 2 }
+                fleet.keys.withdraw(GatewayFixture.KEY)
+                expectThat(stopped.await().status).isEqualTo(401)
+                expectThat(stopped.await().headers.get("X-Lacewingweir-Run")).isEqualTo("unknown")
+                expectThat(service.seen).hasSize(2)
             }
         }
 
