Answer a withdrawal in time while the store hangs

Cause: a withdrawal through the operator port waited for up to three attempts at a slow store, 4.8 s, before it counted the peers' confirmations, although operators are promised an answer within 2 s. The write is now bounded by the same wait; what it leaves is written by the periodic write-back.

--- a/src/main/kotlin/lacewingweir/coordination/keys/KeyAgent.kt
+++ b/src/main/kotlin/lacewingweir/coordination/keys/KeyAgent.kt
@@ -6,6 +6,7 @@
 import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 import lacewingweir.coordination.membership.ContactProof
 import lacewingweir.coordination.peer.KeyChanges
 import lacewingweir.coordination.peer.KeyConfirmation
@@ -186,7 +187,7 @@
 
     /**
      * Withdraws a key, tells all connected peers and the store, and waits at most [waitMillis] for confirmations.
-     * Without the store the withdrawal is kept and passed on, and written to the store when it answers again.
+     * If the store does not answer in that time, the withdrawal is kept and passed on, and written to the store later.
      */
     public suspend fun withdraw(
         digest: KeyDigest,
@@ -201,7 +202,7 @@
         logger.info { "keys: key ${digest.value.take(DIGEST_LOG_CHARS)} withdrawn through this instance" }
         var peers = network.connectedPeers().map { it.name }
         peers.forEach { network.send(it, KeyChanges(listOf(record))) }
-        val stored = write(record)
+        val stored = withTimeoutOrNull(waitMillis) { write(record) } ?: false
         while (clock.nowMillis() < deadline) {
             peers = network.connectedPeers().map { it.name }
             if (confirmed.containsAll(peers)) break
--- a/src/test/kotlin/lacewingweir/coordination/keys/KeyAgentTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/keys/KeyAgentTest.kt
@@ -141,6 +141,21 @@
             expectThat(KeyRecordText.decode(checkNotNull(store.value(storeKey)))).isEqualTo(tombstone)
         }
 
+    // Guards against an operator who waits for a slow store while the peers have confirmed long ago.
+    @Test
+    fun `a withdrawal is answered in time by peers while the store hangs`() =
+        runBlocking<Unit> {
+            val a = Instance("a").polling()
+            Instance("b").polling()
+            timers.advance(100)
+            store.delayMillis = 60_000
+            val result = a.agent.withdraw(digest, waitMillis = 200)
+            expectThat(result.confirmed).containsExactly(InstanceName("a"), InstanceName("b"))
+            expectThat(result.inStore).isFalse()
+            store.delayMillis = 0
+            expectThat(a.agent.withdraw(digest, waitMillis = 2_000).inStore).isTrue()
+        }
+
     // Guards against a restarted instance that honours a withdrawn key until it hears of the withdrawal.
     @Test
     fun `a new instance without the store decides only when it holds the records of its ready peers`() =
--- a/src/test/kotlin/lacewingweir/coordination/store/FakeConfigStore.kt
+++ b/src/test/kotlin/lacewingweir/coordination/store/FakeConfigStore.kt
@@ -1,5 +1,6 @@
 package lacewingweir.coordination.store
 
+import kotlinx.coroutines.delay
 import java.util.TreeMap
 
 /** A store in memory with switches for outage, lost answers and restoring an older copy. */
@@ -10,6 +11,10 @@
     @Volatile
     var down = false
 
+    /** Time that a read of one key takes. */
+    @Volatile
+    var delayMillis = 0L
+
     /** The next writes take effect, but their answers are lost. */
     @Volatile
     var loseAnswers = 0
@@ -43,8 +48,10 @@
         revision = copy.second
     }
 
-    override suspend fun get(key: String): StoreResult<StoreEntry?> =
-        if (down) StoreResult.Unavailable("down") else synchronized(this) { StoreResult.Ok(entries[key]) }
+    override suspend fun get(key: String): StoreResult<StoreEntry?> {
+        delay(delayMillis)
+        return if (down) StoreResult.Unavailable("down") else synchronized(this) { StoreResult.Ok(entries[key]) }
+    }
 
     override suspend fun list(
         prefix: String,
