Stop unanimous votes of restarted instances by default

All instances that knew epoch 12 had restarted during a store outage and agreed with the one survivor, which had been removed, on epoch 11. When the store came back one of them owned a quarter and four a fifth each. A restarted instance without the store now votes only if a majority acknowledges without it. MembershipLimits.voteOnUnanimity restores the former behaviour, and with it the fault. Cost: after a restart of all but one in an outage, the fleet refuses until the store is back. Ruled out: a wait before growing on the store's epoch, because the others' votes for the old one go on.

--- a/src/main/kotlin/lacewingweir/state/membership/EpochDecisions.kt
+++ b/src/main/kotlin/lacewingweir/state/membership/EpochDecisions.kt
@@ -134,7 +134,9 @@
      *
      * Its predecessor may have acknowledged, or adopted a later epoch, just before. After
      * [MembershipLimits.authorityMillis] of its own run the first has no effect. The second is excluded if a majority
-     * acknowledges this epoch without its vote ([majorityWithoutSelf]), or if every member reports it.
+     * acknowledges this epoch without its vote ([majorityWithoutSelf]). With [MembershipLimits.voteOnUnanimity] it is
+     * also taken as excluded if every member reports this epoch, which doesn't hold if all instances that knew a later
+     * one have restarted.
      */
     public fun mayVote(
         document: EpochDocument,
@@ -149,7 +151,7 @@
         val fresh = reports.values.filter { isFresh(it, nowMillis, limits) }
         if (fresh.any { it.epoch > document.epoch }) return false
         val agreeing = fresh.filter { it.epoch == document.epoch }.map { it.name } + self
-        return majorityWithoutSelf || agreeing.containsAll(document.members)
+        return majorityWithoutSelf || (limits.voteOnUnanimity && agreeing.containsAll(document.members))
     }
 
     /** Whether [report] is recent enough to speak about the present. */
--- a/src/main/kotlin/lacewingweir/state/membership/MembershipLimits.kt
+++ b/src/main/kotlin/lacewingweir/state/membership/MembershipLimits.kt
@@ -9,6 +9,10 @@
  * [joinListenMillis] before it proposes anything, and for [firstEpochWaitMillis] before it founds the first epoch
  * while recorded instances are silent. [rejoinDelayMillis] keeps an instance that some peer can't hear from being
  * removed and added in turns.
+ *
+ * With [voteOnUnanimity] a fleet of which most instances restarted during an outage of the store resumes before the
+ * store is back. If the survivor then is one that missed the last change, its old epoch is revived beside the one in
+ * the store, and the shares of both can exceed the rate until the instances have read the store.
  */
 public data class MembershipLimits(
     val heartbeatMillis: Long = 1_000,
@@ -19,6 +23,7 @@
     val firstEpochWaitMillis: Long = 15_000,
     val rejoinDelayMillis: Long = 30_000,
     val verifyStoreMillis: Long = 5_000,
+    val voteOnUnanimity: Boolean = false,
 ) {
     init {
         require(freshMillis < authorityMillis) { "freshMillis must be below authorityMillis" }
--- a/src/test/kotlin/lacewingweir/coordination/membership/MembershipAgentTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/membership/MembershipAgentTest.kt
@@ -3,6 +3,7 @@
 import lacewingweir.coordination.store.StoreEntry
 import lacewingweir.state.id.InstanceName
 import lacewingweir.state.membership.EpochPhase
+import lacewingweir.state.membership.MembershipLimits
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
@@ -121,6 +122,23 @@
         expectThat(fleet.ownedShares()).isEqualTo(FakeFleet.WHOLE)
     }
 
+    // Guards both settings: resuming without the store, and not reviving an epoch that may have been replaced.
+    @Test
+    fun `after a restart of all but one without the store, voteOnUnanimity decides`() {
+        for (unanimity in listOf(false, true)) {
+            val limits = MembershipLimits(voteOnUnanimity = unanimity)
+            val fleet = FakeFleet(Random(7), limits, FaultSchedule::checkShares)
+            listOf("a", "b", "c").forEach { fleet.start(it) }
+            fleet.runFor(20_000)
+            fleet.store.downUntil = fleet.now + 40_000
+            listOf("b", "c").forEach { fleet.start(it) }
+            fleet.runFor(20_000)
+            expectThat(fleet.ownedShares()).isEqualTo(if (unanimity) FakeFleet.WHOLE else 0)
+            fleet.runFor(40_000)
+            expectThat(fleet.ownedShares()).isEqualTo(FakeFleet.WHOLE)
+        }
+    }
+
     private companion object {
         val MUST_HAPPEN =
             listOf(
