--- a/src/main/kotlin/lacewingweir/coordination/routing/FleetEngineScheduler.kt
+++ b/src/main/kotlin/lacewingweir/coordination/routing/FleetEngineScheduler.kt
@@ -235,7 +235,8 @@
             } else {
                 serving.sortedBy { record(it.id).health.ejectedUntilMillis }.take(needed)
             }
-        val remaining = usable.filter { it.id !in request.excluded }
+        // Once every engine has failed a request, another try on one that may have come back beats giving up.
+        val remaining = usable.filter { it.id !in request.excluded }.ifEmpty { usable }
         val current = remaining.filter { !record(it.id).lacks(request.model.weights, nowMillis) }
         return current.ifEmpty { remaining }
     }
