Wait out loans before an epoch becomes active by majority; split the epoch planner from the agent

Cause: a member whose proof is almost authorityMillis old may still lend, and the borrower uses the loan for loanMillis more, so the old share could be in use after the wait of authorityMillis. Ruled out: ending loans with the lender's proof, since the lender can't reach the borrower then. The wait grows from 5,550 ms to 10,600 ms. Also cancels rollout passes before resigning at shutdown, and moves the choice of the next epoch change out of MembershipAgent (584 to 457 lines).

--- a/src/main/kotlin/lacewingweir/cli/serve/EntryInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/serve/EntryInstance.kt
@@ -8,6 +8,7 @@
 import lacewingweir.coordination.claims.StoreClaimRegister
 import lacewingweir.coordination.rollout.RolloutAgent
 import lacewingweir.coordination.routing.FleetEngineScheduler
+import lacewingweir.coordination.time.Subscription
 import lacewingweir.protocol.resume.ResumeTokenCodec
 import lacewingweir.protocol.settings.HttpSettings
 import lacewingweir.protocol.settings.Settings
@@ -43,6 +44,8 @@
     @Volatile
     private var stopping = false
 
+    private var rolloutPasses: Subscription? = null
+
     private val fleet: FleetParts = FleetParts(settings, runtime) { readiness.unreadyReasons().isEmpty() }
     private val engines = HttpEngineAdapter(runtime.http)
     private val scheduler: FleetEngineScheduler =
@@ -130,7 +133,7 @@
     public suspend fun start(): EntryInstance {
         operators.start()
         fleet.start()
-        rollout.start(runtime.timers)
+        rolloutPasses = rollout.start(runtime.timers)
         callers.start()
         logger.info { "serve: instance ${settings.name} listens for callers on ${settings.callerListen}" }
         return this
@@ -150,6 +153,8 @@
         callers.stopAccepting()
         val drained = callers.awaitIdle(settings.shutdown.drainMillis)
         if (!drained) logger.warn { "serve: ${callers.requestsInFlight} requests were still running" }
+        rolloutPasses?.cancel()
+        rollout.resign()
         fleet.rates.returnAll()
         fleet.membership.leave()
         withTimeoutOrNull(LEAVE_TIMEOUT_MILLIS) { while (!fleet.membership.hasLeft()) delay(LEAVE_CHECK_MILLIS) }
--- a/src/main/kotlin/lacewingweir/coordination/membership/MembershipAgent.kt
+++ b/src/main/kotlin/lacewingweir/coordination/membership/MembershipAgent.kt
@@ -14,12 +14,10 @@
 import lacewingweir.coordination.time.Subscription
 import lacewingweir.coordination.time.TimerService
 import lacewingweir.state.id.InstanceName
-import lacewingweir.state.membership.ActivationGround
 import lacewingweir.state.membership.EpochDecisions
 import lacewingweir.state.membership.EpochDocument
 import lacewingweir.state.membership.EpochPhase
 import lacewingweir.state.membership.HeartbeatRounds
-import lacewingweir.state.membership.MemberReport
 import lacewingweir.state.membership.MembershipLimits
 import lacewingweir.state.membership.contradicts
 import lacewingweir.state.membership.divisorToConfirm
@@ -63,7 +61,7 @@
     private val recorded = ConcurrentHashMap.newKeySet<InstanceName>()
     private val events = MembershipEvent.entries.associateWith { AtomicLong() }
     private val startedMillis = clock.nowMillis()
-    private val joinDelayMillis = limits.joinListenMillis + random.nextLong(limits.heartbeatMillis)
+    private val planner = EpochPlanner(network, reports, recorded, clock, limits, random)
     private val subscriptions = ArrayList<Subscription>()
     private val askedForState = HashSet<InstanceName>()
 
@@ -81,7 +79,6 @@
 
     // Used only by the task that changes the epoch.
     private var nextVerifyMillis = startedMillis
-    private var ownConfirmation: Pair<Long, Long>? = null
 
     private val self: InstanceName get() = network.self.name
 
@@ -378,15 +375,15 @@
             nextVerifyMillis = now + (limits.verifyStoreMillis * random.nextDouble(0.8, 1.2)).toLong()
             verifyStore()
         }
-        nextStep()?.let { perform(it) }
+        planner.nextStep(state, leaving, watchedSinceMillis)?.let { perform(it) }
     }
 
-    private suspend fun perform(step: Step) {
+    private suspend fun perform(step: EpochStep) {
         val stored = register.read() ?: return
         if (stored.document !in step.bases) {
             stored.document?.let { consider(it, fromStore = true) }
             event(MembershipEvent.RACE_LOST)
-        } else if (nextStep()?.document == step.document) {
+        } else if (planner.nextStep(state, leaving, watchedSinceMillis)?.document == step.document) {
             // The store's answer may have taken long, for example during a pause; the reports still support the step.
             write(stored.modRevision, step.document, step.event)
         }
@@ -449,130 +446,6 @@
         network.connectedPeers().forEach { network.send(it.name, EpochOffer(document)) }
     }
 
-    /** A document to write in place of one of [bases]. */
-    private class Step(
-        val bases: List<EpochDocument?>,
-        val document: EpochDocument,
-        val event: MembershipEvent,
-    )
-
-    private fun nextStep(): Step? {
-        val held = state
-        val now = clock.nowMillis()
-        val document = held.document ?: return founding(held, now)
-        val contradicting = held.contradicting
-        return when {
-            held.storeBehind || held.superseded -> null
-            contradicting != null -> reconciliation(document, contradicting)
-            document.phase == EpochPhase.PENDING -> activation(document, now)
-            else -> proposal(document, held, now)
-        }
-    }
-
-    private fun founding(
-        held: MembershipState,
-        nowMillis: Long,
-    ): Step? {
-        val absentMillis = held.absentSinceMillis?.let { nowMillis - it }
-        if (absentMillis == null || leaving) return null
-        return EpochDecisions
-            .first(self, recorded, reports.all(), absentMillis, nowMillis, limits)
-            ?.takeIf { isDriver(it.members, absentMillis - limits.joinListenMillis) }
-            ?.let { Step(listOf(null), it, MembershipEvent.FOUNDED) }
-    }
-
-    private fun reconciliation(
-        document: EpochDocument,
-        contradicting: EpochDocument,
-    ): Step =
-        Step(
-            listOf(document, contradicting),
-            EpochDecisions.reconciliation(document, contradicting),
-            MembershipEvent.WRITTEN_BACK,
-        )
-
-    private fun activation(
-        document: EpochDocument,
-        nowMillis: Long,
-    ): Step? {
-        val ground = EpochDecisions.activation(document, reportsWithSelf(nowMillis), nowMillis, limits) ?: return null
-        val kind =
-            when (ground) {
-                ActivationGround.ALL_CONFIRMED -> MembershipEvent.ACTIVATED_BY_ALL
-                ActivationGround.MAJORITY_AND_TIME -> MembershipEvent.ACTIVATED_BY_MAJORITY
-            }
-        val participants = document.previousMembers + document.members
-        val waited = if (ground == ActivationGround.ALL_CONFIRMED) 0 else limits.activationWaitMillis
-        if (!isDriver(participants, nowMillis - state.adoptedMillis - waited)) return null
-        return Step(listOf(document), document.copy(phase = EpochPhase.ACTIVE), kind)
-    }
-
-    private fun proposal(
-        document: EpochDocument,
-        held: MembershipState,
-        nowMillis: Long,
-    ): Step? {
-        if (leaving) {
-            return EpochDecisions
-                .leave(
-                    document,
-                    self,
-                )?.let { Step(listOf(document), it, MembershipEvent.LEAVE_PROPOSED) }
-        }
-        val all = reportsWithSelf(nowMillis)
-        val removal = EpochDecisions.removal(document, self, all, watchedSinceMillis, nowMillis, limits)
-        if (removal != null) return Step(listOf(document), removal, MembershipEvent.REMOVAL_PROPOSED)
-        val listened = nowMillis - startedMillis
-        val recentlyRemoved = held.removedMillis?.let { nowMillis - it < limits.rejoinDelayMillis } ?: false
-        if (!held.settled || recentlyRemoved || listened < joinDelayMillis) return null
-        return EpochDecisions
-            .join(document, self, all, listened, nowMillis, limits)
-            ?.let { Step(listOf(document), it, MembershipEvent.JOIN_PROPOSED) }
-    }
-
-    /**
-     * Whether it is this instance's turn to write. The lowest-named live participant goes first; the others follow if
-     * the step was possible for long, so that a fleet doesn't race for each change.
-     */
-    private fun isDriver(
-        participants: List<InstanceName>,
-        possibleForMillis: Long,
-    ): Boolean {
-        val now = clock.nowMillis()
-        val all = reports.all()
-        val lowest =
-            participants
-                .filter { it == self || EpochDecisions.isFresh(all[it], now, limits) }
-                .minByOrNull { it.value }
-        return lowest == self || possibleForMillis > limits.freshMillis + random.nextLong(limits.freshMillis)
-    }
-
-    private fun reportsWithSelf(nowMillis: Long): Map<InstanceName, MemberReport> {
-        val held = state
-        val confirmedSince = if (held.confirmedEpoch == held.epoch) confirmedMillis(held, nowMillis) else null
-        val own =
-            MemberReport(
-                self,
-                network.self.incarnation,
-                held.epoch,
-                held.confirmedEpoch,
-                ready = false,
-                heardMillis = nowMillis,
-                confirmedSinceMillis = confirmedSince,
-            )
-        return reports.all() + (self to own)
-    }
-
-    private fun confirmedMillis(
-        held: MembershipState,
-        nowMillis: Long,
-    ): Long {
-        val known = ownConfirmation
-        if (known != null && known.first == held.epoch) return known.second
-        ownConfirmation = held.epoch to nowMillis
-        return nowMillis
-    }
-
     private fun event(event: MembershipEvent) {
         events.getValue(event).incrementAndGet()
     }
--- a/src/main/kotlin/lacewingweir/state/membership/MembershipLimits.kt
+++ b/src/main/kotlin/lacewingweir/state/membership/MembershipLimits.kt
@@ -3,7 +3,8 @@
 /**
  * Times of the membership rules.
  *
- * [authorityMillis] is the age at which a proof of contact ends the right to spend. [silenceMillis] of silence lead to
+ * [authorityMillis] is the age at which a proof of contact ends the right to spend and to lend; a loan lasts
+ * [loanMillis]. [silenceMillis] of silence lead to
  * a removal. A report older than [freshMillis] says nothing about the present; it is below [authorityMillis], so that
  * a confirmation of an earlier run is out of date before its successor may vote. A new instance listens for
  * [joinListenMillis] before it proposes anything, and for [firstEpochWaitMillis] before it founds the first epoch
@@ -17,6 +18,7 @@
 public data class MembershipLimits(
     val heartbeatMillis: Long = 1_000,
     val authorityMillis: Long = 5_000,
+    val loanMillis: Long = 5_000,
     val silenceMillis: Long = 10_000,
     val freshMillis: Long = 3_000,
     val joinListenMillis: Long = 2_000,
@@ -29,9 +31,12 @@
         require(freshMillis < authorityMillis) { "freshMillis must be below authorityMillis" }
     }
 
-    /** Time after a majority's confirmation by which every other proof of the old epoch has ended. */
+    /**
+     * Time after a majority's confirmation by which every share of the old epoch is out of use. A member can lend
+     * until its last proof is [authorityMillis] old, and the borrower uses the loan for [loanMillis] more.
+     */
     val activationWaitMillis: Long
-        get() = authorityMillis + authorityMillis / CLOCK_MARGIN_DIVISOR + TRANSIT_MARGIN_MILLIS
+        get() = (authorityMillis + loanMillis).let { it + it / CLOCK_MARGIN_DIVISOR } + TRANSIT_MARGIN_MILLIS
 
     private companion object {
         const val CLOCK_MARGIN_DIVISOR = 100L
--- a/src/main/kotlin/lacewingweir/transport/peer/KtorPeerNetwork.kt
+++ b/src/main/kotlin/lacewingweir/transport/peer/KtorPeerNetwork.kt
@@ -134,7 +134,7 @@
                 } catch (e: CancellationException) {
                     throw e
                 } catch (e: Exception) {
-                    if (server.isClosed) return
+                    if (server.isClosed || !scope.isActive) return
                     logger.warn(e) { "peer: accepting a connection failed" }
                     delay(limits.minBackoffMillis)
                     continue
