--- a/src/main/kotlin/lacewingweir/coordination/rate/CustomerRate.kt
+++ b/src/main/kotlin/lacewingweir/coordination/rate/CustomerRate.kt
@@ -359,8 +359,8 @@
         // Loans that an earlier process of this name gave may still run, so only what it never lent is used at first.
         val percent = if (young) PERCENT - settings.term.lendablePercent else PERCENT
         account.setBase(
-            limit.burstTokens * MICROS_PER_TOKEN / held.divisor * percent / PERCENT,
-            limit.tokensPerSecond * MICROS_PER_MILLI_IN_TOKEN_PER_SECOND / held.divisor * percent / PERCENT,
+            limit.burstTokens * MICROS_PER_TOKEN / held.divisor / PERCENT * percent,
+            limit.tokensPerSecond * MICROS_PER_MILLI_IN_TOKEN_PER_SECOND / held.divisor / PERCENT * percent,
         )
         if (startsFullAllowed && held.startsFull) {
             account.bucket.deposit(limit.burstTokens * MICROS_PER_TOKEN / held.divisor)
@@ -473,6 +473,12 @@
         val spent = bucket.availableMicros < loan.capacityMicros / SMALLEST_PART
         val surplus = left / MICROS_PER_TOKEN >= settings.policy.targetTokens(rate)
         val useful = needsRefill || !(spent || surplus)
+        // A return frees capacity and refill at once, while an end by time leaves them idle for the clock margin.
+        val ends = loan.endMillis - now <= settings.returnMillis
+        // Capacity that stays empty here is missed by the lender, whose bucket overflows without it.
+        val room = (bucket.roomMicros - loan.capacityMicros) / MICROS_PER_TOKEN
+        val hoarded = room > settings.policy.targetTokens(rate)
+        if ((ends || hoarded) && giveUp(loan, effects, keepTokens = true)) return
         if (waiting.isEmpty() && !useful && giveUp(loan, effects)) return
         val ending = loan.endMillis - now <= settings.renewMillis
         if (ending && needsRefill && renewed.add(loan.loan)) {
@@ -485,8 +491,9 @@
     private fun giveUp(
         loan: LoanTaken,
         effects: Effects,
+        keepTokens: Boolean = false,
     ): Boolean {
-        val tokens = account.giveUp(loan) ?: return false
+        val tokens = account.giveUp(loan, keepTokens) ?: return false
         metrics.loans.labelValues("borrower", "returned").inc()
         effects.sends += InstanceName(loan.lender) to LoanReturn(loan.loan, tokens)
         return true
--- a/src/main/kotlin/lacewingweir/coordination/rate/RateSettings.kt
+++ b/src/main/kotlin/lacewingweir/coordination/rate/RateSettings.kt
@@ -11,6 +11,7 @@
     val policy: BorrowPolicy = BorrowPolicy(),
     val sweepMillis: Long = 200,
     val renewMillis: Long = 1_000,
+    val returnMillis: Long = 500,
     val tickMillis: Long = 10,
     val askTimeoutMillis: Long = 50,
     val lookAheadGapMillis: Long = 50,
--- a/src/main/kotlin/lacewingweir/state/rate/RateAccount.kt
+++ b/src/main/kotlin/lacewingweir/state/rate/RateAccount.kt
@@ -166,15 +166,19 @@
     }
 
     /**
-     * Ends a loan taken before its term and returns the whole tokens to give back with it. Returns null, with nothing
-     * changed, while reservations need its capacity.
+     * Ends a loan taken before its term and returns the whole tokens to give back with it: those that the remaining
+     * capacity can't hold if [keepTokens] is true, and otherwise at least the loan's part of what is available. Returns
+     * null, with nothing changed, while reservations need its capacity.
      */
-    public fun giveUp(entry: LoanTaken): Long? {
+    public fun giveUp(
+        entry: LoanTaken,
+        keepTokens: Boolean = false,
+    ): Long? {
         val remaining = bucket.capacityMicros - entry.capacityMicros
         if (entry !in taken || bucket.outstandingMicros > remaining) return null
         val available = maxOf(bucket.availableMicros, 0)
         // The loan's part of the tokens, or more if the rest would not fit into the remaining capacity.
-        val part = (available.toDouble() * entry.capacityMicros / bucket.capacityMicros).toLong()
+        val part = if (keepTokens) 0 else (available.toDouble() * entry.capacityMicros / bucket.capacityMicros).toLong()
         val mustGo = bucket.availableMicros + bucket.outstandingMicros - remaining
         val tokens = maxOf(part, mustGo).coerceIn(0, minOf(available, entry.capacityMicros)) / MICROS_PER_TOKEN
         bucket.withdraw(tokens * MICROS_PER_TOKEN)
