Add measure: scenarios and placement policies on embedded fleets

Runs a matrix of scenarios and policies at the sizes of Agence and Petra, in one process on loopback, and compares the hit rate with an oracle that has one cache of all engines' size.

--- a/src/main/kotlin/lacewingweir/cli/Commands.kt
+++ b/src/main/kotlin/lacewingweir/cli/Commands.kt
@@ -4,6 +4,7 @@
 import kotlinx.cli.Subcommand
 import lacewingweir.cli.demo.DemoCommand
 import lacewingweir.cli.io.CommandContext
+import lacewingweir.cli.measure.MeasureCommand
 import lacewingweir.cli.serve.ServeCommand
 import lacewingweir.cli.standin.StandinCommand
 
@@ -31,5 +32,6 @@
         ServeCommand(context),
         LoadCommand(context),
         DemoCommand(),
+        MeasureCommand(context),
         StandinCommand(),
     )
--- a/src/main/kotlin/lacewingweir/load/LoadRunner.kt
+++ b/src/main/kotlin/lacewingweir/load/LoadRunner.kt
@@ -12,9 +12,14 @@
 import kotlin.math.ln
 import kotlin.random.Random
 
-/** Runs a [LoadScenario] and returns its figures once every request has its answer. */
+/**
+ * Runs a [LoadScenario] and returns its figures once every request has its answer.
+ *
+ * [observer] gets every request with its answer, also those of the warm-up, and may be called concurrently.
+ */
 public class LoadRunner(
     private val http: HttpClient,
+    private val observer: (ObservedRequest) -> Unit = {},
 ) {
     private val caller = CallerClient(http)
 
@@ -67,6 +72,7 @@
                 val scheduled = arrivals.startNanos + (due * NANOS_PER_SECOND).toLong()
                 val result =
                     caller.chat(target, arrivals.customer.key, stream.model, prompt, stream.answerTokens, scheduled)
+                observer(ObservedRequest(due, arrivals.customer.name, stream.label, prompt, result))
                 if (due >= arrivals.scenario.warmupSeconds) {
                     recorder.record(arrivals.customer.name, stream.label, result)
                 }
