Learn prefill cost and cache retention from usage reports

Cause: engines tell the cached tokens only in the usage report at the end, but the scheduler learned from the first token alone, where the count is unknown.

--- a/src/main/kotlin/lacewingweir/cli/Main.kt
+++ b/src/main/kotlin/lacewingweir/cli/Main.kt
@@ -13,7 +13,7 @@
 }
 
 /** Commands whose standard output is for the operator and must not be mixed with log lines. */
-private val operatorCommands = setOf("settings", "bundle", "key", "fleet", "explain")
+private val operatorCommands = setOf("settings", "bundle", "key", "fleet", "explain", "measure")
 
 /** Read by logback.xml when the first logger is made. */
 private const val LOG_LEVEL_PROPERTY: String = "LACEWINGWEIR_LOG_LEVEL"
--- a/src/main/kotlin/lacewingweir/coordination/routing/FleetEngineScheduler.kt
+++ b/src/main/kotlin/lacewingweir/coordination/routing/FleetEngineScheduler.kt
@@ -267,6 +267,9 @@
         private val sentAtMillis: Long,
     ) : EngineLease {
         private var prefillDone = false
+        private var prefillMillis = 0L
+        private var agesBefore: List<Long?> = emptyList()
+        private var learned = false
         private var finished = false
 
         override fun answered(
@@ -299,11 +302,23 @@
             prefillDone = true
             val record = record(endpoint.id)
             record.estimate = record.estimate.firstToken(expectedMissedTokens)
-            if (wasAlone && cachedTokens != null) {
-                val computed = (request.promptTokens - cachedTokens).toDouble()
-                record.estimate = record.estimate.prefillObserved(computed, (nowMillis - sentAtMillis).toDouble())
-            }
-            record.known.recordAnswer(request.prefix, cachedTokens, nowMillis)
+            prefillMillis = nowMillis - sentAtMillis
+            agesBefore = record.known.ages(request.prefix, nowMillis)
+            record.known.recordAnswer(request.prefix, null, nowMillis)
+            if (cachedTokens != null) learn(record, cachedTokens)
+        }
+
+        /** Learns from the share of the prompt that was cached, which engines tell with the first token or at the end. */
+        private fun learn(
+            record: EngineRecord,
+            cachedTokens: Long,
+        ) {
+            if (learned || agesBefore.isEmpty()) return
+            learned = true
+            record.known.learnRetention(request.prefix.pieceTokens, agesBefore, cachedTokens)
+            if (!wasAlone) return
+            val computed = (request.promptTokens - cachedTokens).toDouble()
+            record.estimate = record.estimate.prefillObserved(computed, prefillMillis.toDouble())
         }
 
         override fun finish(
@@ -322,7 +337,10 @@
                 record.estimate = record.estimate.finished()
                 record.health = healthAfter(record.health, outcome, now)
                 if (outcome == AttemptOutcome.WRONG_VERSION) record.markWrongVersion(request.model.weights, now)
-                if (cachedTokens != null) recordCacheUse(cachedTokens)
+                if (cachedTokens != null) {
+                    recordCacheUse(cachedTokens)
+                    learn(record, cachedTokens)
+                }
             }
             metrics.attempts.labelValues(outcome.name.lowercase()).inc()
             pump(request.model.name)
--- a/src/main/kotlin/lacewingweir/state/placement/EngineEstimate.kt
+++ b/src/main/kotlin/lacewingweir/state/placement/EngineEstimate.kt
@@ -44,7 +44,8 @@
     ): EngineEstimate {
         if (tokens < MIN_OBSERVED_TOKENS) return this
         val sample = (millis / tokens).coerceIn(MIN_PREFILL_MILLIS_PER_TOKEN, MAX_PREFILL_MILLIS_PER_TOKEN)
-        return copy(prefillMillisPerToken = prefillMillisPerToken + SAMPLE_WEIGHT * (sample - prefillMillisPerToken))
+        val weight = if (sample < prefillMillisPerToken) LOWER_SAMPLE_WEIGHT else HIGHER_SAMPLE_WEIGHT
+        return copy(prefillMillisPerToken = prefillMillisPerToken + weight * (sample - prefillMillisPerToken))
     }
 
     /** Requests that the engine is thought to have running or waiting at [nowMillis]. */
@@ -68,7 +69,13 @@
 
         /** Shorter computations are dominated by fixed costs and say little about the cost of a token. */
         const val MIN_OBSERVED_TOKENS: Double = 500.0
-        const val SAMPLE_WEIGHT: Double = 0.1
+
+        /**
+         * A wait behind other instances' requests, which this instance doesn't see, only lengthens a sample. So lower
+         * samples weigh more.
+         */
+        const val LOWER_SAMPLE_WEIGHT: Double = 0.3
+        const val HIGHER_SAMPLE_WEIGHT: Double = 0.03
 
         /** Age at which a report no longer counts. */
         const val REPORT_FADE_MILLIS: Double = 3_000.0
--- a/src/main/kotlin/lacewingweir/state/placement/KnownPrefixes.kt
+++ b/src/main/kotlin/lacewingweir/state/placement/KnownPrefixes.kt
@@ -58,7 +58,7 @@
         cachedTokens: Long?,
         nowMillis: Long,
     ) {
-        if (cachedTokens != null) learnRetention(chain, cachedTokens, nowMillis)
+        if (cachedTokens != null) learnRetention(chain.pieceTokens, ages(chain, nowMillis), cachedTokens)
         for (hash in chain.hashes) {
             // Removed first, so that the iteration order stays the order of use.
             usedAtMillis.remove(hash)
@@ -68,24 +68,30 @@
         if (surplus > 0) usedAtMillis.keys.take(surplus).forEach(usedAtMillis::remove)
     }
 
-    private fun learnRetention(
+    /** Milliseconds since each piece of [chain] was used, null for unknown pieces. */
+    public fun ages(
         chain: PrefixChain,
-        cachedTokens: Long,
         nowMillis: Long,
+    ): List<Long?> = chain.hashes.map { hash -> usedAtMillis[hash]?.let { nowMillis - it } }
+
+    /**
+     * Adapts the trusted time to an answer of which [cachedTokens] came from the cache. [ages] are those from before the
+     * answer was recorded.
+     */
+    public fun learnRetention(
+        pieceTokens: Int,
+        ages: List<Long?>,
+        cachedTokens: Long,
     ) {
-        val cachedPieces = (cachedTokens / chain.pieceTokens).toInt()
-        val oldestHit =
-            chain.hashes
-                .take(cachedPieces)
-                .mapNotNull { usedAtMillis[it] }
-                .minOrNull()
-        val firstMiss = chain.hashes.getOrNull(cachedPieces)?.let { usedAtMillis[it] }
+        val cachedPieces = (cachedTokens / pieceTokens).toInt()
+        val oldestHit = ages.take(cachedPieces).filterNotNull().maxOrNull()
+        val firstMiss = ages.getOrNull(cachedPieces)
         if (oldestHit != null) {
-            val age = (nowMillis - oldestHit).toDouble()
+            val age = oldestHit.toDouble()
             if (age > retentionMillis) retentionMillis += GROW_WEIGHT * (age - retentionMillis)
         }
         if (firstMiss != null) {
-            val age = (nowMillis - firstMiss).toDouble()
+            val age = firstMiss.toDouble()
             if (age < retentionMillis * FULL_TRUST_SPAN) retentionMillis += SHRINK_WEIGHT * (age - retentionMillis)
         }
         retentionMillis = retentionMillis.coerceIn(MIN_RETENTION_MILLIS, MAX_RETENTION_MILLIS)
