Give up on an engine without a first token in time

The limit is now four times the expected time, at least 2 s for interactive requests and 10 s for batch requests, which wait behind interactive ones. An attempt that exceeds it counts as failed and goes elsewhere.

--- a/src/main/kotlin/lacewingweir/coordination/routing/EngineLease.kt
+++ b/src/main/kotlin/lacewingweir/coordination/routing/EngineLease.kt
@@ -8,6 +8,12 @@
     /** Where the attempt goes. */
     public val endpoint: Endpoint
 
+    /**
+     * Time from the grant within which the first token must arrive, in milliseconds. It follows from the time that the
+     * scheduler expects; an attempt that exceeds it counts as failed.
+     */
+    public val firstTokenLimitMillis: Long
+
     /** Reports the head of the engine's answer. A changed [incarnation] drops what was known of the engine's cache. */
     public fun answered(
         incarnation: Incarnation,
--- a/src/main/kotlin/lacewingweir/coordination/routing/FleetEngineScheduler.kt
+++ b/src/main/kotlin/lacewingweir/coordination/routing/FleetEngineScheduler.kt
@@ -208,10 +208,13 @@
     ): Lease {
         val record = record(endpoint.id)
         val missed = (request.promptTokens - record.known.expectedTokens(request.prefix, nowMillis)).coerceAtLeast(0.0)
-        val alone = record.estimate.backlogTokensAt(nowMillis) <= 0.0
+        val backlog = record.estimate.backlogTokensAt(nowMillis)
+        val alone = backlog <= 0.0
+        val expectedMillis = (backlog + missed) * record.estimate.prefillMillisPerToken
         record.estimate = record.estimate.sent(missed)
         metrics.granted.inc()
-        return Lease(endpoint, request, missed, alone, nowMillis)
+        val limit = firstTokenLimitMillis(request.trafficClass, expectedMillis)
+        return Lease(endpoint, request, missed, alone, nowMillis, limit)
     }
 
     /**
@@ -265,6 +268,7 @@
         private val expectedMissedTokens: Double,
         private val wasAlone: Boolean,
         private val sentAtMillis: Long,
+        override val firstTokenLimitMillis: Long,
     ) : EngineLease {
         private var prefillDone = false
         private var prefillMillis = 0L
@@ -308,7 +312,7 @@
             if (cachedTokens != null) learn(record, cachedTokens)
         }
 
-        /** Learns from the share of the prompt that was cached, which engines tell with the first token or at the end. */
+        /** Learns from the number of cached tokens, which engines tell with the first token or at the end. */
         private fun learn(
             record: EngineRecord,
             cachedTokens: Long,
@@ -380,6 +384,23 @@
         const val RETRY_AFTER_BUDGET_MILLIS: Long = 2_000
         const val RETRY_AFTER_DEADLINE_MILLIS: Long = 1_000
 
+        /**
+         * Least time that an engine gets for the first token. Requests of other instances, which this one sees late,
+         * wait for some hundred milliseconds on a sound engine, and batch requests behind interactive ones for longer.
+         */
+        const val MIN_INTERACTIVE_LIMIT_MILLIS: Long = 2_000
+        const val MIN_BATCH_LIMIT_MILLIS: Long = 10_000
+        const val FIRST_TOKEN_LIMIT_FACTOR: Double = 4.0
+
+        fun firstTokenLimitMillis(
+            trafficClass: TrafficClass,
+            expectedMillis: Double,
+        ): Long {
+            val least =
+                if (trafficClass == TrafficClass.INTERACTIVE) MIN_INTERACTIVE_LIMIT_MILLIS else MIN_BATCH_LIMIT_MILLIS
+            return maxOf(least, (expectedMillis * FIRST_TOKEN_LIMIT_FACTOR).toLong())
+        }
+
         fun maxEngineWaitMillis(trafficClass: TrafficClass): Double =
             if (trafficClass == TrafficClass.INTERACTIVE) MAX_INTERACTIVE_WAIT_MILLIS else MAX_BATCH_WAIT_MILLIS
     }
--- a/src/main/kotlin/lacewingweir/state/placement/KnownPrefixes.kt
+++ b/src/main/kotlin/lacewingweir/state/placement/KnownPrefixes.kt
@@ -75,8 +75,8 @@
     ): List<Long?> = chain.hashes.map { hash -> usedAtMillis[hash]?.let { nowMillis - it } }
 
     /**
-     * Adapts the trusted time to an answer of which [cachedTokens] came from the cache. [ages] are those from before the
-     * answer was recorded.
+     * Adapts the trusted time to an answer of which [cachedTokens] came from the cache. [ages] are those from before
+     * the answer was recorded.
      */
     public fun learnRetention(
         pieceTokens: Int,
--- a/src/main/kotlin/lacewingweir/transport/gateway/EngineRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/gateway/EngineRelay.kt
@@ -58,6 +58,7 @@
         val lease: EngineLease,
         val number: Int,
         val deadlineMillis: Long,
+        val firstTokenByMillis: Long,
     ) {
         var outcome: AttemptOutcome = AttemptOutcome.CANCELLED
         var cachedTokens: Long? = null
@@ -76,7 +77,8 @@
                     is ScheduleResult.Granted -> scheduled.lease
                 }
             if (number > 0) countRetry(call)
-            val end = attempt(Attempt(call, lease, number, deadline))
+            val firstTokenBy = minOf(deadline, clock.nowMillis() + lease.firstTokenLimitMillis)
+            val end = attempt(Attempt(call, lease, number, deadline, firstTokenBy))
             if (end is AttemptEnd.Final) return end.result
             val detail = (end as AttemptEnd.Failed).detail
             excluded += lease.endpoint.id
@@ -193,12 +195,12 @@
             resumeAt = call.nextIndex,
             resumeFinished = call.finished,
             traceHeaders = tracing.headers(hop),
-            headTimeoutMillis = remaining(attempt),
+            headTimeoutMillis = untilFirstToken(attempt),
         )
     }
 
-    private fun remaining(attempt: Attempt): Long =
-        (attempt.deadlineMillis - clock.nowMillis()).coerceAtLeast(MIN_TIMEOUT_MILLIS)
+    private fun untilFirstToken(attempt: Attempt): Long =
+        (attempt.firstTokenByMillis - clock.nowMillis()).coerceAtLeast(MIN_TIMEOUT_MILLIS)
 
     private suspend fun streaming(
         attempt: Attempt,
@@ -221,7 +223,7 @@
         stream: EngineStream,
     ): AttemptEnd {
         val call = attempt.call
-        var silenceMillis = maxOf(remaining(attempt), settings.engineSilenceMillis)
+        var silenceMillis = untilFirstToken(attempt)
         while (true) {
             when (val event = stream.next(silenceMillis)) {
                 is EngineEvent.Content -> if (!content(attempt, event)) return tooLong(attempt)
--- a/src/test/kotlin/lacewingweir/coordination/routing/FleetEngineSchedulerTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/routing/FleetEngineSchedulerTest.kt
@@ -148,4 +148,34 @@
             val results = (1..100).map { scheduler.schedule(request(attempt = 1)) }
             expectThat(results.count { it is ScheduleResult.Granted }).isEqualTo(64)
         }
+
+    // Guards against a prefill cost that stays at its first guess, with which engines seem full that are not: engines
+    // tell the cached tokens only at the end of an answer.
+    @Test
+    fun `the prefill cost is learned from usage reports at the end`() =
+        runBlocking<Unit> {
+            val scheduler = scheduler(engines = 1, slots = 10)
+            repeat(20) { n ->
+                val lease = scheduler.lease(longRequest("p$n "))
+                timers.advance(160)
+                lease.firstToken(null)
+                lease.finish(AttemptOutcome.COMPLETED, cachedTokens = 0)
+            }
+            scheduler.lease(longRequest("first "))
+            expectThat(scheduler.schedule(longRequest("second "))).isA<ScheduleResult.Granted>()
+        }
+
+    // Guards against a hung engine that holds requests until the route's deadline, and against a limit that cuts long
+    // prompts on a sound engine.
+    @Test
+    fun `the first token limit follows the expected time`() =
+        runBlocking<Unit> {
+            val scheduler = scheduler(engines = 1, slots = 10)
+            expectThat(scheduler.lease().firstTokenLimitMillis).isEqualTo(2_000)
+            val long = scheduler(engines = 1, slots = 10).lease(longRequest("p ").copy(promptTokens = 100_000))
+            expectThat(long.firstTokenLimitMillis).isEqualTo(20_000)
+        }
+
+    private fun longRequest(text: String): ScheduleRequest =
+        request(text.repeat(16_000).take(32_000), deadlineMillis = timers.nowMillis() + 100).copy(promptTokens = 8_000)
 }
--- a/src/test/kotlin/lacewingweir/transport/gateway/ChatStreamTest.kt
+++ b/src/test/kotlin/lacewingweir/transport/gateway/ChatStreamTest.kt
@@ -102,6 +102,21 @@
             expectThat(second.seen.single().body).contains(""""resume_at":5""")
         }
 
+    // Guards against a hung engine that delays requests until the route's deadline.
+    @Test
+    fun `an engine without a first token in time is left for another`() =
+        runBlocking<Unit> {
+            fleet.scheduler.firstTokenLimitMillis = 300
+            first.hang = true
+            val started = System.nanoTime()
+            expectThat(fleet.chat().events().whole).isTrue()
+            first.hang = false
+            first.hangAfterHead = true
+            expectThat(fleet.chat().events().whole).isTrue()
+            expectThat((System.nanoTime() - started) / 1_000_000).isLessThan(5_000L)
+            expectThat(fleet.scheduler.outcomes.count { it == AttemptOutcome.FAILED }).isEqualTo(2)
+        }
+
     // Guards against an answer of older weights.
     @Test
     fun `wrong weights are dropped before the first byte`() =
--- a/src/test/kotlin/lacewingweir/transport/gateway/FakeEngine.kt
+++ b/src/test/kotlin/lacewingweir/transport/gateway/FakeEngine.kt
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoopGroup
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
@@ -50,6 +51,13 @@
     @Volatile
     var refuseNotRun = false
 
+    /** Accepts requests and sends nothing, or with [hangAfterHead] only the head of the answer. */
+    @Volatile
+    var hang = false
+
+    @Volatile
+    var hangAfterHead = false
+
     @Volatile
     var chunkDelayMillis = 0L
 
@@ -81,6 +89,7 @@
             exchange.respond(503, listOf("X-Run" to "not-run"), """{"error":{"message":"full"}}""".encodeToByteArray())
             return
         }
+        if (hang) awaitCancellation()
         val id = if (crossed) "another" else body.getValue("request_id").jsonPrimitive.content
         answer(exchange, id, body.getValue("resume_at").jsonPrimitive.long)
     }
@@ -99,6 +108,7 @@
                 "Content-Type" to "text/event-stream",
             )
         exchange.startStream(200, headers)
+        if (hangAfterHead) awaitCancellation()
         for (index in resumeAt until tokens) {
             if (index >= cutAt) {
                 delay(30)
--- a/src/test/kotlin/lacewingweir/transport/gateway/GatewayFixture.kt
+++ b/src/test/kotlin/lacewingweir/transport/gateway/GatewayFixture.kt
@@ -255,6 +255,9 @@
 ) : EngineScheduler {
     val outcomes = CopyOnWriteArrayList<AttemptOutcome>()
 
+    @Volatile
+    var firstTokenLimitMillis = 10_000L
+
     override suspend fun schedule(request: ScheduleRequest): ScheduleResult {
         val endpoint = endpoints().firstOrNull { it.id !in request.excluded }
         return if (endpoint == null) ScheduleResult.Refused(1_500, "no engine left") else granted(endpoint)
@@ -264,6 +267,7 @@
         ScheduleResult.Granted(
             object : EngineLease {
                 override val endpoint: Endpoint = endpoint
+                override val firstTokenLimitMillis: Long = this@FakeScheduler.firstTokenLimitMillis
 
                 override fun answered(
                     incarnation: Incarnation,
