--- a/src/main/kotlin/lacewingweir/coordination/routing/FleetEngineScheduler.kt
+++ b/src/main/kotlin/lacewingweir/coordination/routing/FleetEngineScheduler.kt
@@ -208,10 +208,13 @@
     ): Lease {
         val record = record(endpoint.id)
         val missed = (request.promptTokens - record.known.expectedTokens(request.prefix, nowMillis)).coerceAtLeast(0.0)
-        val alone = record.estimate.backlogTokensAt(nowMillis) <= 0.0
+        val backlog = record.estimate.backlogTokensAt(nowMillis)
+        val alone = backlog <= 0.0
+        val expectedMillis = (backlog + missed) * record.estimate.prefillMillisPerToken
         record.estimate = record.estimate.sent(missed)
         metrics.granted.inc()
-        return Lease(endpoint, request, missed, alone, nowMillis)
+        val limit = firstTokenLimitMillis(request.trafficClass, expectedMillis)
+        return Lease(endpoint, request, missed, alone, nowMillis, limit)
     }
 
     /**
@@ -265,8 +268,12 @@
         private val expectedMissedTokens: Double,
         private val wasAlone: Boolean,
         private val sentAtMillis: Long,
+        override val firstTokenLimitMillis: Long,
     ) : EngineLease {
         private var prefillDone = false
+        private var prefillMillis = 0L
+        private var agesBefore: List<Long?> = emptyList()
+        private var learned = false
         private var finished = false
 
         override fun answered(
@@ -299,11 +306,23 @@
             prefillDone = true
             val record = record(endpoint.id)
             record.estimate = record.estimate.firstToken(expectedMissedTokens)
-            if (wasAlone && cachedTokens != null) {
-                val computed = (request.promptTokens - cachedTokens).toDouble()
-                record.estimate = record.estimate.prefillObserved(computed, (nowMillis - sentAtMillis).toDouble())
-            }
-            record.known.recordAnswer(request.prefix, cachedTokens, nowMillis)
+            prefillMillis = nowMillis - sentAtMillis
+            agesBefore = record.known.ages(request.prefix, nowMillis)
+            record.known.recordAnswer(request.prefix, null, nowMillis)
+            if (cachedTokens != null) learn(record, cachedTokens)
+        }
+
+        /** Learns from the number of cached tokens, which engines tell with the first token or at the end. */
+        private fun learn(
+            record: EngineRecord,
+            cachedTokens: Long,
+        ) {
+            if (learned || agesBefore.isEmpty()) return
+            learned = true
+            record.known.learnRetention(request.prefix.pieceTokens, agesBefore, cachedTokens)
+            if (!wasAlone) return
+            val computed = (request.promptTokens - cachedTokens).toDouble()
+            record.estimate = record.estimate.prefillObserved(computed, prefillMillis.toDouble())
         }
 
         override fun finish(
@@ -322,7 +341,10 @@
                 record.estimate = record.estimate.finished()
                 record.health = healthAfter(record.health, outcome, now)
                 if (outcome == AttemptOutcome.WRONG_VERSION) record.markWrongVersion(request.model.weights, now)
-                if (cachedTokens != null) recordCacheUse(cachedTokens)
+                if (cachedTokens != null) {
+                    recordCacheUse(cachedTokens)
+                    learn(record, cachedTokens)
+                }
             }
             metrics.attempts.labelValues(outcome.name.lowercase()).inc()
             pump(request.model.name)
@@ -362,6 +384,23 @@
         const val RETRY_AFTER_BUDGET_MILLIS: Long = 2_000
         const val RETRY_AFTER_DEADLINE_MILLIS: Long = 1_000
 
+        /**
+         * Least time that an engine gets for the first token. Requests of other instances, which this one sees late,
+         * wait for some hundred milliseconds on a sound engine, and batch requests behind interactive ones for longer.
+         */
+        const val MIN_INTERACTIVE_LIMIT_MILLIS: Long = 2_000
+        const val MIN_BATCH_LIMIT_MILLIS: Long = 10_000
+        const val FIRST_TOKEN_LIMIT_FACTOR: Double = 4.0
+
+        fun firstTokenLimitMillis(
+            trafficClass: TrafficClass,
+            expectedMillis: Double,
+        ): Long {
+            val least =
+                if (trafficClass == TrafficClass.INTERACTIVE) MIN_INTERACTIVE_LIMIT_MILLIS else MIN_BATCH_LIMIT_MILLIS
+            return maxOf(least, (expectedMillis * FIRST_TOKEN_LIMIT_FACTOR).toLong())
+        }
+
         fun maxEngineWaitMillis(trafficClass: TrafficClass): Double =
             if (trafficClass == TrafficClass.INTERACTIVE) MAX_INTERACTIVE_WAIT_MILLIS else MAX_BATCH_WAIT_MILLIS
     }
