Accept every allowed authority time, and date the reports of a test by the activation wait

Cause: settings allow authorityMillis from 1,500 ms, but below 3,000 ms the membership's limits threw at start. The epoch decisions test used reports that are too old after the longer wait; it now derives their time.

--- a/src/main/kotlin/lacewingweir/cli/serve/FleetParts.kt
+++ b/src/main/kotlin/lacewingweir/cli/serve/FleetParts.kt
@@ -67,7 +67,7 @@
             clock = runtime.clock,
             facts = ::heartbeatFacts,
             shrinkCheck = { rates.hasShrunkTo(it) },
-            limits = MembershipLimits(authorityMillis = settings.limits.authorityMillis),
+            limits = MembershipLimits.of(settings.limits.authorityMillis),
         )
 
     val rates: RateAgent =
--- a/src/main/kotlin/lacewingweir/coordination/rollout/RolloutAgent.kt
+++ b/src/main/kotlin/lacewingweir/coordination/rollout/RolloutAgent.kt
@@ -29,9 +29,10 @@
  * Takes part in the election of the rollout leader and, while it leads, brings the engines to the bundle's weights.
  *
  * Each pass reads the status of all engines and compares it with the bundle; nothing is remembered between passes, so
- * that lost commands and late ones of a former leader are repaired. Right before each command the agent checks that its
- * leadership lasts longer than the command. A pause between the check and the send can still let an old command out;
- * it carries the old fencing number, and where an engine ignores that, the present leader's next pass corrects it.
+ * that lost commands and late ones of a former leader are repaired. Right before each command the agent checks that
+ * its leadership lasts longer than the command. A pause between the check and the send can still let an old command
+ * out; it carries the old fencing number, and where an engine ignores that, the present leader's next pass corrects
+ * it.
  */
 public class RolloutAgent(
     self: InstanceName,
--- a/src/main/kotlin/lacewingweir/coordination/rollout/RolloutLeadership.kt
+++ b/src/main/kotlin/lacewingweir/coordination/rollout/RolloutLeadership.kt
@@ -16,10 +16,10 @@
 /**
  * Election of the rollout leader by compare-and-set on one key.
  *
- * A leader's right ends [leaseMillis] after the send of its last successful renewal, on its own clock. Another instance
- * takes over once it has seen the key unchanged for longer than that, on its own clock, beginning after its read. The
- * renewal was applied between the two, so the rights don't overlap as long as the clocks run at about the same rate.
- * No store lease is used, because nothing under `/lw/` may be deleted.
+ * A leader's right ends [leaseMillis] after the send of its last successful renewal, on its own clock. Another
+ * instance takes over once it has seen the key unchanged for longer than that, on its own clock, beginning after its
+ * read. The renewal was applied between the two, so the rights don't overlap as long as the clocks run at about the
+ * same rate. No store lease is used, because nothing under `/lw/` may be deleted.
  */
 internal class RolloutLeadership(
     private val self: InstanceName,
--- a/src/main/kotlin/lacewingweir/protocol/etcd/EtcdKeyValueMessages.kt
+++ b/src/main/kotlin/lacewingweir/protocol/etcd/EtcdKeyValueMessages.kt
@@ -54,8 +54,8 @@
 internal enum class EtcdCompareTarget { VERSION, CREATE, MOD, VALUE }
 
 /**
- * A condition of a transaction. The field named by [target] holds the operand; zero stands for a key that doesn't exist
- * and is written out.
+ * A condition of a transaction. The field named by [target] holds the operand; zero stands for a key that doesn't
+ * exist and is written out.
  */
 @Serializable
 internal data class EtcdCompare(
--- a/src/main/kotlin/lacewingweir/protocol/peer/PeerAuthenticator.kt
+++ b/src/main/kotlin/lacewingweir/protocol/peer/PeerAuthenticator.kt
@@ -12,9 +12,9 @@
  * Authenticates both ends of a connection with a shared secret.
  *
  * Both sides exchange [PeerHello]s with fresh nonces. Then the dialer, and after it the acceptor, sends an HMAC-SHA256
- * over its role and both hello frames. The dialer proves first, so that an acceptor never computes a proof for a caller
- * without the secret, and the role in the input keeps a proof from being sent back to its author. Frames after the
- * hello are neither encrypted nor authenticated.
+ * over its role and both hello frames. The dialer proves first, so that an acceptor never computes a proof for a
+ * caller without the secret, and the role in the input keeps a proof from being sent back to its author. Frames after
+ * the hello are neither encrypted nor authenticated.
  *
  * @param secret the shared secret of the fleet, at least [MIN_SECRET_BYTES] bytes
  */
--- a/src/main/kotlin/lacewingweir/standin/engine/StandinEngineOptions.kt
+++ b/src/main/kotlin/lacewingweir/standin/engine/StandinEngineOptions.kt
@@ -4,9 +4,9 @@
  * Options of a [StandinEngine].
  *
  * Port zero binds a free port. [slots] requests run at once. The cache holds [cachePieces] pieces of [pieceTokens]
- * tokens and drops a piece that was not used for [idleEvictionMillis]. A missed piece takes [prefillMillisPerPiece] and
- * the rest of a prompt its proportion of that; prefill of different requests is serial. Each token of the answer takes
- * [decodeMillisPerToken]. Answers have [answerTokens] tokens, or fewer if the request sets a lower limit. With
+ * tokens and drops a piece that was not used for [idleEvictionMillis]. A missed piece takes [prefillMillisPerPiece]
+ * and the rest of a prompt its proportion of that; prefill of different requests is serial. Each token of the answer
+ * takes [decodeMillisPerToken]. Answers have [answerTokens] tokens, or fewer if the request sets a lower limit. With
  * [ignoreFencing] load commands with an old number take effect. With [capture] the statistics contain all requests.
  */
 public data class StandinEngineOptions(
--- a/src/main/kotlin/lacewingweir/standin/engine/StandinEngineStats.kt
+++ b/src/main/kotlin/lacewingweir/standin/engine/StandinEngineStats.kt
@@ -5,8 +5,8 @@
 /**
  * Counters of a [StandinEngine] since its start; a reset doesn't clear them.
  *
- * [runs] counts the runs that began for each request id. [recomputedPieces] and [cachedPieces] count the prompt's whole
- * pieces that were missing from the cache and found in it. [captured] is empty unless capturing is on.
+ * [runs] counts the runs that began for each request id. [recomputedPieces] and [cachedPieces] count the prompt's
+ * whole pieces that were missing from the cache and found in it. [captured] is empty unless capturing is on.
  */
 @Serializable
 public data class StandinEngineStats(
--- a/src/main/kotlin/lacewingweir/standin/platform/StandinPlatform.kt
+++ b/src/main/kotlin/lacewingweir/standin/platform/StandinPlatform.kt
@@ -38,8 +38,8 @@
 /**
  * An etcd v3 JSON subset in memory, with limits on the size of values and on calls a second, and with fault switches.
  *
- * `POST /standin/faults` takes a [StandinPlatformFaults] that replaces the one in force, and `GET /standin/stats` gives
- * a [StandinPlatformStats]. Both are served on [port] and on [controlPort]; while the outage is
+ * `POST /standin/faults` takes a [StandinPlatformFaults] that replaces the one in force, and `GET /standin/stats`
+ * gives a [StandinPlatformStats]. Both are served on [port] and on [controlPort]; while the outage is
  * [PlatformOutage.REFUSE], only [controlPort] answers.
  */
 public class StandinPlatform(
--- a/src/main/kotlin/lacewingweir/state/membership/MembershipLimits.kt
+++ b/src/main/kotlin/lacewingweir/state/membership/MembershipLimits.kt
@@ -38,8 +38,18 @@
     val activationWaitMillis: Long
         get() = (authorityMillis + loanMillis).let { it + it / CLOCK_MARGIN_DIVISOR } + TRANSIT_MARGIN_MILLIS
 
-    private companion object {
-        const val CLOCK_MARGIN_DIVISOR = 100L
-        const val TRANSIT_MARGIN_MILLIS = 500L
+    public companion object {
+        private const val CLOCK_MARGIN_DIVISOR = 100L
+        private const val TRANSIT_MARGIN_MILLIS = 500L
+        private const val DEFAULT_FRESH_MILLIS = 3_000L
+
+        /**
+         * Limits for a fleet whose settings say [authorityMillis]; a short one shortens the age of a fresh report too.
+         */
+        public fun of(authorityMillis: Long): MembershipLimits =
+            MembershipLimits(
+                authorityMillis = authorityMillis,
+                freshMillis = minOf(DEFAULT_FRESH_MILLIS, authorityMillis - 1),
+            )
     }
 }
--- a/src/main/kotlin/lacewingweir/state/rate/LoanTerm.kt
+++ b/src/main/kotlin/lacewingweir/state/rate/LoanTerm.kt
@@ -3,8 +3,8 @@
 /**
  * Terms of loans. [lenderMillis] outlasts [borrowerMillis] by the clock margin and a fixed reserve.
  *
- * A lender lends at most [lendablePercent] of its base share. A restarted instance doesn't know what it lent before, so
- * until those loans have ended it uses only the rest.
+ * A lender lends at most [lendablePercent] of its base share. A restarted instance doesn't know what it lent before,
+ * so until those loans have ended it uses only the rest.
  */
 public data class LoanTerm(
     val borrowerMillis: Long = 5_000,
--- a/src/main/kotlin/lacewingweir/state/rate/RateAccount.kt
+++ b/src/main/kotlin/lacewingweir/state/rate/RateAccount.kt
@@ -139,8 +139,8 @@
     }
 
     /**
-     * Adds a loan that was asked for at [requestMillis]. Returns false, with nothing changed, if its term is over or it
-     * was already applied.
+     * Adds a loan that was asked for at [requestMillis]. Returns false, with nothing changed, if its term is over or
+     * it was already applied.
      */
     public fun accept(
         loan: Long,
@@ -167,8 +167,8 @@
 
     /**
      * Ends a loan taken before its term and returns the whole tokens to give back with it: those that the remaining
-     * capacity can't hold if [keepTokens] is true, and otherwise at least the loan's part of what is available. Returns
-     * null, with nothing changed, while reservations need its capacity.
+     * capacity can't hold if [keepTokens] is true, and otherwise at least the loan's part of what is available.
+     * Returns null, with nothing changed, while reservations need its capacity.
      */
     public fun giveUp(
         entry: LoanTaken,
--- a/src/main/kotlin/lacewingweir/state/rollout/RolloutPlanner.kt
+++ b/src/main/kotlin/lacewingweir/state/rollout/RolloutPlanner.kt
@@ -11,8 +11,8 @@
 /**
  * Compares reported weights with the bundle and orders loads.
  *
- * The decision depends only on the bundle and the present reports, so that it repairs whatever a lost or a late command
- * has left behind. Engines without a report get no order.
+ * The decision depends only on the bundle and the present reports, so that it repairs whatever a lost or a late
+ * command has left behind. Engines without a report get no order.
  */
 public object RolloutPlanner {
     /**
@@ -20,9 +20,9 @@
      *
      * At most `maxConcurrentLoads` engines load at the same time, counting those that report a load. An engine that
      * serves a model gets an order only if another engine goes on serving it, in any version; the single engine that
-     * the bundle names for a model is exempt, since nothing else could ever serve the right version. Engines that don't
-     * serve come first. A leaving engine and one that loads another model get no order. An engine that loads the wrong
-     * version is ordered at once: it occupies its place among the concurrent loads already.
+     * the bundle names for a model is exempt, since nothing else could ever serve the right version. Engines that
+     * don't serve come first. A leaving engine and one that loads another model get no order. An engine that loads
+     * the wrong version is ordered at once: it occupies its place among the concurrent loads already.
      */
     public fun plan(
         bundle: Bundle,
--- a/src/main/kotlin/lacewingweir/transport/peer/ConnectionTable.kt
+++ b/src/main/kotlin/lacewingweir/transport/peer/ConnectionTable.kt
@@ -28,8 +28,8 @@
     /**
      * Keeps [connection] if it takes precedence over the present one of the same peer, which is then closed.
      *
-     * Of two connections that both sides opened at nearly the same time, both keep the one opened by the lower name. In
-     * other cases the newer one is kept, because the other side would not have opened it if the older one worked.
+     * Of two connections that both sides opened at nearly the same time, both keep the one opened by the lower name.
+     * In other cases the newer one is kept, because the other side would not have opened it if the older one worked.
      */
     @Synchronized
     fun register(connection: PeerConnection): Boolean {
--- a/src/main/kotlin/lacewingweir/transport/peer/KtorPeerNetwork.kt
+++ b/src/main/kotlin/lacewingweir/transport/peer/KtorPeerNetwork.kt
@@ -39,9 +39,9 @@
 /**
  * [PeerNetwork] over TCP with length-prefixed CBOR frames.
  *
- * One connection is kept for each pair of instances, opened by whichever side knows the other. Messages to a peer whose
- * queue is full are dropped and counted. A peer that sends malformed frames is disconnected and dialed again with
- * backoff. Messages of unknown types are skipped.
+ * One connection is kept for each pair of instances, opened by whichever side knows the other. Messages to a peer
+ * whose queue is full are dropped and counted. A peer that sends malformed frames is disconnected and dialed again
+ * with backoff. Messages of unknown types are skipped.
  *
  * @param address this instance; a `peerPort` of zero binds a free port
  * @param secret the shared secret of the fleet
--- a/src/test/kotlin/lacewingweir/state/membership/EpochDecisionsTest.kt
+++ b/src/test/kotlin/lacewingweir/state/membership/EpochDecisionsTest.kt
@@ -33,7 +33,8 @@
         expectThat(activation(10_000, report("a"), report("b"))).isNull()
         val wait = limits.activationWaitMillis
         expectThat(wait).isEqualTo(10_600)
-        val two = arrayOf(report("a", heard = 14_000), report("b", heard = 14_000))
+        val heard = 9_000 + wait - 1_000
+        val two = arrayOf(report("a", heard = heard), report("b", heard = heard))
         expectThat(activation(9_000 + wait - 1, *two)).isNull()
         expectThat(activation(9_000 + wait, *two)).isEqualTo(ActivationGround.MAJORITY_AND_TIME)
     }
@@ -88,4 +89,12 @@
         expectThat(join(10_000, report("a"), report("b"))?.epoch).isEqualTo(3)
         expectThat(join(10_000, report("a"), report("b"), report("c", epoch = 3))).isNull()
     }
+
+    // Guards against an instance that can't start because its settings allow a shorter time than the default.
+    @Test
+    fun `every allowed authority time gives valid limits`() {
+        for (authorityMillis in listOf(1_500L, 3_000L, 5_000L, 60_000L)) {
+            expectThat(MembershipLimits.of(authorityMillis).authorityMillis).isEqualTo(authorityMillis)
+        }
+    }
 }
