Trust the home engines of a prefix more, and count reported backlog by its missed share

Cause: an instance sees a seventh of the traffic, so rendezvous homes decide most placements, but a home was left for a wait of 80 ms. Load reports count whole prompts, of which a good part is cached, so that the wait was overestimated.

measure also runs a discarded first cell now, since the first cell in a cold JVM was several times slower.

--- a/src/main/kotlin/lacewingweir/cli/measure/MeasureCommand.kt
+++ b/src/main/kotlin/lacewingweir/cli/measure/MeasureCommand.kt
@@ -65,6 +65,8 @@
     ) {
         if (!json) context.out(MeasureTable.HEADER)
         val run = CellRun(http)
+        // A discarded cell, since the code that the JVM has not compiled yet slows the first one down.
+        cells.firstOrNull()?.let { run.run(it.copy(scenario = MeasuredScenario.CALM, seconds = WARM_UP_SECONDS)) }
         val results =
             cells.map { cell ->
                 run.run(cell).also { result ->
@@ -104,6 +106,7 @@
 
     private companion object {
         const val CLIENT_THREADS: Int = 2
+        const val WARM_UP_SECONDS: Double = 4.0
 
         val DEFAULT_CELLS: Map<MeasuredSite, Pair<List<MeasuredScenario>, List<String>>> =
             mapOf(
--- a/src/main/kotlin/lacewingweir/coordination/routing/FleetEngineScheduler.kt
+++ b/src/main/kotlin/lacewingweir/coordination/routing/FleetEngineScheduler.kt
@@ -320,8 +320,9 @@
             if (learned || agesBefore.isEmpty()) return
             learned = true
             record.known.learnRetention(request.prefix.pieceTokens, agesBefore, cachedTokens)
-            if (!wasAlone) return
             val computed = (request.promptTokens - cachedTokens).toDouble()
+            record.estimate = record.estimate.missObserved(computed, request.promptTokens)
+            if (!wasAlone) return
             record.estimate = record.estimate.prefillObserved(computed, prefillMillis.toDouble())
         }
 
--- a/src/main/kotlin/lacewingweir/state/placement/EngineEstimate.kt
+++ b/src/main/kotlin/lacewingweir/state/placement/EngineEstimate.kt
@@ -13,6 +13,7 @@
     val othersBacklogTokens: Double = 0.0,
     val reportedAtMillis: Long = 0,
     val prefillMillisPerToken: Double = INITIAL_PREFILL_MILLIS_PER_TOKEN,
+    val missedShare: Double = 1.0,
 ) {
     /** The estimate after a request that is expected to compute [tokens] was sent. */
     public fun sent(tokens: Double): EngineEstimate =
@@ -33,10 +34,23 @@
     ): EngineEstimate =
         copy(
             othersRunning = (running - ownRunning).coerceAtLeast(0).toDouble(),
-            othersBacklogTokens = (prefillTokens - ownBacklogTokens).coerceAtLeast(0.0),
+            othersBacklogTokens = (prefillTokens * missedShare - ownBacklogTokens).coerceAtLeast(0.0),
             reportedAtMillis = nowMillis,
         )
 
+    /**
+     * The estimate after an answer with [missed] of [prompt] tokens not cached. Load reports count whole prompts, of
+     * which only this share has to be computed.
+     */
+    public fun missObserved(
+        missed: Double,
+        prompt: Long,
+    ): EngineEstimate {
+        if (prompt < MIN_OBSERVED_TOKENS) return this
+        val share = (missed / prompt).coerceIn(0.0, 1.0)
+        return copy(missedShare = missedShare + MISS_WEIGHT * (share - missedShare))
+    }
+
     /** The estimate after a request with nothing before it took [millis] to compute [tokens]. */
     public fun prefillObserved(
         tokens: Double,
@@ -77,6 +91,8 @@
         const val LOWER_SAMPLE_WEIGHT: Double = 0.3
         const val HIGHER_SAMPLE_WEIGHT: Double = 0.03
 
+        const val MISS_WEIGHT: Double = 0.1
+
         /** Age at which a report no longer counts. */
         const val REPORT_FADE_MILLIS: Double = 3_000.0
     }
