Test the rate bound with real processes under a kill and a pause

The bound was only tested in simulated time. RateFaultTest floods four instances unevenly at about five times the rate for 15 s, kills one with SIGKILL and stops another for 6.5 s. The stand-in engine now counts tokens by cache salt, which tells customers apart. ProcessFleet closes its processes if it can't start: a failed start left seven of them behind.

--- a/src/main/kotlin/lacewingweir/standin/engine/StandinEngine.kt
+++ b/src/main/kotlin/lacewingweir/standin/engine/StandinEngine.kt
@@ -58,6 +58,7 @@
     private val capture = RequestCapture(options.capture)
     private val jobs = ConcurrentHashMap<Job, String>()
     private val runs = ConcurrentHashMap<String, Int>()
+    private val tokensBySalt = ConcurrentHashMap<String, Long>()
     private val running = AtomicInteger()
     private val prefillTokens = AtomicLong()
     private val recomputed = AtomicLong()
@@ -122,6 +123,7 @@
             refused.get(),
             loads.get(),
             fencedLoads.get(),
+            tokensBySalt.toMap(),
             capture.toList(),
         )
 
@@ -211,6 +213,7 @@
         running.incrementAndGet()
         runs.merge(run.id, 1, Int::plus)
         try {
+            countTokens(run, run.promptTokens.toLong())
             val cachedTokens = prefill.use(run.request.priority) { prefill(run) }
             endPrefill(run)
             decode(exchange, run, cachedTokens)
@@ -219,6 +222,13 @@
         }
     }
 
+    private fun countTokens(
+        run: Run,
+        tokens: Long,
+    ) {
+        tokensBySalt.merge(run.request.cacheSalt, tokens, Long::plus)
+    }
+
     private fun endPrefill(run: Run) {
         prefillTokens.addAndGet(-run.pendingPrefill.getAndSet(0))
     }
@@ -265,6 +275,7 @@
             val shownIndex = if (run.faults.wrongIndexAt == index) index + 1 else index
             exchange.write(event(shownIndex, chunk(run, shownId, listOf(choice))))
             sent++
+            countTokens(run, 1)
         }
         if (run.faults.dropAfterChunks == sent) return exchange.abort()
         if (!run.faults.cutBeforeEnd) {
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/fleet/RateFaultTest.kt
@@ -0,0 +1,102 @@
+package lacewingweir.fleet
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import lacewingweir.state.bundle.Customer
+import lacewingweir.state.id.CustomerId
+import lacewingweir.state.keys.KeyDirectory
+import lacewingweir.testing.CallerOutcome
+import lacewingweir.testing.ProcessFleet
+import lacewingweir.testing.chat
+import lacewingweir.testing.engineStats
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThanOrEqualTo
+
+/** The rate bound over a fleet of real processes while instances are killed and paused. */
+internal class RateFaultTest {
+    private val calm =
+        Customer(CustomerId("petra"), CALM_RATE, 2 * CALM_RATE, keys = listOf(KeyDirectory.digestOf(CALM_KEY)))
+
+    private suspend fun tokensBySalt(fleet: ProcessFleet): Map<String, Long> =
+        fleet.engines.indices
+            .flatMap { fleet.engineStats(it).tokensBySalt.entries }
+            .groupingBy { it.key }
+            .fold(0L) { sum, entry -> sum + entry.value }
+
+    /** Sends about five times the rate, seven of ten requests to the first instance. */
+    private suspend fun flood(
+        scope: CoroutineScope,
+        fleet: ProcessFleet,
+    ): List<Deferred<CallerOutcome>> =
+        (0 until SECONDS * FLOOD_PER_SECOND).map { n ->
+            delay(1_000L / FLOOD_PER_SECOND)
+            val instance = if (n % 10 < 7) 0 else n % INSTANCES
+            scope.async { fleet.chat(instance, PROMPT + n, ANSWER_TOKENS) }
+        }
+
+    /** Sends two fifths of the calm customer's rate to the two instances without faults. */
+    private suspend fun calm(
+        scope: CoroutineScope,
+        fleet: ProcessFleet,
+    ): List<Deferred<CallerOutcome>> =
+        (0 until SECONDS * CALM_PER_SECOND).map { n ->
+            delay(1_000L / CALM_PER_SECOND)
+            scope.async { fleet.chat(n % 2, PROMPT + n, ANSWER_TOKENS, CALM_KEY) }
+        }
+
+    private suspend fun breakInstances(fleet: ProcessFleet) {
+        delay(3_000)
+        checkNotNull(fleet.instances[3].process).kill()
+        delay(1_000)
+        checkNotNull(fleet.instances[2].process).pause()
+        delay(6_500)
+        checkNotNull(fleet.instances[2].process).resume()
+    }
+
+    // G7: guards against tokens that are spent twice when an instance dies or wakes up with rights that have passed on.
+    @Test
+    fun `a flooding customer stays within rate and burst while instances are killed and paused`() =
+        runBlocking<Unit> {
+            ProcessFleet(2, INSTANCES, emptyList(), RATE, BURST, listOf(calm)).use { fleet ->
+                expectThat(fleet.chat(0, "first", 1, CALM_KEY).status).isEqualTo(200)
+                val calmSalt = tokensBySalt(fleet).keys.single()
+                val start = System.nanoTime()
+                launch { breakInstances(fleet) }
+                val flooding = async { flood(this, fleet).awaitAll() }
+                val calmOutcomes = calm(this, fleet).awaitAll()
+                val outcomes = flooding.await()
+                val elapsedMillis = (System.nanoTime() - start) / 1_000_000
+                val spent = tokensBySalt(fleet).filterKeys { it != calmSalt }.values.sum()
+                val bound = RATE * elapsedMillis / 1_000 + BURST
+                val refused = calmOutcomes.groupingBy { it.status }.eachCount()
+                println(
+                    "rate: $spent tokens in $elapsedMillis ms, bound $bound, " +
+                        "statuses ${outcomes.groupingBy { it.status }.eachCount()}, calm $refused",
+                )
+                expectThat(spent).isLessThanOrEqualTo(bound).isGreaterThan(bound / 4)
+                expectThat(outcomes.count { it.status == 429 }).isGreaterThan(0)
+                expectThat(refused).isEqualTo(mapOf(200 to calmOutcomes.size))
+            }
+        }
+
+    private companion object {
+        const val INSTANCES = 4
+        const val SECONDS = 15
+        const val RATE = 300L
+        const val BURST = 1_200L
+        const val FLOOD_PER_SECOND = 20
+        const val CALM_RATE = 600L
+        const val CALM_PER_SECOND = 3
+        const val ANSWER_TOKENS = 40
+        const val CALM_KEY = "key-of-the-calm-customer"
+        val PROMPT = "grade certificate ".repeat(9)
+    }
+}
--- a/src/test/kotlin/lacewingweir/testing/ProcessFleet.kt
+++ b/src/test/kotlin/lacewingweir/testing/ProcessFleet.kt
@@ -57,6 +57,7 @@
     private val engineArgs: List<String> = emptyList(),
     customerRate: Long = 1_000_000,
     customerBurst: Long = 10_000_000,
+    extraCustomers: List<Customer> = emptyList(),
 ) : AutoCloseable {
     class Listening(
         val process: ProgramProcess,
@@ -79,7 +80,8 @@
     private val directory: File = Files.createTempDirectory("fleet").toFile()
     val http: HttpClient = HttpClient(group)
 
-    val platform: Listening
+    var platform: Listening
+        private set
     val platformControlPort: Int
     val engines: MutableList<Listening> = ArrayList()
     val engineProxies: MutableList<FaultProxy> = ArrayList()
@@ -95,16 +97,14 @@
                 burstTokens = customerBurst,
                 keys = listOf(KeyDirectory.digestOf(KEY)),
             ),
-        )
+        ) + extraCustomers
 
     init {
         val platformProcess = ProgramProcess.start("platform", "standin", "platform", "--port", "0")
         platformControlPort = platformProcess.awaitPort("platform control")
         platform = Listening(platformProcess, platformProcess.awaitPort("platform"))
         repeat(engineCount) { n ->
-            val args = listOf("standin", "engine", "--port", "0", "--model", "grade=v1", "--capture") + engineArgs
-            val process = ProgramProcess.start("engine-${n + 1}", *args.toTypedArray())
-            engines += Listening(process, 0)
+            engines += Listening(startEngine(n, 0), 0)
         }
         engines.replaceAll { Listening(it.process, it.process.awaitPort("engine")) }
         engines.forEach { engineProxies += FaultProxy(it.port) }
@@ -115,7 +115,8 @@
         runBlocking { publish(1) }
         repeat(instanceCount) { instances += instance(it + 1) }
         instances.forEach(::startInstance)
-        runBlocking { instances.forEach { awaitReady(it) } }
+        // A fleet that can't start is closed by nobody else and would leave its processes behind.
+        runCatching { runBlocking { instances.forEach { awaitReady(it) } } }.onFailure { close() }.getOrThrow()
     }
 
     private fun instance(number: Int): Instance {
@@ -172,14 +173,44 @@
         changed: List<Customer> = customers,
     ) {
         customers = changed
-        val payload = BundleText.canonical(bundle(number, weights))
-        val signature = checkNotNull(Ed25519.sign(payload, signing.privateKey))
-        val signed = SignedBundle(payload, signature, "test", UUID.randomUUID().toString())
         val revision = store.get("/lw/bundle").valueOrNull()?.modRevision ?: 0
-        val written = store.compareAndSet("/lw/bundle", revision, SignedBundleText.encode(signed))
+        val written = store.compareAndSet("/lw/bundle", revision, signedBundle(number, weights))
         check(written is StoreResult.Ok && written.value) { "bundle was not written: $written" }
     }
 
+    /** Text of a signed bundle as `bundle sign` writes it, with a new operation id. */
+    fun signedBundle(
+        number: Long,
+        weights: String = "v1",
+    ): ByteArray {
+        val payload = BundleText.canonical(bundle(number, weights))
+        val signature = checkNotNull(Ed25519.sign(payload, signing.privateKey))
+        return SignedBundleText.encode(SignedBundle(payload, signature, "test", UUID.randomUUID().toString()))
+    }
+
+    /** Kills the platform and starts it empty on the same ports. */
+    fun replacePlatform() {
+        platform.process.close()
+        val ports = listOf("--port", platform.port, "--control-port", platformControlPort).map { it.toString() }
+        val process = ProgramProcess.start("platform", "standin", "platform", *ports.toTypedArray())
+        platform = Listening(process, process.awaitPort("platform"))
+    }
+
+    /** Starts engine [index] on its former port after its process was killed. */
+    fun restartEngine(index: Int) {
+        val port = engines[index].port
+        val process = startEngine(index, port)
+        engines[index] = Listening(process, process.awaitPort("engine"))
+    }
+
+    private fun startEngine(
+        index: Int,
+        port: Int,
+    ): ProgramProcess {
+        val args = listOf("standin", "engine", "--port", "$port", "--model", "grade=v1", "--capture") + engineArgs
+        return ProgramProcess.start("engine-${index + 1}", *args.toTypedArray())
+    }
+
     private fun bundle(
         number: Long,
         weights: String,
