Test withdrawal, leaving, restart and bundles with real processes

KeyFaultTest withdraws keys through the store and, with the platform down, through an operator port while streams and requests run; cuts an instance off; marks an engine as leaving; lets two publishing processes race; terminates an instance with streams running; kills two of three instances with the platform up and down; and replaces the platform by an empty one that holds an older bundle.

--- /dev/null
+++ b/src/test/kotlin/lacewingweir/fleet/KeyFaultTest.kt
@@ -0,0 +1,276 @@
+package lacewingweir.fleet
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import lacewingweir.cli.operations.KeyWriteResult
+import lacewingweir.cli.operations.KeyWriter
+import lacewingweir.coordination.store.StoreResult
+import lacewingweir.coordination.store.valueOrNull
+import lacewingweir.protocol.operator.OperatorJson
+import lacewingweir.protocol.operator.WithdrawalRequest
+import lacewingweir.state.bundle.Customer
+import lacewingweir.state.id.CustomerId
+import lacewingweir.state.keys.KeyDirectory
+import lacewingweir.testing.CallerOutcome
+import lacewingweir.testing.ProcessFleet
+import lacewingweir.testing.ProgramProcess
+import lacewingweir.testing.answerText
+import lacewingweir.testing.chat
+import lacewingweir.testing.engineStats
+import lacewingweir.testing.eventually
+import lacewingweir.testing.hasBundle
+import lacewingweir.testing.isReady
+import lacewingweir.transport.http.ClientRequest
+import lacewingweir.transport.http.ClientResult
+import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.MethodOrderer
+import org.junit.jupiter.api.Order
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestInstance
+import org.junit.jupiter.api.TestMethodOrder
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isTrue
+import java.io.File
+import java.nio.file.Files
+
+/** Keys, leaving and bundles on one fleet with slow engines. Tests that restart parts come last. */
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+@TestMethodOrder(MethodOrderer.OrderAnnotation::class)
+internal class KeyFaultTest {
+    private val fleet =
+        ProcessFleet(
+            engineArgs = listOf("--decode-millis-per-token", "100"),
+            extraCustomers =
+                listOf("store-key", "operator-key").map {
+                    Customer(CustomerId(it), 1_000_000, 10_000_000, keys = listOf(KeyDirectory.digestOf(it)))
+                },
+        )
+    private var bundle = 1L
+
+    @AfterAll
+    fun tearDown() = fleet.close()
+
+    private fun openStreams(
+        scope: CoroutineScope,
+        key: String,
+    ): List<Deferred<CallerOutcome>> = (0..2).map { scope.async { fleet.chat(it, "stream $it", LONG, key) } }
+
+    /** Sends short requests everywhere until three seconds after [sinceNanos], then checks that all are rejected. */
+    private suspend fun expectWithdrawn(
+        sinceNanos: Long,
+        streams: List<Deferred<CallerOutcome>>,
+        key: String,
+    ) {
+        while (System.nanoTime() - sinceNanos < LIMIT_NANOS) fleet.chat(0, "meanwhile", 1, key)
+        expectThat((0..2).map { fleet.chat(it, "afterwards", 1, key).status }).isEqualTo(List(3) { 401 })
+        for (stream in streams.awaitAll()) {
+            expectThat(stream.endedNanos - sinceNanos).isLessThanOrEqualTo(LIMIT_NANOS)
+            expectThat(stream.stream?.error).isNotNull()
+            expectThat(stream.stream?.done).isEqualTo(false)
+        }
+    }
+
+    // G4, G6: guards against a withdrawn key that goes on working for a connected caller or on another instance.
+    @Test
+    @Order(1)
+    fun `a withdrawal through the store ends streams and is in force everywhere within three seconds`() =
+        runBlocking<Unit> {
+            val streams = openStreams(this, "store-key")
+            delay(1_000)
+            val written = KeyWriter(fleet.store).withdraw(KeyDirectory.digestOf("store-key"))
+            expectThat(written).isEqualTo(KeyWriteResult.Written)
+            expectWithdrawn(System.nanoTime(), streams, "store-key")
+        }
+
+    // G4, G6: guards against a withdrawal that waits for a store outage to end.
+    @Test
+    @Order(2)
+    fun `a withdrawal through an operator port works while the platform is down`() =
+        runBlocking<Unit> {
+            val streams = openStreams(this, "operator-key")
+            delay(1_000)
+            fleet.faults(fleet.platformControlPort, """{"down":"refuse"}""")
+            delay(500)
+            val digest = KeyDirectory.digestOf("operator-key")
+            val body = OperatorJson.encode(WithdrawalRequest.serializer(), WithdrawalRequest(digest.value))
+            val port = fleet.instances[1].operatorPort
+            val request = ClientRequest("127.0.0.1", port, "POST", "/keys/withdraw", body = body.toByteArray())
+            val start = System.nanoTime()
+            val answer = fleet.http.open(request) as ClientResult.Answered
+            expectThat(answer.response.status).isEqualTo(200)
+            answer.response.close()
+            expectWithdrawn(start, streams, "operator-key")
+            fleet.faults(fleet.platformControlPort, "{}")
+            eventually("the store holds the withdrawal", 10_000) {
+                fleet.store.get("/lw/keys/${digest.value}").valueOrNull() != null
+            }
+        }
+
+    // G4, G6, G9: guards against service on key records that may be outdated.
+    @Test
+    @Order(3)
+    fun `an instance cut off from store and peers refuses keyed requests and is unready within three seconds`() =
+        runBlocking<Unit> {
+            val others = fleet.instances.drop(1).map { checkNotNull(it.process) }
+            others.forEach { it.pause() }
+            fleet.instances[0].storeProxy.cut()
+            delay(3_050)
+            val refused = fleet.chat(0, "cut off", 1)
+            val ready = fleet.isReady(0)
+            others.forEach { it.resume() }
+            fleet.instances[0].storeProxy.restore()
+            expectThat(refused.status to refused.run).isEqualTo(503 to "not-run")
+            expectThat(ready).isFalse()
+            fleet.instances.forEach { fleet.awaitReady(it) }
+        }
+
+    // G11: guards against new work for an endpoint that the platform takes away.
+    @Test
+    @Order(4)
+    fun `an endpoint marked leaving gets no new work after three seconds`() =
+        runBlocking<Unit> {
+            mark("leaving")
+            delay(3_000)
+            val before = fleet.engineStats(1).runs.size
+            val outcomes = (0 until 45).map { n -> async { fleet.chat(n % 3, "leaving $n", 2) } }.awaitAll()
+            expectThat(outcomes.map { it.status }).all { isEqualTo(200) }
+            expectThat(fleet.engineStats(1).runs.size).isEqualTo(before)
+            mark("live")
+        }
+
+    private suspend fun mark(state: String) {
+        val key = "/platform/endpoints/engine-2"
+        val revision =
+            fleet.store
+                .get(key)
+                .valueOrNull()
+                ?.modRevision ?: 0
+        val written = fleet.store.compareAndSet(key, revision, """{"state":"$state"}""".toByteArray())
+        expectThat(written).isEqualTo(StoreResult.Ok(true))
+    }
+
+    // G13: guards against two operators who both believe that their bundle is in force.
+    @Test
+    @Order(5)
+    fun `of two operators that publish the same number one gets exit code 3`() =
+        runBlocking<Unit> {
+            bundle = 2
+            val files = List(2) { Files.createTempFile("bundle", ".json").toFile() }
+            files.forEach { it.writeBytes(fleet.signedBundle(bundle)) }
+            val publishers = files.map(::publish)
+            expectThat(publishers.map { it.awaitExit() }.sortedBy { it }).isEqualTo(listOf(0, 3))
+            eventually("bundle $bundle is in force", 5_000) { (0..2).all { fleet.hasBundle(it, bundle) } }
+            files.forEach { it.delete() }
+        }
+
+    private fun publish(file: File): ProgramProcess {
+        val store = "127.0.0.1:${fleet.platform.port}"
+        return ProgramProcess.start("publish", "bundle", "publish", file.path, "--store", store)
+    }
+
+    // G12: guards against a shutdown that cuts requests.
+    @Test
+    @Order(6)
+    fun `a terminated instance ends its streams first and serves again after its restart`() =
+        runBlocking<Unit> {
+            val leaving = fleet.instances[2]
+            val streams = (0 until 6).map { n -> async { fleet.chat(2, "drained $n", LONG) } }
+            delay(1_500)
+            val exit = async(Dispatchers.IO) { checkNotNull(leaving.process).terminate(30) }
+            streams.awaitAll().forEachIndexed { n, outcome ->
+                expectThat(outcome.isWhole(answerText("drained $n", LONG))).isTrue()
+            }
+            // The JVM exits with 143 after SIGTERM even if its shutdown hook did all its work, so the log tells.
+            expectThat(exit.await()).isNotNull()
+            val log = checkNotNull(leaving.process).log.readText()
+            expectThat("serve: stopped" in log && "still running" !in log).isTrue()
+            val start = System.nanoTime()
+            fleet.startInstance(leaving)
+            eventually("the restarted instance serves", 15_000) { fleet.chat(2, "again", 1).status == 200 }
+            println("restart: served after ${(System.nanoTime() - start) / 1_000_000} ms, process start included")
+        }
+
+    // G3: guards against instances that stay out of service after a herd restart.
+    @Test
+    @Order(7)
+    fun `all instances but one are killed and restarted with the platform up`() =
+        runBlocking<Unit> {
+            val herd = fleet.instances.drop(1)
+            herd.forEach { checkNotNull(it.process).kill() }
+            val start = System.nanoTime()
+            herd.forEach(fleet::startInstance)
+            eventually("restarted instances serve", 15_000) {
+                (1..2).all { fleet.chat(it, "herd", 1).status == 200 }
+            }
+            println("herd restart: served after ${(System.nanoTime() - start) / 1_000_000} ms")
+            herd.forEach { fleet.awaitReady(it) }
+        }
+
+    // G3: rate-limited requests wait for the store here (design 5.3), open routes must not.
+    @Test
+    @Order(8)
+    fun `all instances but one are killed and restarted while the platform is down`() =
+        runBlocking<Unit> {
+            fleet.faults(fleet.platformControlPort, """{"down":"refuse"}""")
+            val herd = fleet.instances.drop(1)
+            herd.forEach { checkNotNull(it.process).kill() }
+            herd.forEach(fleet::startInstance)
+            eventually("restarted instances serve open routes", 15_000) { herd.all { openRoute(it) == 200 } }
+            val keyed = (0..2).map { fleet.chat(it, "outage", 1) }
+            println("herd restart in an outage: keyed requests got ${keyed.map { it.status to it.run }}")
+            expectThat(keyed).all {
+                get { status == 200 || run == "not-run" }.isTrue()
+            }
+            fleet.faults(fleet.platformControlPort, "{}")
+            val start = System.nanoTime()
+            eventually("all serve once the platform is back", 30_000) {
+                (0..2).all { fleet.chat(it, "back", 1).status == 200 }
+            }
+            println("after the outage: served after ${(System.nanoTime() - start) / 1_000_000} ms")
+        }
+
+    private suspend fun openRoute(instance: ProcessFleet.Instance): Int? {
+        val response = fleet.post(instance, "/services/lots?lot=1", "{}", emptyList())
+        response?.close()
+        return response?.status
+    }
+
+    // G6, G13: guards against a store that comes back from an old copy and takes the fleet back with it.
+    @Test
+    @Order(9)
+    fun `a store restored to an older bundle without withdrawals changes nothing and is brought up to date`() =
+        runBlocking<Unit> {
+            val older = fleet.signedBundle(1)
+            fleet.replacePlatform()
+            fleet.store.compareAndSet("/lw/bundle", 0, older)
+            val digest = KeyDirectory.digestOf("store-key").value
+            eventually("the store holds the newer bundle and the withdrawal again", 15_000) {
+                val held =
+                    fleet.store
+                        .get("/lw/bundle")
+                        .valueOrNull()
+                        ?.value
+                        ?.decodeToString()
+                        .orEmpty()
+                val key = fleet.store.get("/lw/keys/$digest").valueOrNull()
+                key != null && held.contains("number\\\":$bundle,")
+            }
+            expectThat((0..2).map { fleet.hasBundle(it, bundle) }).isEqualTo(List(3) { true })
+            expectThat((0..2).map { fleet.chat(it, "restored", 1, "store-key").status }).isEqualTo(List(3) { 401 })
+        }
+
+    private companion object {
+        const val LONG = 60
+        const val LIMIT_NANOS = 3_000_000_000L
+    }
+}
