Let requests wait for an engine that is loading new weights

Cause: with a new bundle in force, 29 of 59 requests got 503 in the 1.7 s until an engine had loaded the weights (process test of the rollout). Ruled out: serving the old weights meanwhile, since no answer may come from older weights.

--- a/src/main/kotlin/lacewingweir/coordination/routing/AttemptOutcome.kt
+++ b/src/main/kotlin/lacewingweir/coordination/routing/AttemptOutcome.kt
@@ -14,6 +14,6 @@
     /** The connection broke, the engine was silent too long or sent a wrong answer. */
     FAILED,
 
-    /** The engine answers with other weights than the bundle asks for. */
-    WRONG_VERSION,
+    /** The engine serves other weights than the bundle asks for, or is still loading them. It is healthy. */
+    NOT_SERVING,
 }
--- a/src/main/kotlin/lacewingweir/coordination/routing/EngineRecord.kt
+++ b/src/main/kotlin/lacewingweir/coordination/routing/EngineRecord.kt
@@ -17,20 +17,20 @@
     var health: EndpointHealth = EndpointHealth()
     var leavingUntilMillis: Long = 0
     val known: KnownPrefixes = KnownPrefixes(maxKnownPrefixes)
-    private val wrongVersionUntilMillis = HashMap<WeightsVersion, Long>()
+    private val notServingUntilMillis = HashMap<WeightsVersion, Long>()
 
-    /** Whether the engine recently answered with other weights than [weights]. */
+    /** Whether the engine recently did not serve [weights]. */
     fun lacks(
         weights: WeightsVersion,
         nowMillis: Long,
-    ): Boolean = nowMillis < (wrongVersionUntilMillis[weights] ?: 0)
+    ): Boolean = nowMillis < (notServingUntilMillis[weights] ?: 0)
 
-    fun markWrongVersion(
+    fun markNotServing(
         weights: WeightsVersion,
         nowMillis: Long,
     ) {
-        wrongVersionUntilMillis.values.removeIf { it <= nowMillis }
-        wrongVersionUntilMillis[weights] = nowMillis + WRONG_VERSION_PAUSE_MILLIS
+        notServingUntilMillis.values.removeIf { it <= nowMillis }
+        notServingUntilMillis[weights] = nowMillis + NOT_SERVING_PAUSE_MILLIS
     }
 
     fun onIncarnation(incarnation: Incarnation) {
@@ -62,6 +62,6 @@
 
     private companion object {
         /** Time for which an engine with other weights gets no requests for the wanted version. */
-        const val WRONG_VERSION_PAUSE_MILLIS: Long = 250
+        const val NOT_SERVING_PAUSE_MILLIS: Long = 250
     }
 }
--- a/src/main/kotlin/lacewingweir/coordination/routing/FleetEngineScheduler.kt
+++ b/src/main/kotlin/lacewingweir/coordination/routing/FleetEngineScheduler.kt
@@ -210,7 +210,9 @@
         nowMillis: Long,
         withoutCapacity: MutableSet<CapacityNeed>,
     ): Endpoint? {
-        val usable = candidates(bundle, request, nowMillis)
+        // During a rollout no engine may have the weights yet; the request then waits until one may be tried again.
+        val usable =
+            candidates(bundle, request, nowMillis).filter { !record(it.id).lacks(request.model.weights, nowMillis) }
         if (usable.isEmpty()) return null
         val maxWait = maxEngineWaitMillis(request.trafficClass)
         val snapshots: List<EngineSnapshot> =
@@ -261,9 +263,7 @@
                 serving.sortedBy { record(it.id).health.ejectedUntilMillis }.take(needed)
             }
         // Once every engine has failed a request, another try on one that may have come back beats giving up.
-        val remaining = usable.filter { it.id !in request.excluded }.ifEmpty { usable }
-        val current = remaining.filter { !record(it.id).lacks(request.model.weights, nowMillis) }
-        return current.ifEmpty { remaining }
+        return usable.filter { it.id !in request.excluded }.ifEmpty { usable }
     }
 
     private fun isLeaving(
@@ -372,7 +372,7 @@
                 }
                 record.estimate = record.estimate.finished()
                 record.health = healthAfter(record.health, outcome, now)
-                if (outcome == AttemptOutcome.WRONG_VERSION) record.markWrongVersion(request.model.weights, now)
+                if (outcome == AttemptOutcome.NOT_SERVING) record.markNotServing(request.model.weights, now)
                 if (cachedTokens != null) {
                     recordCacheUse(cachedTokens)
                     learn(record, cachedTokens)
@@ -396,7 +396,7 @@
         when (outcome) {
             AttemptOutcome.COMPLETED -> health.succeeded(nowMillis)
             AttemptOutcome.NOT_RUN, AttemptOutcome.FAILED -> health.failed(nowMillis)
-            AttemptOutcome.CANCELLED, AttemptOutcome.WRONG_VERSION -> health
+            AttemptOutcome.CANCELLED, AttemptOutcome.NOT_SERVING -> health
         }
 
     private companion object {
--- a/src/main/kotlin/lacewingweir/standin/engine/StandinEngineStats.kt
+++ b/src/main/kotlin/lacewingweir/standin/engine/StandinEngineStats.kt
@@ -5,9 +5,9 @@
 /**
  * Counters of a [StandinEngine] since its start; a reset doesn't clear them.
  *
- * [runs] counts the runs that began for each request id. [recomputedPieces] and [cachedPieces] count the prompt's whole
- * pieces that were missing from the cache and found in it. [tokensBySalt] counts prompt tokens and answer tokens sent
- * for each `cache_salt`, which tells customers apart. [captured] is empty unless capturing is on.
+ * [runs] counts the runs that began for each request id. [recomputedPieces] and [cachedPieces] count the prompt's
+ * whole pieces that were missing from the cache and found in it. [tokensBySalt] counts prompt tokens and answer
+ * tokens sent for each `cache_salt`, which tells customers apart. [captured] is empty unless capturing is on.
  */
 @Serializable
 public data class StandinEngineStats(
--- a/src/main/kotlin/lacewingweir/transport/gateway/EngineRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/gateway/EngineRelay.kt
@@ -50,6 +50,7 @@
 
         class Failed(
             val detail: String,
+            val notServing: Boolean,
         ) : AttemptEnd
     }
 
@@ -68,10 +69,11 @@
         val excluded = LinkedHashSet<EndpointId>()
         var number = 0
         var deadline = clock.nowMillis() + call.route.deadlineMillis
+        var servingBy = Long.MAX_VALUE
         while (true) {
             refreshModel(call)
             val lease =
-                when (val scheduled = schedule(call, deadline, excluded, number)) {
+                when (val scheduled = schedule(call, minOf(deadline, servingBy), excluded, number)) {
                     is ScheduleResult.Refused ->
                         return gaveUp(call, "no_engine", scheduled.reason, scheduled.retryAfterMillis)
                     is ScheduleResult.Granted -> scheduled.lease
@@ -80,7 +82,14 @@
             val firstTokenBy = minOf(deadline, clock.nowMillis() + lease.firstTokenLimitMillis)
             val end = attempt(Attempt(call, lease, number, deadline, firstTokenBy))
             if (end is AttemptEnd.Final) return end.result
-            val detail = (end as AttemptEnd.Failed).detail
+            val failed = end as AttemptEnd.Failed
+            if (failed.notServing && !call.hasProgress) {
+                // Nothing was run and the engine is healthy, so this is no retry; but a stuck rollout must end the
+                // wait.
+                servingBy = minOf(servingBy, clock.nowMillis() + settings.rolloutWaitMillis)
+                if (clock.nowMillis() < servingBy) continue
+            }
+            val detail = failed.detail
             excluded += lease.endpoint.id
             if (++number >= settings.maxAttempts) return gaveUp(call, "engines_failed", detail, RETRY_AFTER_MILLIS)
             if (call.hasProgress) deadline = clock.nowMillis() + settings.resumeDeadlineMillis
@@ -272,7 +281,12 @@
         if (answer.notRun) run.notRun()
         answer.incarnation?.let { attempt.lease.answered(it, answer.load, answer.leaving) }
         val detail = "engine refused with ${answer.status}: ${answer.message}"
-        val outcome = if (answer.notRun) AttemptOutcome.NOT_RUN else AttemptOutcome.FAILED
+        val outcome =
+            when {
+                answer.notRun && answer.status == SERVICE_UNAVAILABLE -> AttemptOutcome.NOT_SERVING
+                answer.notRun -> AttemptOutcome.NOT_RUN
+                else -> AttemptOutcome.FAILED
+            }
         if (answer.status !in REQUEST_ERRORS) return failed(attempt, outcome, detail)
         // The request itself is wrong, so that another engine would refuse it too.
         attempt.outcome = AttemptOutcome.COMPLETED
@@ -287,7 +301,7 @@
         detail: String,
     ): AttemptEnd {
         metrics.dropped(reason)
-        val outcome = if (reason == DropReason.WEIGHTS) AttemptOutcome.WRONG_VERSION else AttemptOutcome.FAILED
+        val outcome = if (reason == DropReason.WEIGHTS) AttemptOutcome.NOT_SERVING else AttemptOutcome.FAILED
         return failed(attempt, outcome, "answer dropped (${reason.label}): $detail")
     }
 
@@ -301,10 +315,11 @@
         val where = "engine ${attempt.lease.endpoint.id}, attempt ${attempt.number}, next index ${call.nextIndex}"
         call.context.trace.step("attempt failed", "$where: $detail")
         logger.info { "route: request ${call.context.requestId}: $where: $detail" }
-        return AttemptEnd.Failed(detail)
+        return AttemptEnd.Failed(detail, notServing = outcome == AttemptOutcome.NOT_SERVING)
     }
 
     private companion object {
+        const val SERVICE_UNAVAILABLE: Int = 503
         const val RETRY_AFTER_MILLIS: Long = 1_000
         const val MIN_TIMEOUT_MILLIS: Long = 100
         val REQUEST_ERRORS: Set<Int> = setOf(400, 413, 422)
--- a/src/test/kotlin/lacewingweir/coordination/routing/FleetEngineSchedulerTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/routing/FleetEngineSchedulerTest.kt
@@ -156,7 +156,7 @@
         runBlocking<Unit> {
             val scheduler = scheduler(engines = 2, slots = 100)
             val first = scheduler.lease()
-            first.finish(AttemptOutcome.WRONG_VERSION)
+            first.finish(AttemptOutcome.NOT_SERVING)
             repeat(5) { expectThat(scheduler.lease().endpoint.id == first.endpoint.id).isEqualTo(false) }
         }
 
--- a/src/test/kotlin/lacewingweir/transport/gateway/ChatStreamTest.kt
+++ b/src/test/kotlin/lacewingweir/transport/gateway/ChatStreamTest.kt
@@ -128,7 +128,7 @@
             expectThat(response.headers.get("Retry-After")).isEqualTo("2")
             expectThat(response.headers.get("X-Lacewingweir-Run")).isEqualTo("unknown")
             expectThat(fleet.scheduler.outcomes)
-                .containsExactly(AttemptOutcome.WRONG_VERSION, AttemptOutcome.WRONG_VERSION)
+                .containsExactly(AttemptOutcome.NOT_SERVING, AttemptOutcome.NOT_SERVING)
         }
 
     @Test
