--- a/src/main/kotlin/lacewingweir/transport/gateway/EngineRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/gateway/EngineRelay.kt
@@ -83,6 +83,7 @@
             val end = attempt(Attempt(call, lease, number, deadline, firstTokenBy))
             if (end is AttemptEnd.Final) return end.result
             val failed = end as AttemptEnd.Failed
+            excluded += lease.endpoint.id
             if (failed.notServing && !call.hasProgress) {
                 // Nothing was run and the engine is healthy, so this is no retry; but a stuck rollout must end the
                 // wait.
@@ -90,7 +91,6 @@
                 if (clock.nowMillis() < servingBy) continue
             }
             val detail = failed.detail
-            excluded += lease.endpoint.id
             if (++number >= settings.maxAttempts) return gaveUp(call, "engines_failed", detail, RETRY_AFTER_MILLIS)
             if (call.hasProgress) deadline = clock.nowMillis() + settings.resumeDeadlineMillis
         }
--- a/src/test/kotlin/lacewingweir/fleet/CallFaultTest.kt
+++ b/src/test/kotlin/lacewingweir/fleet/CallFaultTest.kt
@@ -22,6 +22,7 @@
 import strikt.api.expectThat
 import strikt.assertions.all
 import strikt.assertions.isContainedIn
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThanOrEqualTo
@@ -205,6 +206,8 @@
                     it.outcome.status
                 }.eachCount()}, ${all.count { it.bundleBefore }} sent with the new bundle in force",
             )
+            // Guards against refusals while engines load: requests wait for one that has loaded.
+            expectThat(refusedAt).isEmpty()
             expectThat(versions["v2"] ?: 0).isGreaterThan(0)
             expectThat(versions["v1"] ?: 0).isGreaterThan(0)
         }
