Let a request wait for its best engine instead of recomputing its prefix elsewhere

Cause: prefix-aware placement skipped engines without capacity (backlog above 250 ms, 60 ms for batch), so requests scattered over all engines as soon as the home was busy; copies displaced other prefixes.

--- a/src/main/kotlin/lacewingweir/state/placement/PlacementPolicy.kt
+++ b/src/main/kotlin/lacewingweir/state/placement/PlacementPolicy.kt
@@ -73,17 +73,16 @@
     engines: List<EngineSnapshot>,
     random: Random,
 ): EndpointId? {
-    if (engines.none { it.hasCapacity }) return null
     val trust = homeTrust(query, engines)
     val slowestPrefill = engines.maxOf { it.prefillMillisPerToken }
     return engines
-        .filter { it.hasCapacity }
-        .minByOrNull { engine ->
+        .minBy { engine ->
             val assumed = (trust[engine.id] ?: 0.0) * query.promptTokens
             val missed = (query.promptTokens - maxOf(engine.cachedTokens, assumed)).coerceAtLeast(0.0)
             val tieBreak = random.nextDouble() * TIE_BREAK_TOKENS * slowestPrefill
             expectedWaitMillis(engine) + missed * engine.prefillMillisPerToken + tieBreak
-        }?.id
+        }.takeIf { it.hasCapacity }
+        ?.id
 }
 
 private fun expectedWaitMillis(engine: EngineSnapshot): Double {
