Trust the outer level's home engine fully and deeper homes much less

Cause: the homes of different levels competed (0.8, 0.72, 0.65 of the prompt), so a wait of some 20 ms moved a prompt between engines and left copies. Now 1.0 for the outer level and 0.3 for the next.

--- a/src/main/kotlin/lacewingweir/state/placement/PlacementPolicy.kt
+++ b/src/main/kotlin/lacewingweir/state/placement/PlacementPolicy.kt
@@ -111,10 +111,10 @@
 ): Long = SplittableRandom(hash xor (engine.value.hashCode().toLong() * SPREAD_MULTIPLIER)).nextLong()
 
 /** Share of the prompt that the outermost level's home engine is assumed to hold when nothing is known. */
-private const val OUTER_LEVEL_TRUST: Double = 0.8
+private const val OUTER_LEVEL_TRUST: Double = 1.0
 
 /** Factor from one level's trust to the next deeper one's. */
-private const val DEEPER_LEVEL_FACTOR: Double = 0.9
+private const val DEEPER_LEVEL_FACTOR: Double = 0.3
 
 /** Levels that have a home engine. Deeper ones follow their parents. */
 private const val MAX_HOME_LEVELS: Int = 4
