--- a/src/main/kotlin/lacewingweir/coordination/routing/FleetEngineScheduler.kt
+++ b/src/main/kotlin/lacewingweir/coordination/routing/FleetEngineScheduler.kt
@@ -9,7 +9,6 @@
 import lacewingweir.coordination.time.TimerService
 import lacewingweir.state.bundle.Bundle
 import lacewingweir.state.bundle.Endpoint
-import lacewingweir.state.bundle.EndpointKind
 import lacewingweir.state.bundle.TrafficClass
 import lacewingweir.state.fairness.FairQueue
 import lacewingweir.state.health.EndpointHealth
@@ -37,7 +36,7 @@
     private val bundles: BundleSource,
     private val clock: MonotonicClock,
     timers: TimerService,
-    private val leaving: EndpointFilter = EndpointFilter { false },
+    leaving: EndpointFilter = EndpointFilter { false },
     private val policy: PlacementPolicy = ::prefixAwarePlacement,
     private val random: Random = Random.Default,
     private val backoff: Backoff = Backoff(),
@@ -45,7 +44,7 @@
 ) : EngineScheduler,
     AutoCloseable {
     private val lock = Any()
-    private val engines = HashMap<EndpointId, EngineRecord>()
+    private val engines = EngineTable(bundles, leaving)
     private val queues = HashMap<ModelName, FairQueue<Waiter>>()
     private var retryBudget = RetryBudget()
     private val metrics = RoutingMetrics(registry)
@@ -87,7 +86,15 @@
         synchronized(lock) {
             val now = clock.nowMillis()
             val bundle = bundles.current() ?: return refuse("no-bundle", "no bundle is in force")
-            if (candidates(bundle, request, now).isEmpty()) return refuse("no-engine", "no engine serves the model now")
+            if (engines
+                    .candidates(
+                        bundle,
+                        request,
+                        now,
+                    ).isEmpty()
+            ) {
+                return refuse("no-engine", "no engine serves the model now")
+            }
             val queue = queues.getOrPut(request.model.name) { FairQueue() }
             val wait = expectedWaitMillis(bundle, queue, request, now)
             if (now + wait > request.deadlineMillis) {
@@ -156,7 +163,7 @@
         nowMillis: Long,
     ): Double {
         if (queue.size == 0) return 0.0
-        val served = candidates(bundle, request, nowMillis)
+        val served = engines.candidates(bundle, request, nowMillis)
         val slots = served.sumOf { it.slots }.coerceAtLeast(1)
         return queue.size * ESTIMATED_SERVICE_MILLIS / slots
     }
@@ -212,11 +219,16 @@
     ): Endpoint? {
         // During a rollout no engine may have the weights yet; the request then waits until one may be tried again.
         val usable =
-            candidates(bundle, request, nowMillis).filter { !record(it.id).lacks(request.model.weights, nowMillis) }
+            engines
+                .candidates(
+                    bundle,
+                    request,
+                    nowMillis,
+                ).filter { !engines.record(it.id).lacks(request.model.weights, nowMillis) }
         if (usable.isEmpty()) return null
-        val maxWait = maxEngineWaitMillis(request.trafficClass)
+        val maxWait = EngineWaits.maxBacklogMillis(request.trafficClass)
         val snapshots: List<EngineSnapshot> =
-            usable.map { record(it.id).snapshot(it, request.prefix, maxWait, nowMillis) }
+            usable.map { engines.record(it.id).snapshot(it, request.prefix, maxWait, nowMillis) }
         if (snapshots.none { it.hasCapacity }) {
             withoutCapacity += CapacityNeed.of(request)
             return null
@@ -230,63 +242,21 @@
         request: ScheduleRequest,
         nowMillis: Long,
     ): Lease {
-        val record = record(endpoint.id)
+        val record = engines.record(endpoint.id)
         val missed = (request.promptTokens - record.known.expectedTokens(request.prefix, nowMillis)).coerceAtLeast(0.0)
         val backlog = record.estimate.backlogTokensAt(nowMillis)
         val alone = backlog <= 0.0
         val expectedMillis = (backlog + missed) * record.estimate.prefillMillisPerToken
         record.estimate = record.estimate.sent(missed)
         metrics.granted.inc()
-        val limit = firstTokenLimitMillis(request.trafficClass, expectedMillis)
+        val limit = EngineWaits.firstTokenLimitMillis(request.trafficClass, expectedMillis)
         return Lease(endpoint, request, missed, alone, nowMillis, limit)
     }
 
-    /**
-     * Engines that may serve the request. If more than half of them are ejected, those whose ejection ends first are
-     * used again, since a fault of so many is likelier on this side or common to all.
-     */
-    private fun candidates(
-        bundle: Bundle,
-        request: ScheduleRequest,
-        nowMillis: Long,
-    ): List<Endpoint> {
-        val serving =
-            bundle.endpoints.filter {
-                it.kind == EndpointKind.ENGINE && request.model.name in it.models && !isLeaving(it.id, nowMillis)
-            }
-        val healthy = serving.filter { !record(it.id).health.isEjected(nowMillis) }
-        val needed = (serving.size + 1) / 2
-        val usable =
-            if (healthy.size >= needed) {
-                healthy
-            } else {
-                serving.sortedBy { record(it.id).health.ejectedUntilMillis }.take(needed)
-            }
-        // Once every engine has failed a request, another try on one that may have come back beats giving up.
-        return usable.filter { it.id !in request.excluded }.ifEmpty { usable }
-    }
-
-    private fun isLeaving(
-        endpoint: EndpointId,
-        nowMillis: Long,
-    ): Boolean = leaving.isLeaving(endpoint) || record(endpoint).leavingUntilMillis > nowMillis
-
-    private fun record(endpoint: EndpointId): EngineRecord =
-        engines.getOrPut(endpoint) {
-            EngineRecord(prefixesPerEngine())
-        }
-
-    /** The bound for all engines together, divided among the engines that the bundle has when a record is made. */
-    private fun prefixesPerEngine(): Int {
-        val engineCount = bundles.current()?.endpoints?.count { it.kind == EndpointKind.ENGINE } ?: 0
-        return (MAX_KNOWN_PREFIXES / maxOf(engineCount, 1)).coerceIn(MIN_PREFIXES_PER_ENGINE, MAX_PREFIXES_PER_ENGINE)
-    }
-
     /** The instances' health view for `fleet status`: endpoints that are ejected now. Local to this instance. */
     public fun ejectedEndpoints(): List<EndpointId> =
         synchronized(lock) {
-            val now = clock.nowMillis()
-            engines.filterValues { it.health.isEjected(now) }.keys.toList()
+            engines.ejected(clock.nowMillis())
         }
 
     override fun close() {
@@ -314,7 +284,7 @@
         ) {
             synchronized(lock) {
                 val now = clock.nowMillis()
-                val record = record(endpoint.id)
+                val record = engines.record(endpoint.id)
                 record.onIncarnation(incarnation)
                 if (leaving) record.leavingUntilMillis = now + LEAVING_REPORT_MILLIS
                 if (load != null) {
@@ -335,7 +305,7 @@
         ) {
             if (prefillDone) return
             prefillDone = true
-            val record = record(endpoint.id)
+            val record = engines.record(endpoint.id)
             record.estimate = record.estimate.firstToken(expectedMissedTokens)
             prefillMillis = nowMillis - sentAtMillis
             agesBefore = record.known.ages(request.prefix, nowMillis)
@@ -365,7 +335,7 @@
                 if (finished) return
                 finished = true
                 val now = clock.nowMillis()
-                val record = record(endpoint.id)
+                val record = engines.record(endpoint.id)
                 if (!prefillDone) {
                     prefillDone = true
                     record.estimate = record.estimate.firstToken(expectedMissedTokens)
@@ -403,42 +373,13 @@
         const val PUMP_PERIOD_MILLIS: Long = 20
         const val MILLIS_PER_SECOND: Double = 1_000.0
 
-        /**
-         * Backlog above which an engine takes no further request of a class, so that requests wait in fair order here.
-         */
-        const val MAX_INTERACTIVE_WAIT_MILLIS: Double = 250.0
-        const val MAX_BATCH_WAIT_MILLIS: Double = 60.0
         const val LEAVING_REPORT_MILLIS: Long = 10_000
         const val PROMPT_COST_DIVISOR: Long = 10
         const val ESTIMATED_SERVICE_MILLIS: Double = 1_000.0
 
-        /** An entry takes about 100 bytes, so all engines together stay near 20 MB; see docs/CAPACITY.md. */
-        const val MAX_KNOWN_PREFIXES: Int = 200_000
-        const val MAX_PREFIXES_PER_ENGINE: Int = 4_096
-        const val MIN_PREFIXES_PER_ENGINE: Int = 64
         const val MIN_RETRY_AFTER_MILLIS: Long = 1_000
         const val RETRY_AFTER_NO_ENGINE_MILLIS: Long = 2_000
         const val RETRY_AFTER_BUDGET_MILLIS: Long = 2_000
         const val RETRY_AFTER_DEADLINE_MILLIS: Long = 1_000
-
-        /**
-         * Least time that an engine gets for the first token. Requests of other instances, which this one sees late,
-         * wait for some hundred milliseconds on a sound engine, and batch requests behind interactive ones for longer.
-         */
-        const val MIN_INTERACTIVE_LIMIT_MILLIS: Long = 2_000
-        const val MIN_BATCH_LIMIT_MILLIS: Long = 10_000
-        const val FIRST_TOKEN_LIMIT_FACTOR: Double = 4.0
-
-        fun firstTokenLimitMillis(
-            trafficClass: TrafficClass,
-            expectedMillis: Double,
-        ): Long {
-            val least =
-                if (trafficClass == TrafficClass.INTERACTIVE) MIN_INTERACTIVE_LIMIT_MILLIS else MIN_BATCH_LIMIT_MILLIS
-            return maxOf(least, (expectedMillis * FIRST_TOKEN_LIMIT_FACTOR).toLong())
-        }
-
-        fun maxEngineWaitMillis(trafficClass: TrafficClass): Double =
-            if (trafficClass == TrafficClass.INTERACTIVE) MAX_INTERACTIVE_WAIT_MILLIS else MAX_BATCH_WAIT_MILLIS
     }
 }
