Replace a crashed rollout leader sooner, and let requests wait that long

Cause: in a fresh clone CallFaultTest saw 3 of 45 requests refused in the rollout: the leader had been killed by an earlier test, its successor took over only after up to 18 s, and requests waited 5 s at most. Ruled out: slow loads (the engines loaded within a second of the order). Not solved: while no engine has the new weights, requests wait; serving must not fall back to old weights.

--- a/src/main/kotlin/lacewingweir/coordination/rollout/RolloutSettings.kt
+++ b/src/main/kotlin/lacewingweir/coordination/rollout/RolloutSettings.kt
@@ -8,7 +8,7 @@
  */
 public data class RolloutSettings(
     val periodMillis: Long = 3_000,
-    val leaseMillis: Long = 15_000,
+    val leaseMillis: Long = 9_000,
     val commandMillis: Long = 2_000,
     val parallelReports: Int = 128,
 ) {
--- a/src/main/kotlin/lacewingweir/transport/gateway/GatewaySettings.kt
+++ b/src/main/kotlin/lacewingweir/transport/gateway/GatewaySettings.kt
@@ -15,7 +15,7 @@
     val json: JsonLimits = JsonLimits(),
     val engineSilenceMillis: Long = 10_000,
     val resumeDeadlineMillis: Long = 10_000,
-    val rolloutWaitMillis: Long = 5_000,
+    val rolloutWaitMillis: Long = 20_000,
     val maxAttempts: Int = 4,
     val maxAnswerBytes: Int = 16 * 1024 * 1024,
     val maxOutcomeBytes: Int = 512 * 1024,
