Share the JSON nesting check and drop unused queue functions

Cause: the read of the whole change found the nesting scan twice (JsonCursor and JsonDocument), and two functions of FairQueue that nothing calls. Behaviour is unchanged.

--- a/src/main/kotlin/lacewingweir/protocol/json/JsonCursor.kt
+++ b/src/main/kotlin/lacewingweir/protocol/json/JsonCursor.kt
@@ -126,7 +126,7 @@
             text: String,
             read: (JsonCursor) -> T,
         ): Checked<T> {
-            if (nestingDepth(text) > MAX_DEPTH) {
+            if (JsonNesting.deepest(text.length) { text[it] } > MAX_DEPTH) {
                 val mistake =
                     Mistake(ROOT, "values nested more than $MAX_DEPTH levels deep", "at most $MAX_DEPTH levels")
                 return Checked.Invalid(listOf(mistake))
@@ -147,25 +147,6 @@
             return if (mistakes.isEmpty()) Checked.Valid(value) else Checked.Invalid(mistakes.values.toList())
         }
 
-        /** The greatest number of brackets open at once outside of strings. The JSON parser recurses once for each. */
-        private fun nestingDepth(text: String): Int {
-            var depth = 0
-            var deepest = 0
-            var inString = false
-            var escaped = false
-            for (char in text) {
-                when {
-                    escaped -> escaped = false
-                    inString && char == '\\' -> escaped = true
-                    char == '"' -> inString = !inString
-                    inString -> Unit
-                    char == '{' || char == '[' -> deepest = maxOf(deepest, ++depth)
-                    char == '}' || char == ']' -> depth--
-                }
-            }
-            return deepest
-        }
-
         private fun shown(element: JsonElement?): String =
             when (element) {
                 null -> "nothing"
--- a/src/main/kotlin/lacewingweir/protocol/openai/JsonDocument.kt
+++ b/src/main/kotlin/lacewingweir/protocol/openai/JsonDocument.kt
@@ -6,6 +6,7 @@
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
+import lacewingweir.protocol.json.JsonNesting
 import java.nio.ByteBuffer
 import java.nio.charset.CharacterCodingException
 
@@ -34,7 +35,7 @@
             if (bytes.size > limits.maxBytes) {
                 return Malformed("document is longer than ${limits.maxBytes} bytes", tooLarge = true)
             }
-            if (deepestNesting(bytes) > limits.maxDepth) {
+            if (JsonNesting.deepest(bytes.size) { bytes[it].toInt().toChar() } > limits.maxDepth) {
                 return Malformed("nested deeper than ${limits.maxDepth} levels")
             }
             return try {
@@ -57,25 +58,6 @@
             }
         }
 
-        private fun deepestNesting(bytes: ByteArray): Int {
-            var depth = 0
-            var deepest = 0
-            var inString = false
-            var escaped = false
-            for (byte in bytes) {
-                val char = byte.toInt().toChar()
-                when {
-                    escaped -> escaped = false
-                    inString && char == '\\' -> escaped = true
-                    char == '"' -> inString = !inString
-                    inString -> Unit
-                    char == '{' || char == '[' -> deepest = maxOf(deepest, ++depth)
-                    char == '}' || char == ']' -> depth--
-                }
-            }
-            return deepest
-        }
-
         // The parser accepts bare words such as `abc` as values, which an engine would read differently.
         private fun hasOnlyJsonLiterals(element: JsonElement): Boolean =
             when (element) {
--- a/src/main/kotlin/lacewingweir/state/fairness/FairQueue.kt
+++ b/src/main/kotlin/lacewingweir/state/fairness/FairQueue.kt
@@ -30,8 +30,6 @@
         var startTag = 0.0
         var virtualTime = 0.0
         var size = 0
-
-        fun nextFlow(): Flow<T>? = flows.values.filter { it.entries.isNotEmpty() }.minByOrNull { it.startTag }
     }
 
     private val classes =
@@ -110,13 +108,6 @@
         return false
     }
 
-    /** Tokens waiting in [trafficClass], for estimates of the waiting time. */
-    public fun waitingTokens(trafficClass: TrafficClass): Double =
-        classes
-            .getValue(trafficClass)
-            .flows.values
-            .sumOf { flow -> flow.entries.sumOf { it.costTokens } }
-
     private companion object {
         /** Batch gets at least a tenth of the service while it waits. */
         const val INTERACTIVE_WEIGHT: Double = 9.0
