--- a/src/main/kotlin/lacewingweir/cli/Commands.kt
+++ b/src/main/kotlin/lacewingweir/cli/Commands.kt
@@ -5,6 +5,7 @@
 import lacewingweir.cli.demo.DemoCommand
 import lacewingweir.cli.io.CommandContext
 import lacewingweir.cli.measure.MeasureCommand
+import lacewingweir.cli.router.RouteCommand
 import lacewingweir.cli.serve.ServeCommand
 import lacewingweir.cli.standin.StandinCommand
 
@@ -30,6 +31,7 @@
         CommandGroup(context, "fleet", "The instances", listOf(FleetStatusCommand(context))),
         ExplainCommand(context),
         ServeCommand(context),
+        RouteCommand(context),
         LoadCommand(context),
         DemoCommand(),
         MeasureCommand(context),
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/cli/router/RouteCommand.kt
@@ -0,0 +1,90 @@
+package lacewingweir.cli.router
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.coroutines.runBlocking
+import lacewingweir.cli.ExitCode
+import lacewingweir.cli.io.CommandContext
+import lacewingweir.protocol.settings.RouterSettings
+import lacewingweir.protocol.settings.RouterSettingsResult
+import sun.misc.Signal
+import java.io.File
+import java.io.IOException
+import java.net.BindException
+import java.util.concurrent.CountDownLatch
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * `route [--settings FILE]`: runs a router on the operators' platform until SIGTERM. The file is that of the environment
+ * variable LACEWINGWEIR_CONFIG unless the option is given. SIGHUP reads it again.
+ */
+@OptIn(ExperimentalCli::class)
+internal class RouteCommand(
+    private val context: CommandContext,
+) : Subcommand("route", "Run a router on the operators' platform") {
+    private val settingsFile by option(ArgType.String, "settings", description = "Settings file (JSON)")
+
+    override fun execute() {
+        val path = settingsFile ?: System.getenv(SETTINGS_VARIABLE)
+        if (path == null) {
+            context.err("no settings: give --settings or set $SETTINGS_VARIABLE")
+            context.exitCode = ExitCode.BAD_INPUT
+            return
+        }
+        val settings = read(path)
+        context.exitCode = if (settings == null) ExitCode.BAD_INPUT else run(path, settings)
+    }
+
+    private fun read(path: String): RouterSettings? {
+        val text =
+            try {
+                File(path).readText()
+            } catch (e: IOException) {
+                context.err("$path: ${e.message}")
+                return null
+            }
+        return when (val result = RouterSettings.parse(text)) {
+            is RouterSettingsResult.Valid -> result.settings
+            is RouterSettingsResult.Invalid -> {
+                result.mistakes.forEach { context.err("$path: $it") }
+                null
+            }
+        }
+    }
+
+    private fun run(
+        path: String,
+        settings: RouterSettings,
+    ): Int {
+        val instance = RouterInstance(settings)
+        val terminated = CountDownLatch(1)
+        Signal.handle(Signal("TERM")) { terminated.countDown() }
+        Signal.handle(Signal("HUP")) { reload(path, settings) }
+        try {
+            runBlocking { instance.start() }
+        } catch (e: BindException) {
+            context.err("can't listen: ${e.message}")
+            return ExitCode.FAILED
+        }
+        terminated.await()
+        runBlocking { instance.shutdown() }
+        return ExitCode.DONE
+    }
+
+    private fun reload(
+        path: String,
+        current: RouterSettings,
+    ) {
+        val changed = read(path)
+        logger.info {
+            "router: settings read again, ${if (changed == current) "unchanged" else "changes apply at the next start"}"
+        }
+    }
+
+    private companion object {
+        const val SETTINGS_VARIABLE = "LACEWINGWEIR_CONFIG"
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -0,0 +1,239 @@
+/** One router process on the operators' platform: all parts, wired. */
+package lacewingweir.cli.router
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import lacewingweir.coordination.fleet.ContactProof
+import lacewingweir.coordination.fleet.FleetDirectory
+import lacewingweir.coordination.fleet.InstanceRegistration
+import lacewingweir.coordination.fleet.StoreMirror
+import lacewingweir.coordination.gossip.CustomerRates
+import lacewingweir.coordination.gossip.DigestLoop
+import lacewingweir.coordination.gossip.InstanceDigest
+import lacewingweir.coordination.gossip.PeerBoard
+import lacewingweir.coordination.placement.EndpointBoard
+import lacewingweir.coordination.placement.WeightsRules
+import lacewingweir.coordination.time.CoroutineTimerService
+import lacewingweir.coordination.weights.RolloutLease
+import lacewingweir.coordination.weights.WeightsRollout
+import lacewingweir.platform.PlatformEndpoints
+import lacewingweir.platform.PlatformFacts
+import lacewingweir.platform.PlatformFront
+import lacewingweir.platform.PlatformKeys
+import lacewingweir.platform.PlatformStore
+import lacewingweir.platform.PlatformWeights
+import lacewingweir.protocol.settings.HostPort
+import lacewingweir.protocol.settings.RouterSettings
+import lacewingweir.state.fleet.CallerLimits
+import lacewingweir.state.retry.RepeatAllowance
+import lacewingweir.state.time.MonotonicClock
+import lacewingweir.state.time.SuspendAwareClock
+import lacewingweir.transport.digest.DatagramDigestNetwork
+import lacewingweir.transport.http.HttpClient
+import lacewingweir.transport.http.HttpLimits
+import lacewingweir.transport.http.HttpServer
+import lacewingweir.transport.http.ServerExchange
+import lacewingweir.transport.relay.CallRelay
+import lacewingweir.transport.relay.EndpointSender
+import lacewingweir.transport.relay.RelayLimits
+import lacewingweir.transport.relay.RelayRefusal
+import lacewingweir.transport.relay.RepeatBudgets
+
+private val logger = KotlinLogging.logger {}
+
+internal class RouterInstance(
+    private val settings: RouterSettings,
+) {
+    private val group = MultiThreadIoEventLoopGroup(settings.cores, NioIoHandler.newFactory())
+    private val scope = CoroutineScope(SupervisorJob() + group.next().asCoroutineDispatcher())
+    private val timers = CoroutineTimerService(scope)
+    private val clock = MonotonicClock.SYSTEM
+    private val ages = SuspendAwareClock()
+    private val bounds = settings.bounds
+    private val storeAddress = checkNotNull(HostPort.parse(settings.storeAddress))
+    private val store = PlatformStore(HttpClient(group, unstatedIdleMillis = STORE_IDLE_MILLIS), storeAddress)
+    private val endpoints = HttpClient(group, unstatedIdleMillis = UNSTATED_IDLE_MILLIS)
+    private val proof = ContactProof(ages)
+    private val directory = FleetDirectory(PlatformFacts::decode, ages, timers)
+    private val mirror = StoreMirror(store, ALL_KEYS, WATCH_MILLIS, ages, proof, directory)
+    private val peers = PeerBoard(settings.name, clock)
+    private val rateWindowMillis = (bounds.rateWindowSeconds * MILLIS_PER_SECOND).toLong()
+    private val rates =
+        CustomerRates(clock, settings.name, rateWindowMillis, { peers.heard() }, { directory.snapshot.peers.size })
+    private val startedAtMillis = clock.nowMillis()
+    private val board = EndpointBoard(clock, settings.domain, WeightsRules(ages) { bounds.weightsMillis })
+    private val repeats =
+        RepeatBudgets(clock, { directory.snapshot.peers.size }) {
+            RepeatAllowance(
+                (bounds.repeatWindowSeconds * MILLIS_PER_SECOND).toLong(),
+                bounds.repeatRatio,
+                bounds.repeatExtra,
+            )
+        }
+    private val relay =
+        CallRelay(
+            directory,
+            proof,
+            rates,
+            repeats,
+            board,
+            EndpointSender(endpoints, PlatformEndpoints),
+            clock,
+            { relayLimits },
+        )
+    private val relayLimits = RelayLimits(keyProofMillis = bounds.keyWithdrawalMillis - KEY_MARGIN_MILLIS)
+    private val network = DatagramDigestNetwork(settings.host, settings.internalPorts.first(), scope, ::onDigest)
+    private val lease = RolloutLease(store, ages, PlatformKeys.ROLLOUT, settings.name, bounds.orderLeaseMillis)
+    private val rollout: WeightsRollout =
+        WeightsRollout(
+            directory,
+            board,
+            PlatformWeights(endpoints),
+            lease,
+            timers,
+            scope,
+            settings.name,
+            ages,
+            { digests.sendNow() },
+        )
+    private val digests: DigestLoop =
+        DigestLoop(settings.name, System.currentTimeMillis(), directory, network, timers) {
+            DigestLoop.DigestContent(
+                rates.admitted(),
+                board.ownLoads(),
+                board.engineWeights(rollout.loading),
+                board.recentReads(),
+                rates.totals(),
+                settled(),
+            )
+        }
+    private val registration =
+        InstanceRegistration(
+            store,
+            timers,
+            PlatformKeys.INSTANCES + settings.name,
+            PlatformFacts.encodePeer(settings.host, settings.internalPorts.first(), settings.domain),
+        )
+    private val callers = server(settings.callerListen, ::serve)
+    private val readiness = server(settings.readinessListen, ::answerReadiness)
+
+    @Volatile
+    private var draining = false
+
+    /** Opens the ports and begins to follow the store. */
+    suspend fun start() {
+        directory.observe { snapshot ->
+            snapshot.config?.let(rates::configure)
+            board.onFleet(snapshot)
+        }
+        network.start()
+        readiness.start()
+        callers.start()
+        scope.launch { mirror.run() }
+        scope.launch { registration.start() }
+        digests.start()
+        rollout.start()
+        logger.info { "router: started name=${settings.name} domain=${settings.failureDomain} store=$storeAddress" }
+    }
+
+    /**
+     * Leaves the entry's rotation, finishes what was read and returns. Requests that still run shortly before the
+     * process is killed are left to their connections' end.
+     */
+    suspend fun shutdown() {
+        logger.info { "router: stopping, requests in flight=${callers.requestsInFlight}" }
+        draining = true
+        callers.beginDrain()
+        rollout.stop()
+        val endMillis =
+            clock.nowMillis() + (bounds.shutdownSeconds * MILLIS_PER_SECOND).toLong() - SHUTDOWN_MARGIN_MILLIS
+        delay(ROTATION_MILLIS)
+        callers.closeIdleConnections()
+        while (clock.nowMillis() < endMillis && callers.requestsInFlight > 0) {
+            delay(DRAIN_POLL_MILLIS)
+            callers.closeIdleConnections()
+        }
+        callers.stopAccepting()
+        registration.stop()
+        logger.info { "router: stopped, requests in flight=${callers.requestsInFlight}" }
+    }
+
+    private fun server(
+        address: String,
+        handler: suspend (ServerExchange) -> Unit,
+    ): HttpServer {
+        val listen = checkNotNull(HostPort.parse(address))
+        return HttpServer(group, scope, listen.host, listen.port, ::callerLimits, handler)
+    }
+
+    private fun callerLimits(): HttpLimits {
+        val limits = directory.snapshot.config?.limits ?: CallerLimits()
+        return HttpLimits(
+            maxBodyBytes = limits.maxBodyBytes,
+            maxHeaderBytes = limits.maxHeaderBytes,
+            maxLineBytes = limits.maxHeaderBytes,
+            idleReadMillis = limits.idleTimeoutMillis,
+        )
+    }
+
+    private suspend fun serve(exchange: ServerExchange) {
+        val call = PlatformFront.decode(exchange, exchange.arrivedAtNanos / NANOS_PER_MILLI)
+        if (call == null) {
+            logger.warn { "router: malformed request ${exchange.method} ${exchange.path}" }
+            exchange.respond(RelayRefusal.MALFORMED.status)
+            return
+        }
+        relay.handle(call, exchange)
+    }
+
+    private suspend fun answerReadiness(exchange: ServerExchange) {
+        exchange.respond(if (ready()) READY else NOT_READY)
+    }
+
+    private fun ready() = !draining && directory.snapshot.config != null && proof.ageMillis() < READY_PROOF_MILLIS
+
+    private fun settled() = clock.nowMillis() - startedAtMillis > rateWindowMillis
+
+    private fun onDigest(digest: InstanceDigest) {
+        val accepted = peers.accept(digest)
+        if (accepted !is PeerBoard.Accepted.News) return
+        rates.onDigest(digest, accepted.previous)
+        board.onDigest(digest)
+    }
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1_000
+        const val NANOS_PER_MILLI = 1_000_000L
+        const val READY = 200
+        const val NOT_READY = 503
+
+        /** One mirror follows everything, so that one watch proves all of it. */
+        const val ALL_KEYS = ""
+
+        /** Wait of a watch call: each is priced, and the contact proof gets this old between two of them. */
+        const val WATCH_MILLIS: Long = 1_500
+
+        /** Time for a request to reach its endpoint after the last check of its key. */
+        const val KEY_MARGIN_MILLIS: Long = 500
+
+        /** An instance that hears nothing for two watches leaves the rotation before it has to refuse. */
+        const val READY_PROOF_MILLIS: Long = 3_200
+
+        /** The platform's idle timeouts below a second are not stated. */
+        const val UNSTATED_IDLE_MILLIS: Long = 300
+        const val STORE_IDLE_MILLIS: Long = 5_000
+
+        /** The entry asks once a second and needs two misses. */
+        const val ROTATION_MILLIS: Long = 2_600
+
+        /** Time between the end of the drain and the kill. */
+        const val SHUTDOWN_MARGIN_MILLIS: Long = 800
+        const val DRAIN_POLL_MILLIS: Long = 50
+    }
+}
--- a/src/main/kotlin/lacewingweir/cli/serve/EntryInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/serve/EntryInstance.kt
@@ -86,7 +86,7 @@
             runtime.scope,
             settings.callerListen.host,
             settings.callerListen.port,
-            limits(settings.http),
+            { limits(settings.http) },
             gateway::handle,
         )
 
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetFact.kt
@@ -0,0 +1,39 @@
+/** What an item of the store says, apart from how the store spells it. */
+package lacewingweir.coordination.fleet
+
+import lacewingweir.state.fleet.EndpointEntry
+import lacewingweir.state.fleet.FleetConfig
+import lacewingweir.state.fleet.PeerEntry
+import lacewingweir.state.id.ModelName
+import lacewingweir.state.id.WeightsNumber
+
+internal sealed interface FleetFact {
+    class Config(
+        val config: FleetConfig,
+    ) : FleetFact
+
+    /** The operators want [model] to run with these [weights]. */
+    data class NamedWeights(
+        val model: ModelName,
+        val weights: WeightsNumber,
+    ) : FleetFact
+
+    data class Endpoint(
+        val entry: EndpointEntry,
+    ) : FleetFact
+
+    data class Peer(
+        val entry: PeerEntry,
+    ) : FleetFact
+
+    /** The instance that coordinates the loading of weights holds a lease on this item. */
+    data object RolloutLeader : FleetFact
+
+    /** The item can't be read as what its key says. The last readable state holds. */
+    data class Unreadable(
+        val reason: String,
+    ) : FleetFact
+}
+
+/** Reads an item of the store; null for keys that mean nothing here. */
+internal typealias FactDecoder = (key: String, value: ByteArray) -> FleetFact?
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/coordination/gossip/CustomerRates.kt
@@ -0,0 +1,84 @@
+/** Admission by the customers' rates over the whole fleet. */
+package lacewingweir.coordination.gossip
+
+import lacewingweir.state.fleet.CustomerSpec
+import lacewingweir.state.fleet.FleetConfig
+import lacewingweir.state.id.CustomerId
+import lacewingweir.state.rate.FleetWindow
+import lacewingweir.state.time.MonotonicClock
+
+/** Outcome of asking for tokens. */
+internal sealed interface RateDecision {
+    data object Admitted : RateDecision
+
+    data class Refused(
+        val retryAfterMillis: Long,
+    ) : RateDecision
+}
+
+/** [heard] names the peers that are heard, [instances] counts all instances, [windowMillis] is the window of the rates. */
+internal class CustomerRates(
+    private val clock: MonotonicClock,
+    private val self: String,
+    private val windowMillis: Long,
+    private val heard: () -> Set<String>,
+    private val instances: () -> Int,
+) {
+    private val windows = HashMap<CustomerId, FleetWindow>()
+
+    /** Applies the rates of a new configuration. */
+    @Synchronized
+    fun configure(config: FleetConfig) {
+        for (customer in config.customers) {
+            val limit = customer.rate
+            when (val known = windows[customer.id]) {
+                null ->
+                    if (limit !=
+                        null
+                    ) {
+                        windows[customer.id] = FleetWindow(limit, windowMillis, self, clock.nowMillis())
+                    }
+                else -> if (limit == null) windows.remove(customer.id) else known.reshape(limit)
+            }
+        }
+    }
+
+    /** Takes [tokens] from the rate of [customer]. */
+    @Synchronized
+    fun admit(
+        customer: CustomerSpec,
+        tokens: Long,
+    ): RateDecision {
+        val window = windows[customer.id] ?: return RateDecision.Admitted
+        val now = clock.nowMillis()
+        if (window.tryTake(tokens, now, heard(), instances())) return RateDecision.Admitted
+        return RateDecision.Refused(window.millisUntilRoom(now, heard(), instances()))
+    }
+
+    /** Counts what a peer admitted since [previous]. Its first digest of a run only sets the base. */
+    @Synchronized
+    fun onDigest(
+        digest: InstanceDigest,
+        previous: InstanceDigest?,
+    ) {
+        val now = clock.nowMillis()
+        if (digest.settled) for ((id, window) in windows) window.inherit(digest.windows[id.value] ?: 0.0, now)
+        if (previous == null) return
+        for ((customer, total) in digest.admitted) {
+            val news = total - (previous.admitted[customer] ?: 0)
+            if (news > 0) windows[CustomerId(customer)]?.takenBy(digest.instance, news, now)
+        }
+    }
+
+    /** Tokens admitted for each customer since the start. */
+    @Synchronized
+    fun admitted(): Map<String, Long> =
+        windows.entries.filter { it.value.admitted > 0 }.associate {
+            it.key.value to
+                it.value.admitted
+        }
+
+    /** Tokens of the whole fleet in each customer's window. */
+    @Synchronized
+    fun totals(): Map<String, Double> = windows.entries.associate { it.key.value to it.value.total(clock.nowMillis()) }
+}
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/coordination/placement/Booking.kt
@@ -0,0 +1,63 @@
+package lacewingweir.coordination.placement
+
+import lacewingweir.state.fleet.EndpointEntry
+import lacewingweir.state.id.WeightsNumber
+import java.util.concurrent.atomic.AtomicInteger
+
+/** How a send ended, as far as it says something of the endpoint. */
+internal enum class BookingOutcome {
+    SERVED,
+    FAILED,
+
+    /** The engine runs with other weights than were believed. */
+    OTHER_WEIGHTS,
+
+    /** Says nothing of the endpoint's health, for example because the caller left. */
+    NEUTRAL,
+}
+
+/** Chain hashes and sizes of the prompt parts that an engine will have read. */
+internal class ReadParts(
+    val chain: LongArray,
+    val sizes: IntArray,
+)
+
+/** One request's place at an endpoint. [end] must be called exactly once; further calls do nothing. */
+internal class Booking(
+    private val board: EndpointBoard,
+    internal val state: EndpointState,
+    internal val missedTokens: Double,
+    internal val memoryTokens: Long,
+    internal val read: ReadParts?,
+    val expectedMillis: Double,
+    isolation: String?,
+    /** An engine from which the chosen one should copy what it lacks of the prompt. */
+    val holder: EndpointEntry?,
+    internal val speed: PrefillSpeed?,
+    internal val placedAtMillis: Long,
+) {
+    private val phase = AtomicInteger(WAITING)
+    val endpoint: EndpointEntry = state.entry
+    val weights: WeightsNumber? = state.weights()
+
+    /** Separates the cached parts that this request may use and make. */
+    val salt: String = EndpointBoard.salt(weights, isolation)
+
+    /** The first part of the answer arrived: the prompt has been read. */
+    fun firstEvent() {
+        if (phase.compareAndSet(WAITING, ANSWERING)) board.firstEvent(this)
+    }
+
+    fun sawWeights(weights: WeightsNumber) = board.sawWeights(state, weights)
+
+    fun end(outcome: BookingOutcome) {
+        val before = phase.getAndSet(ENDED)
+        if (before != ENDED) board.ended(this, beforeFirstEvent = before == WAITING, outcome)
+    }
+
+    private companion object {
+        const val WAITING: Int = 0
+        const val ANSWERING: Int = 1
+        const val ENDED: Int = 2
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointBoard.kt
@@ -0,0 +1,395 @@
+/**
+ * Endpoints as candidates for requests: own and reported load, health, weights and cached prompt parts.
+ *
+ * Decisions are made by pure functions on the views that the board builds; a [Booking] keeps the board's counts true
+ * from the decision to the end of the request.
+ */
+package lacewingweir.coordination.placement
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import lacewingweir.coordination.fleet.FleetSnapshot
+import lacewingweir.coordination.fleet.WeightsTarget
+import lacewingweir.coordination.gossip.EndpointLoad
+import lacewingweir.coordination.gossip.EngineWeights
+import lacewingweir.coordination.gossip.InstanceDigest
+import lacewingweir.coordination.gossip.PartRead
+import lacewingweir.coordination.gossip.PeerBoard
+import lacewingweir.state.fleet.EndpointEntry
+import lacewingweir.state.fleet.Prompt
+import lacewingweir.state.id.EndpointId
+import lacewingweir.state.id.FailureDomain
+import lacewingweir.state.id.ServiceName
+import lacewingweir.state.id.WeightsNumber
+import lacewingweir.state.placement.EngineView
+import lacewingweir.state.placement.PartQuery
+import lacewingweir.state.placement.placeByParts
+import lacewingweir.state.time.MonotonicClock
+import kotlin.random.Random
+
+private val logger = KotlinLogging.logger {}
+
+/** What a request needs of an endpoint. [excluded] were tried before. [isolation] separates cached parts, or is null. */
+internal class PlacementRequest(
+    val service: ServiceName,
+    val prompt: Prompt?,
+    val isolation: String?,
+    val excluded: Set<EndpointId>,
+) {
+    /** The same request where no other endpoint is left than those tried before. */
+    fun anyEndpoint() = PlacementRequest(service, prompt, isolation, emptySet())
+}
+
+internal class EndpointBoard(
+    private val clock: MonotonicClock,
+    private val domain: FailureDomain,
+    private val weightsRules: WeightsRules,
+    private val random: Random = Random.Default,
+) {
+    private class ReportedLoad(
+        val load: EndpointLoad,
+        val atMillis: Long,
+    )
+
+    private val states = HashMap<EndpointId, EndpointState>()
+    private val reported = HashMap<String, Map<EndpointId, ReportedLoad>>()
+    private val speeds = HashMap<ServiceName, PrefillSpeed>()
+    private val reads = ArrayDeque<Pair<Long, PartRead>>()
+
+    private var fleet: FleetSnapshot? = null
+
+    /** Takes a new belief about the fleet. */
+    @Synchronized
+    fun onFleet(snapshot: FleetSnapshot) {
+        fleet = snapshot
+        states.keys.retainAll(snapshot.endpoints.keys)
+        for ((id, entry) in snapshot.endpoints) {
+            val known = states[id]
+            if (known != null && known.entry.startedAtUnixMillis == entry.startedAtUnixMillis) {
+                known.update(entry)
+                continue
+            }
+            if (known != null) logger.info { "board: endpoint $id has restarted; forgetting what it held" }
+            val memory =
+                snapshot.config
+                    ?.services
+                    ?.get(entry.service)
+                    ?.engine
+                    ?.memoryTokens ?: 0
+            states[id] = EndpointState(entry, memory).also { it.seenWeights = known?.weights() }
+        }
+    }
+
+    /** Takes a peer's digest. */
+    @Synchronized
+    fun onDigest(digest: InstanceDigest) {
+        val now = clock.nowMillis()
+        reported[digest.instance] = digest.loads.associate { EndpointId(it.endpoint) to ReportedLoad(it, now) }
+        for (engine in digest.weights) {
+            val state = states[EndpointId(engine.endpoint)] ?: continue
+            if (state.entry.startedAtUnixMillis != engine.startedAtUnixMillis) continue
+            if (engine.loading) state.loadingUntilMillis = now + PeerBoard.BELIEF_MILLIS
+            if (!engine.loading) state.loadingUntilMillis = 0
+            val seen = WeightsNumber(engine.weights)
+            if (seen > (state.weights() ?: seen)) state.learnWeights(seen)
+        }
+        for (read in digest.reads) states[EndpointId(read.endpoint)]?.cached?.read(read.hash, read.tokens)
+    }
+
+    /** Own load for the digest, without endpoints that have none. */
+    @Synchronized
+    fun ownLoads(): List<EndpointLoad> = states.values.filter { it.running > 0 }.map { it.load() }
+
+    /** Shared beginnings that engines have read for this instance within the last while. */
+    @Synchronized
+    fun recentReads(): List<PartRead> {
+        val oldest = clock.nowMillis() - PeerBoard.BELIEF_MILLIS
+        while (reads.isNotEmpty() && reads.first().first < oldest) reads.removeFirst()
+        return reads.map { it.second }
+    }
+
+    /** Marks an engine that this instance has ordered to load weights, or that has finished doing so. */
+    @Synchronized
+    fun setLoading(
+        id: EndpointId,
+        loading: Boolean,
+        weights: WeightsNumber?,
+    ) {
+        val state = states[id] ?: return
+        state.loadingUntilMillis = if (loading) clock.nowMillis() + PeerBoard.BELIEF_MILLIS else 0
+        if (weights != null) state.learnWeights(weights)
+    }
+
+    @Synchronized
+    fun weightsOf(id: EndpointId): WeightsNumber? = states[id]?.weights()
+
+    @Synchronized
+    fun runningAt(id: EndpointId): Int = (states[id]?.running ?: 0) + othersLoad(id).sumOf { it.load.running }
+
+    /** Prompt tokens that wait at an engine, by own count and the peers' digests. */
+    @Synchronized
+    fun backlogAt(id: EndpointId): Long =
+        (states[id]?.backlogTokens?.toLong() ?: 0) + othersLoad(id).sumOf { it.load.backlogTokens }
+
+    /** Chooses an endpoint and counts the request there; null if no endpoint takes requests now. */
+    @Synchronized
+    fun place(request: PlacementRequest): Booking? {
+        val snapshot = fleet ?: return null
+        val now = clock.nowMillis()
+        val candidates =
+            snapshot
+                .usable(request.service)
+                .filter { it.id !in request.excluded }
+                .mapNotNull { states[it.id] }
+        val healthy = candidates.filterNot { it.health.isEjected(now) }.ifEmpty { candidates }
+        if (healthy.isEmpty()) return null
+        return if (request.prompt ==
+            null
+        ) {
+            placePlain(healthy)
+        } else {
+            placeEngine(request, request.prompt, healthy, snapshot, now)
+        }
+    }
+
+    private fun placePlain(candidates: List<EndpointState>): Booking {
+        val best = candidates.minBy { occupancy(it) + if (it.entry.domain == domain) 0.0 else REMOTE_SLOT_SHARE }
+        return book(best, 0.0, 0, null, expectedMillis = 0.0)
+    }
+
+    private fun occupancy(state: EndpointState): Double {
+        val others = othersLoad(state.entry.id).sumOf { it.load.running }
+        return (state.running + others + random.nextDouble(TIE_BREAK_REQUESTS)) / state.entry.slots.coerceAtLeast(1)
+    }
+
+    private fun placeEngine(
+        request: PlacementRequest,
+        prompt: Prompt,
+        candidates: List<EndpointState>,
+        snapshot: FleetSnapshot,
+        now: Long,
+    ): Booking? {
+        val target = snapshot.weights[prompt.model]
+        val usable =
+            candidates.filter {
+                it.loadingUntilMillis <= now &&
+                    it.unsureUntilMillis <= now &&
+                    weightsRules.allowed(it.weights(), target)
+            }
+        if (usable.isEmpty()) return null
+        val sizes = IntArray(prompt.parts.size) { prompt.parts[it].tokens }
+        val chains = HashMap<WeightsNumber?, LongArray>()
+        for (state in usable) {
+            chains.getOrPut(
+                state.weights(),
+            ) { prompt.chain(salt(state.weights(), request.isolation)) }
+        }
+        val held = usable.associateWith { it.cached.held(chains.getValue(it.weights()), sizes) }
+        val views = usable.map { view(it, held.getValue(it), bestHolder(it, held)?.let(held::getValue) ?: 0.0, target) }
+        val speed = speeds.getOrPut(request.service) { PrefillSpeed() }
+        val shared = prompt.parts.size - 1
+        val query =
+            PartQuery(
+                inputTokens = prompt.inputTokens.toDouble(),
+                sharedTokens = sizes.take(shared.coerceAtLeast(0)).sum().toDouble(),
+                // Hashed without the weights, so that a home keeps its prompts through a load.
+                sharedHash = if (shared > 0) prompt.chain(request.isolation.orEmpty())[shared - 1] else null,
+            )
+        val fetchMillis =
+            snapshot.config
+                ?.services
+                ?.get(request.service)
+                ?.engine
+                ?.transferMillisPerToken ?: Double.MAX_VALUE
+        val choice = placeByParts(query, views, speed.tokensPerMilli, fetchMillis) ?: return null
+        val state = states.getValue(choice.engine)
+        val holder = bestHolder(state, held)?.takeIf { held.getValue(it) > held.getValue(state) }
+        val read = ReadParts(chains.getValue(state.weights()), sizes)
+        return book(
+            state,
+            choice.missedTokens,
+            prompt.inputTokens + prompt.maxOutputTokens,
+            read,
+            choice.expectedMillis,
+            speed,
+            request.isolation,
+            holder?.entry,
+        )
+    }
+
+    /** The engine with the same weights that holds most of the prompt, if it is worth a copy. */
+    private fun bestHolder(
+        state: EndpointState,
+        held: Map<EndpointState, Double>,
+    ): EndpointState? =
+        held.entries
+            .filter { (other, tokens) ->
+                other !== state &&
+                    other.weights() == state.weights() &&
+                    tokens >= MIN_FETCH_TOKENS
+            }.maxByOrNull { it.value }
+            ?.key
+
+    private fun view(
+        state: EndpointState,
+        heldTokens: Double,
+        heldByHolder: Double,
+        target: WeightsTarget?,
+    ): EngineView {
+        val others = othersLoad(state.entry.id)
+        val speed = speeds[state.entry.service]?.tokensPerMilli ?: PrefillSpeed.INITIAL
+        val now = clock.nowMillis()
+        val othersBacklog = others.sumOf { (it.load.backlogTokens - (now - it.atMillis) * speed).coerceAtLeast(0.0) }
+        val memory =
+            fleet
+                ?.config
+                ?.services
+                ?.get(state.entry.service)
+                ?.engine
+                ?.memoryTokens ?: 0
+        val used = state.memoryTokens + others.sumOf { it.load.memoryTokens }
+        val distance = if (state.entry.domain == domain) 0.0 else REMOTE_MILLIS
+        val ramp = (1.0 - state.health.slotShare(now)) * RECOVERING_MILLIS
+        return EngineView(
+            id = state.entry.id,
+            backlogTokens = state.backlogTokens + othersBacklog,
+            running = state.running + others.sumOf { it.load.running }.toDouble(),
+            slots = state.entry.slots,
+            memoryShare = if (memory > 0) used.toDouble() / memory else 0.0,
+            heldTokens = heldTokens,
+            fetchableTokens = (heldByHolder - heldTokens).coerceAtLeast(0.0),
+            penaltyMillis =
+                distance + ramp + weightsRules.penaltyMillis(state.weights(), target) +
+                    random.nextDouble(TIE_BREAK_MILLIS),
+        )
+    }
+
+    private fun othersLoad(id: EndpointId): List<ReportedLoad> {
+        val oldest = clock.nowMillis() - PeerBoard.BELIEF_MILLIS
+        return reported.values.mapNotNull { loads -> loads[id]?.takeIf { it.atMillis >= oldest } }
+    }
+
+    private fun book(
+        state: EndpointState,
+        missedTokens: Double,
+        memoryTokens: Long,
+        read: ReadParts?,
+        expectedMillis: Double,
+        speed: PrefillSpeed? = null,
+        isolation: String? = null,
+        holder: EndpointEntry? = null,
+    ): Booking {
+        state.running++
+        state.backlogTokens += missedTokens
+        state.memoryTokens += memoryTokens
+        val alone = state.running == 1
+        return Booking(
+            this,
+            state,
+            missedTokens,
+            memoryTokens,
+            read,
+            expectedMillis,
+            isolation,
+            holder,
+            speed.takeIf { alone },
+            clock.nowMillis(),
+        )
+    }
+
+    @Synchronized
+    internal fun firstEvent(booking: Booking) {
+        val state = booking.state
+        state.backlogTokens = (state.backlogTokens - booking.missedTokens).coerceAtLeast(0.0)
+        booking.read?.let { remember(state, it) }
+        booking.speed?.observe(booking.missedTokens, (clock.nowMillis() - booking.placedAtMillis).toDouble())
+    }
+
+    private fun remember(
+        state: EndpointState,
+        read: ReadParts,
+    ) {
+        state.cached.read(read.chain, read.sizes)
+        val now = clock.nowMillis()
+        // The last part belongs to the request alone.
+        for (n in 0 until read.chain.size - 1) {
+            reads.addLast(
+                now to PartRead(state.entry.id.value, read.chain[n], read.sizes[n]),
+            )
+        }
+    }
+
+    @Synchronized
+    internal fun ended(
+        booking: Booking,
+        beforeFirstEvent: Boolean,
+        outcome: BookingOutcome,
+    ) {
+        val state = booking.state
+        state.running = (state.running - 1).coerceAtLeast(0)
+        state.memoryTokens = (state.memoryTokens - booking.memoryTokens).coerceAtLeast(0)
+        if (beforeFirstEvent) state.backlogTokens = (state.backlogTokens - booking.missedTokens).coerceAtLeast(0.0)
+        val now = clock.nowMillis()
+        when (outcome) {
+            BookingOutcome.SERVED -> state.health = state.health.succeeded(now)
+            BookingOutcome.FAILED -> {
+                val known = state.health
+                state.health = known.failed(now)
+                if (state.health.ejections > known.ejections) {
+                    logger.warn {
+                        "board: endpoint ${state.entry.id} ejected failures=${state.health.consecutiveFailures}"
+                    }
+                }
+            }
+            BookingOutcome.OTHER_WEIGHTS -> state.unsureUntilMillis = now + UNSURE_MILLIS
+            BookingOutcome.NEUTRAL -> Unit
+        }
+    }
+
+    @Synchronized
+    internal fun sawWeights(
+        state: EndpointState,
+        weights: WeightsNumber,
+    ) {
+        if (state.weights() != weights) state.learnWeights(weights)
+    }
+
+    /** Weights that were seen, for the digest. */
+    @Synchronized
+    fun engineWeights(loading: Set<EndpointId>): List<EngineWeights> =
+        states.values.mapNotNull { state ->
+            val weights = state.seenWeights ?: return@mapNotNull null
+            EngineWeights(
+                state.entry.id.value,
+                state.entry.startedAtUnixMillis,
+                weights.value,
+                state.entry.id in loading,
+            )
+        }
+
+    internal companion object {
+        /** Separates cached parts made with other weights or by isolated customers. */
+        fun salt(
+            weights: WeightsNumber?,
+            isolation: String?,
+        ): String = "w${weights?.value ?: 0}" + (isolation?.let { "/$it" } ?: "")
+
+        /** Added cost of an engine in another failure domain, about a round trip. */
+        private const val REMOTE_MILLIS: Double = 2.0
+
+        /** Added cost of an engine that has just returned from ejection. */
+        private const val RECOVERING_MILLIS: Double = 300.0
+
+        /** Spreads instances with the same view over engines of nearly equal cost. */
+        private const val TIE_BREAK_MILLIS: Double = 3.0
+
+        /** Added occupancy of a plain endpoint in another failure domain. */
+        private const val REMOTE_SLOT_SHARE: Double = 0.1
+        private const val TIE_BREAK_REQUESTS: Double = 0.5
+
+        /** Fewer tokens are read again faster than they are fetched. */
+        private const val MIN_FETCH_TOKENS: Double = 200.0
+
+        /** Time for a report of the engine's true weights to arrive. */
+        private const val UNSURE_MILLIS: Long = 300
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointState.kt
@@ -0,0 +1,48 @@
+package lacewingweir.coordination.placement
+
+import lacewingweir.coordination.gossip.EndpointLoad
+import lacewingweir.state.fleet.EndpointEntry
+import lacewingweir.state.health.EndpointHealth
+import lacewingweir.state.id.WeightsNumber
+import lacewingweir.state.placement.CachedParts
+
+/** What this instance knows of one run of one endpoint from its own requests. The board synchronises. */
+internal class EndpointState(
+    var entry: EndpointEntry,
+    memoryTokens: Long,
+) {
+    val cached = CachedParts((memoryTokens * CACHE_SHARE).toLong())
+    var running = 0
+    var backlogTokens = 0.0
+    var memoryTokens = 0L
+    var health = EndpointHealth()
+
+    /** Weights by the engine's own answers and by its loader's reports; null until there was any. */
+    var seenWeights: WeightsNumber? = null
+    var loadingUntilMillis = 0L
+
+    /** The engine last refused for other weights than expected; it gets nothing until this time. */
+    var unsureUntilMillis = 0L
+
+    /** Takes over a newer item of the endpoint's. */
+    fun update(changed: EndpointEntry) {
+        val stated = changed.weights.values.maxOrNull()
+        if (stated != null && stated > (seenWeights ?: stated)) learnWeights(stated)
+        entry = changed
+    }
+
+    fun weights(): WeightsNumber? = seenWeights ?: entry.weights.values.maxOrNull()
+
+    /** Records the weights in use. Loading discards what the engine had cached. */
+    fun learnWeights(weights: WeightsNumber) {
+        if (weights() != weights) cached.clear()
+        seenWeights = weights
+    }
+
+    fun load() = EndpointLoad(entry.id.value, running, backlogTokens.toLong(), memoryTokens)
+
+    private companion object {
+        /** Part of an engine's memory that cached beginnings may take; the rest is for running requests. */
+        const val CACHE_SHARE: Double = 0.6
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/state/id/ServiceName.kt
@@ -0,0 +1,9 @@
+package lacewingweir.state.id
+
+/** Names a group of endpoints that serve the same requests. */
+@JvmInline
+internal value class ServiceName(
+    val value: String,
+) {
+    override fun toString() = value
+}
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/transport/digest/DatagramDigestNetwork.kt
@@ -0,0 +1,72 @@
+/** Digests as CBOR datagrams between instances. */
+package lacewingweir.transport.digest
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.BoundDatagramSocket
+import io.ktor.network.sockets.Datagram
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.aSocket
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.launch
+import kotlinx.io.Buffer
+import kotlinx.io.readByteArray
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.cbor.Cbor
+import lacewingweir.coordination.gossip.DigestNetwork
+import lacewingweir.coordination.gossip.InstanceDigest
+
+private val logger = KotlinLogging.logger {}
+
+internal class DatagramDigestNetwork(
+    private val host: String,
+    private val port: Int,
+    private val scope: CoroutineScope,
+    private val receive: (InstanceDigest) -> Unit,
+) : DigestNetwork {
+    private val codec =
+        Cbor {
+            ignoreUnknownKeys = true
+            useDefiniteLengthEncoding = true
+        }
+    private val selector = SelectorManager(Dispatchers.IO)
+    private var socket: BoundDatagramSocket? = null
+
+    suspend fun start() {
+        val bound = aSocket(selector).udp().bind(InetSocketAddress(host, port))
+        socket = bound
+        scope.launch {
+            while (true) {
+                val datagram = bound.receive()
+                decode(datagram.packet.readByteArray())?.let(receive)
+            }
+        }
+    }
+
+    override suspend fun send(
+        digest: InstanceDigest,
+        targets: List<Pair<String, Int>>,
+    ) {
+        val bound = socket ?: return
+        val bytes = codec.encodeToByteArray(InstanceDigest.serializer(), digest)
+        for ((targetHost, targetPort) in targets) {
+            try {
+                bound.send(Datagram(Buffer().apply { write(bytes) }, InetSocketAddress(targetHost, targetPort)))
+            } catch (e: CancellationException) {
+                throw e
+            } catch (e: Exception) {
+                logger.debug { "digest: not sent to $targetHost:$targetPort: ${e.message}" }
+            }
+        }
+    }
+
+    private fun decode(bytes: ByteArray): InstanceDigest? =
+        try {
+            codec.decodeFromByteArray(InstanceDigest.serializer(), bytes)
+        } catch (e: SerializationException) {
+            logger.warn { "digest: unreadable datagram of ${bytes.size} bytes: ${e.message}" }
+            null
+        }
+}
--- a/src/main/kotlin/lacewingweir/transport/gateway/CallerKey.kt
+++ b/src/main/kotlin/lacewingweir/transport/gateway/CallerKey.kt
@@ -2,19 +2,12 @@
 
 import io.netty.handler.codec.http.HttpHeaders
 import lacewingweir.state.id.KeyDigest
-import java.security.MessageDigest
 
 /** The key that a caller showed. The key itself stays inside this class. */
 internal class CallerKey private constructor(
     private val secret: String,
 ) {
-    val digest: KeyDigest =
-        KeyDigest(
-            MessageDigest
-                .getInstance("SHA-256")
-                .digest(secret.encodeToByteArray())
-                .joinToString("") { "%02x".format(it) },
-        )
+    val digest: KeyDigest = KeyDigest.of(secret)
 
     /** Whether [text] holds the key. Keys too short to be told from ordinary text are not looked for. */
     fun occursIn(text: String): Boolean = secret.length >= MIN_SEARCHED_CHARS && secret in text
--- a/src/main/kotlin/lacewingweir/transport/http/HttpClient.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/HttpClient.kt
@@ -27,11 +27,13 @@
  * An HTTP/1.1 client on Netty with one request per connection at a time and pooled idle connections.
  *
  * Failures are told apart by whether any byte of the request was handed to a connection; see [ClientResult]. The
- * client never retries. Up to [maxIdlePerAddress] idle connections are kept for each address.
+ * client never retries. Up to [maxIdlePerAddress] idle connections are kept for each address. One whose server states
+ * no idle timeout is used again within [unstatedIdleMillis] only.
  */
 public class HttpClient(
     private val group: EventLoopGroup,
     private val maxIdlePerAddress: Int = 64,
+    private val unstatedIdleMillis: Long = DEFAULT_UNSTATED_IDLE_MILLIS,
 ) : AutoCloseable {
     private data class Address(
         val host: String,
@@ -61,7 +63,7 @@
         request: ClientRequest,
     ): ClientResult {
         connection.send(encode(request))
-        val head = withTimeoutOrNull(request.headTimeoutMillis) { connection.awaitHead() }
+        val head = withTimeoutOrNull(request.headTimeoutMillis) { connection.awaitHead(request.answersThis) }
         return when (head) {
             null -> {
                 connection.close()
@@ -81,10 +83,10 @@
         val message =
             DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(request.method), request.path, body)
         for ((name, value) in request.headers) message.headers().add(name, value)
-        message
-            .headers()
-            .set(HttpHeaderNames.HOST, "${request.host}:${request.port}")
-            .set(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
+        if (!request.keepHost) message.headers().set(HttpHeaderNames.HOST, "${request.host}:${request.port}")
+        if (request.body.isNotEmpty() || request.method !in BODYLESS_METHODS) {
+            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
+        }
         return message
     }
 
@@ -100,7 +102,7 @@
     }
 
     private suspend fun connect(request: ClientRequest): Connected {
-        val connection = ClientConnection()
+        val connection = ClientConnection(unstatedIdleMillis)
         val bootstrap =
             Bootstrap()
                 .group(group)
@@ -129,6 +131,7 @@
         connection: ClientConnection,
     ) {
         val pool = idle.computeIfAbsent(Address(request.host, request.port)) { ConcurrentLinkedDeque() }
+        while (pool.peekFirst()?.isClosed == true) pool.pollFirst()
         if (request.freshConnection || pool.size >= maxIdlePerAddress || !connection.returnToPool()) {
             connection.close()
             return
@@ -141,6 +144,12 @@
         connections.close().awaitUninterruptibly()
     }
 
+    private companion object {
+        /** Servers that state no timeout close idle connections after minutes as a rule. */
+        const val DEFAULT_UNSTATED_IDLE_MILLIS: Long = 60_000
+        val BODYLESS_METHODS: Set<String> = setOf("GET", "HEAD", "DELETE", "OPTIONS")
+    }
+
     private sealed interface Connected {
         class Open(
             val connection: ClientConnection,
--- a/src/main/kotlin/lacewingweir/transport/http/HttpServer.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/HttpServer.kt
@@ -27,7 +27,7 @@
  * An HTTP/1.1 server on Netty that runs [handler] as a coroutine of [scope] for each request.
  *
  * Requests of one connection are handled one at a time and in order. Malformed and oversized requests are answered
- * with an error and never reach the handler. [port] zero binds a free port.
+ * with an error and never reach the handler. [port] zero binds a free port. [limits] are read for each new connection.
  *
  * @throws java.net.BindException from [start] if the address is in use
  */
@@ -36,7 +36,7 @@
     private val scope: CoroutineScope,
     private val host: String,
     port: Int,
-    private val limits: HttpLimits = HttpLimits(),
+    private val limits: () -> HttpLimits = { HttpLimits() },
     private val handler: suspend (ServerExchange) -> Unit,
 ) : AutoCloseable {
     private val requestedPort = port
@@ -75,6 +75,7 @@
 
     private fun initConnection(channel: SocketChannel) {
         connections.add(channel)
+        val limits = limits()
         val decoder =
             HttpDecoderConfig()
                 .setMaxInitialLineLength(limits.maxLineBytes)
@@ -109,6 +110,16 @@
         }
     }
 
+    /** Ends each connection after its next answer; new ones are still accepted. */
+    public fun beginDrain() {
+        draining = true
+    }
+
+    /** Closes connections on which no request is being read or handled. */
+    public fun closeIdleConnections() {
+        connections.forEach { it.pipeline().fireUserEventTriggered(ServerConnectionHandler.CloseIfIdle) }
+    }
+
     /** Stops accepting connections; requests on open ones are answered and then their connection is closed. */
     public fun stopAccepting() {
         draining = true
--- a/src/main/kotlin/lacewingweir/transport/http/NettyServerExchange.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/NettyServerExchange.kt
@@ -27,6 +27,7 @@
     private val ctx: ChannelHandlerContext,
     request: HttpRequest,
     override val body: ByteArray,
+    override val arrivedAtNanos: Long,
     private val limits: HttpLimits,
     private val draining: () -> Boolean,
     private val onComplete: () -> Unit,
@@ -50,6 +51,7 @@
     override val method: String = request.method().name()
     override val path: String = decoder.path()
     override val rawPath: String = request.uri().substringBefore('?').substringBefore('#')
+    override val target: String = request.uri()
     override val query: String = decoder.rawQuery()
     override val headers: HttpHeaders = request.headers()
 
@@ -110,7 +112,8 @@
         if (gone || !ctx.channel().isActive) throw PeerClosedException("connection is closed")
         val future = ctx.writeAndFlush(message)
         if (last && (!keepAlive || draining())) future.addListener(ChannelFutureListener.CLOSE)
-        if (!ctx.channel().isWritable) awaitWritable(future)
+        // After a last answer that was written the connection may already be closed, which is no failure.
+        if (!future.isSuccess && !ctx.channel().isWritable) awaitWritable(future)
     }
 
     private suspend fun awaitWritable(pending: ChannelFuture) {
--- a/src/main/kotlin/lacewingweir/transport/http/ServerConnectionHandler.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ServerConnectionHandler.kt
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.handler.timeout.IdleStateEvent
+import java.util.concurrent.TimeUnit
 
 /**
  * Collects requests of one connection and hands them to [dispatch] one at a time.
@@ -37,6 +38,10 @@
     private var content: CompositeByteBuf? = null
     private var rejected = false
 
+    /** The caller's idle time starts here, not at its last request, which may have been answered much later. */
+    private var answeredAtNanos = System.nanoTime()
+    private var headAtNanos = 0L
+
     override fun channelRead0(
         ctx: ChannelHandlerContext,
         message: HttpObject,
@@ -63,6 +68,7 @@
             return
         }
         head = request
+        headAtNanos = System.nanoTime()
         content = Unpooled.compositeBuffer(MAX_BUFFER_PARTS)
         if (HttpUtil.is100ContinueExpected(request)) {
             ctx.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
@@ -96,7 +102,14 @@
         head = null
         content = null
         val exchange =
-            NettyServerExchange(ctx, request, body, limits, draining) { ctx.executor().execute { next(ctx) } }
+            NettyServerExchange(
+                ctx,
+                request,
+                body,
+                headAtNanos,
+                limits,
+                draining,
+            ) { ctx.executor().execute { next(ctx) } }
         when {
             current == null -> begin(exchange)
             waiting.size < limits.maxPipelinedRequests -> waiting.addLast(exchange)
@@ -111,6 +124,7 @@
 
     private fun next(ctx: ChannelHandlerContext) {
         current = null
+        answeredAtNanos = System.nanoTime()
         if (!ctx.channel().isActive) return
         waiting.removeFirstOrNull()?.let(::begin)
     }
@@ -157,13 +171,13 @@
         ctx: ChannelHandlerContext,
         event: Any,
     ) {
-        if (event !is IdleStateEvent || rejected || current != null) return
-        if (head ==
-            null
-        ) {
-            ctx.close()
-        } else {
+        if (rejected || current != null) return
+        if (event === CloseIfIdle && head == null) ctx.close()
+        if (event !is IdleStateEvent) return
+        if (head != null) {
             reject(ctx, HttpResponseStatus.REQUEST_TIMEOUT, "request was not sent in time")
+        } else if (System.nanoTime() - answeredAtNanos >= TimeUnit.MILLISECONDS.toNanos(limits.idleReadMillis)) {
+            ctx.close()
         }
     }
 
@@ -193,6 +207,9 @@
         head = null
     }
 
+    /** Asks a connection to close if no request is in progress on it. */
+    internal object CloseIfIdle
+
     internal companion object {
         const val RUN_STATE_HEADER: String = "X-Lacewingweir-Run"
         const val RUN_STATE_NOT_RUN: String = "not-run"
--- a/src/main/kotlin/lacewingweir/transport/http/ServerExchange.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ServerExchange.kt
@@ -19,6 +19,10 @@
     public val rawPath: String
         get() = path
 
+    /** The request target as received: path and query, unchanged. */
+    public val target: String
+        get() = if (query.isEmpty()) rawPath else "$rawPath?$query"
+
     /** The raw query string without the question mark; empty if there is none. */
     public val query: String
 
@@ -28,6 +32,10 @@
     /** The whole request body. */
     public val body: ByteArray
 
+    /** When the request's head had arrived, as [System.nanoTime]. */
+    public val arrivedAtNanos: Long
+        get() = System.nanoTime()
+
     /** Whether any byte of an answer was handed to the connection. */
     public val responseStarted: Boolean
 
--- a/src/main/kotlin/lacewingweir/transport/operator/OperatorServer.kt
+++ b/src/main/kotlin/lacewingweir/transport/operator/OperatorServer.kt
@@ -28,7 +28,7 @@
     port: Int,
     private val sources: OperatorSources,
 ) : AutoCloseable {
-    private val server = HttpServer(group, scope, host, port, limits, ::handle)
+    private val server = HttpServer(group, scope, host, port, { limits }, ::handle)
     private val formats = ExpositionFormats.init()
 
     /** The bound port; valid after [start]. */
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -0,0 +1,375 @@
+/**
+ * The path of a request: route, key, rate, placement, sends, answer.
+ *
+ * Every decision is taken on the newest snapshot at the moment of each send. A request that has been given up gets its
+ * final answer at once.
+ */
+package lacewingweir.transport.relay
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.job
+import kotlinx.coroutines.withTimeoutOrNull
+import lacewingweir.coordination.fleet.ContactProof
+import lacewingweir.coordination.fleet.FleetDirectory
+import lacewingweir.coordination.gossip.CustomerRates
+import lacewingweir.coordination.gossip.RateDecision
+import lacewingweir.coordination.placement.Booking
+import lacewingweir.coordination.placement.BookingOutcome
+import lacewingweir.coordination.placement.EndpointBoard
+import lacewingweir.coordination.placement.PlacementRequest
+import lacewingweir.state.fleet.CustomerSpec
+import lacewingweir.state.fleet.FleetConfig
+import lacewingweir.state.fleet.RequestKind
+import lacewingweir.state.fleet.RoutePolicy
+import lacewingweir.state.id.EndpointId
+import lacewingweir.state.id.ServiceName
+import lacewingweir.state.time.MonotonicClock
+import lacewingweir.transport.http.PeerClosedException
+import lacewingweir.transport.http.ServerExchange
+import kotlin.random.Random
+
+private val logger = KotlinLogging.logger {}
+
+internal class CallRelay(
+    private val directory: FleetDirectory,
+    private val proof: ContactProof,
+    private val rates: CustomerRates,
+    private val repeats: RepeatBudgets,
+    private val board: EndpointBoard,
+    private val sender: EndpointSender,
+    private val clock: MonotonicClock,
+    private val limits: () -> RelayLimits,
+    private val random: Random = Random.Default,
+) {
+    /** Serves one call. Cancelling it closes the connection to the endpoint. */
+    suspend fun handle(
+        call: InboundCall,
+        exchange: ServerExchange,
+    ) {
+        val run = Run(call, exchange, StreamProgress(exchange))
+        try {
+            serve(run)
+        } catch (e: CancellationException) {
+            run.log("caller left")
+            throw e
+        } catch (e: PeerClosedException) {
+            run.log("caller left: ${e.message}")
+        }
+    }
+
+    private suspend fun serve(run: Run) {
+        val admitted = admit(run) ?: return
+        run.route = admitted.route
+        // What may run once only is left to finish: nobody else would learn whether it ran.
+        if (admitted.route.kind != RequestKind.NON_IDEMPOTENT) {
+            val job = currentCoroutineContext().job
+            run.exchange.onDisconnect { job.cancel() }
+        }
+        run.deadlineAtMillis =
+            run.call.arrivedAtMillis + minOf(run.call.deadlineMillis ?: Long.MAX_VALUE, admitted.route.timeoutMillis)
+        val service = target(admitted.route)
+        repeats.onRequest(service)
+        sendUntilAnswered(run, admitted, service)
+    }
+
+    /** Checks that need no endpoint. Answers and returns null if one fails. */
+    private suspend fun admit(run: Run): Admitted? {
+        val snapshot = directory.snapshot
+        val config = snapshot.config ?: return run.refuse(RelayRefusal.UNINFORMED, limits().uninformedRetryMillis)
+        val found = check(run.call, config)
+        if (found is Check.Refused) {
+            // Without fresh knowledge the route or key may exist by now.
+            val known = proof.ageMillis() < limits().certainKnowledgeMillis
+            return run.refuse(if (known) found.refusal else RelayRefusal.UNINFORMED, limits().uninformedRetryMillis)
+        }
+        val admitted = (found as Check.Passed).admitted
+        if (!proved(admitted)) return run.refuse(RelayRefusal.UNINFORMED, limits().uninformedRetryMillis)
+        val customer = admitted.customer ?: return admitted
+        val decision = rates.admit(customer, tokens(run.call, customer))
+        if (decision is RateDecision.Refused) {
+            logger.info {
+                "relay: id=${run.call.id} over rate customer=${customer.id} limit=${customer.rate} tokens=${tokens(
+                    run.call,
+                    customer,
+                )}"
+            }
+            return run.refuse(RelayRefusal.OVER_RATE, decision.retryAfterMillis)
+        }
+        return admitted
+    }
+
+    private fun check(
+        call: InboundCall,
+        config: FleetConfig,
+    ): Check {
+        val route = config.route(call.host, call.path) ?: return Check.Refused(RelayRefusal.NO_ROUTE)
+        if (route.open || config.customers.isEmpty()) return Check.Passed(Admitted(route, null))
+        val customer = call.key?.let(config::customer) ?: return Check.Refused(RelayRefusal.UNKNOWN_KEY)
+        return Check.Passed(Admitted(route, customer))
+    }
+
+    private fun proved(admitted: Admitted) = admitted.customer == null || proof.ageMillis() < limits().keyProofMillis
+
+    private fun tokens(
+        call: InboundCall,
+        customer: CustomerSpec,
+    ): Long = call.prompt?.let { it.inputTokens + it.maxOutputTokens } ?: customer.requestTokens
+
+    private fun target(route: RoutePolicy): ServiceName {
+        var draw = random.nextInt(route.targets.sumOf { it.weight }.coerceAtLeast(1))
+        for (target in route.targets) {
+            draw -= target.weight
+            if (draw < 0) return target.service
+        }
+        return route.targets.last().service
+    }
+
+    private suspend fun sendUntilAnswered(
+        run: Run,
+        admitted: Admitted,
+        service: ServiceName,
+    ) {
+        while (true) {
+            val left = run.deadlineAtMillis - clock.nowMillis()
+            if (left < MIN_SEND_MILLIS) return run.giveUpLate()
+            if (run.sends > 0 && !mayRepeat(run, admitted, service)) return run.giveUp()
+            val booking = place(run, admitted, service, left) ?: return
+            val sendLeft = run.deadlineAtMillis - clock.nowMillis()
+            val outcome = sendOnce(run, admitted, booking, sendLeft)
+            if (settle(run, booking, outcome)) return
+        }
+    }
+
+    private fun mayRepeat(
+        run: Run,
+        admitted: Admitted,
+        service: ServiceName,
+    ): Boolean {
+        val route = admitted.route
+        if (run.mayHaveRun && (!route.repeatable || run.runs >= route.maxEndpoints)) return false
+        if (run.sends >= MAX_SENDS) return false
+        // The configuration may have changed since the first send; a withdrawn key must not be used again.
+        val config = directory.snapshot.config ?: return false
+        if (check(run.call, config) !is Check.Passed || !proved(admitted)) return false
+        return repeats.tryRepeat(service)
+    }
+
+    /** Finds an endpoint, waiting a little while none takes requests. Answers and returns null if there is none. */
+    private suspend fun place(
+        run: Run,
+        admitted: Admitted,
+        service: ServiceName,
+        leftMillis: Long,
+    ): Booking? {
+        val waitUntil = clock.nowMillis() + minOf(leftMillis / 3, limits().placeWaitMillis)
+        while (true) {
+            val isolation =
+                admitted.customer
+                    ?.takeIf { it.isolated }
+                    ?.id
+                    ?.value
+            val request = PlacementRequest(service, run.call.prompt, isolation, run.tried)
+            val booking = board.place(request) ?: if (run.tried.isEmpty()) null else board.place(request.anyEndpoint())
+            if (booking != null) return admitLoad(run, booking, leftMillis)
+            if (clock.nowMillis() >= waitUntil) {
+                if (run.mayHaveRun) {
+                    run.giveUp()
+                } else {
+                    run.refuse<Booking>(
+                        RelayRefusal.NO_ENDPOINT,
+                        limits().noEndpointRetryMillis,
+                    )
+                }
+                return null
+            }
+            delay(PLACE_POLL_MILLIS)
+        }
+    }
+
+    /**
+     * Load pattern: more prompts arrive than engines can read before callers give up. Turning the excess away at once
+     * keeps what is admitted on time, and its callers learn when the backlog will have gone.
+     */
+    private suspend fun admitLoad(
+        run: Run,
+        booking: Booking,
+        leftMillis: Long,
+    ): Booking? {
+        if (booking.expectedMillis <= leftMillis * limits().usableShareOfTimeLeft) return booking
+        booking.end(BookingOutcome.NEUTRAL)
+        if (run.mayHaveRun) {
+            run.giveUp()
+        } else {
+            val excess = booking.expectedMillis - leftMillis * limits().usableShareOfTimeLeft
+            run.refuse<Booking>(RelayRefusal.OVERLOADED, excess.toLong().coerceAtLeast(limits().overloadRetryMillis))
+        }
+        return null
+    }
+
+    private suspend fun sendOnce(
+        run: Run,
+        admitted: Admitted,
+        booking: Booking,
+        leftMillis: Long,
+    ): SendOutcome {
+        val route = admitted.route
+        val engine = run.call.prompt != null
+        run.sends++
+        run.tried += booking.endpoint.id
+        run.endpoint = booking.endpoint.id
+        val another = route.repeatable && run.runs + 1 < route.maxEndpoints
+        val headTimeout = if (another) (leftMillis * FIRST_TRY_SHARE).toLong() else leftMillis
+        val send =
+            EndpointSend(
+                call = run.call,
+                endpoint = booking.endpoint,
+                leftMillis = leftMillis,
+                headTimeoutMillis = headTimeout,
+                customer = admitted.customer?.id,
+                cacheSalt = if (engine) booking.salt else null,
+                weights = if (engine) booking.weights else null,
+                priority = if (engine) (admitted.customer?.priority ?: route.priority) else null,
+                resumeAfter = run.progress.lastId ?: run.call.resumeAfter,
+                fetchFrom = booking.holder,
+            )
+        return withTimeoutOrNull(leftMillis) { sender.send(send, booking, run.exchange, run.progress) }
+            ?: SendOutcome.Broken("out of time", timedOut = true)
+    }
+
+    /** Records the outcome of a send. Returns whether the call is finished. */
+    private suspend fun settle(
+        run: Run,
+        booking: Booking,
+        outcome: SendOutcome,
+    ): Boolean {
+        when (outcome) {
+            is SendOutcome.Delivered -> {
+                run.log("answered status=${outcome.status}")
+                return true
+            }
+            is SendOutcome.NotRun ->
+                logger.info {
+                    "relay: id=${run.call.id} not run at ${booking.endpoint.id}: ${outcome.reason}"
+                }
+            is SendOutcome.ErrorAnswer -> {
+                run.runs++
+                run.error = outcome
+                logger.info {
+                    "relay: id=${run.call.id} failed at ${booking.endpoint.id} status=${outcome.head.status}"
+                }
+            }
+            is SendOutcome.Broken -> {
+                run.runs++
+                logger.info { "relay: id=${run.call.id} broken at ${booking.endpoint.id}: ${outcome.reason}" }
+                if (outcome.timedOut) {
+                    run.giveUpLate()
+                    return true
+                }
+            }
+        }
+        return false
+    }
+
+    private sealed interface Check {
+        class Passed(
+            val admitted: Admitted,
+        ) : Check
+
+        class Refused(
+            val refusal: RelayRefusal,
+        ) : Check
+    }
+
+    private class Admitted(
+        val route: RoutePolicy,
+        val customer: CustomerSpec?,
+    )
+
+    /** The state of one call. */
+    private inner class Run(
+        val call: InboundCall,
+        val exchange: ServerExchange,
+        val progress: StreamProgress,
+    ) {
+        var route: RoutePolicy? = null
+        var deadlineAtMillis = 0L
+        var sends = 0
+
+        /** Sends after which the call may have run. */
+        var runs = 0
+        var error: SendOutcome.ErrorAnswer? = null
+        var tried: Set<EndpointId> = emptySet()
+        var endpoint: EndpointId? = null
+
+        val mayHaveRun: Boolean
+            get() = runs > 0
+
+        suspend fun <T> refuse(
+            refusal: RelayRefusal,
+            retryAfterMillis: Long,
+        ): T? {
+            val retryAfter = "%.2f".format(retryAfterMillis * (1 + random.nextDouble(RETRY_SPREAD)) / MILLIS_PER_SECOND)
+            log("refused reason=$refusal retryAfter=$retryAfter")
+            exchange.respond(refusal.status, listOf("Retry-After" to retryAfter))
+            return null
+        }
+
+        suspend fun giveUpLate() {
+            if (mayHaveRun) finish(RelayRefusal.TIMED_OUT) else finish(RelayRefusal.OUT_OF_TIME)
+        }
+
+        suspend fun giveUp() {
+            if (mayHaveRun) finish(RelayRefusal.FAILED) else finish(RelayRefusal.NOT_RUN)
+        }
+
+        private suspend fun finish(refusal: RelayRefusal) {
+            val failure = error
+            when {
+                progress.started -> {
+                    log("stream cut reason=$refusal")
+                    exchange.abort()
+                }
+                failure != null -> {
+                    log("answered status=${failure.head.status}")
+                    exchange.respond(failure.head.status, failure.head.headers, failure.body)
+                }
+                mayHaveRun -> {
+                    log("failed reason=$refusal")
+                    exchange.respond(refusal.status)
+                }
+                else -> refuse<Unit>(refusal, limits().notRunRetryMillis)
+            }
+        }
+
+        fun log(outcome: String) {
+            val first = if (progress.started) (progress.firstEventAtNanos - exchange.arrivedAtNanos) / NANOS_PER_MILLI else -1
+            logger.info {
+                "relay: id=${call.id} $outcome route=${route?.id} endpoint=$endpoint sends=$sends runs=$runs " +
+                    "firstMs=$first totalMs=${clock.nowMillis() - call.arrivedAtMillis} config=${directory.snapshot.config?.number} " +
+                    "proofMs=${proof.ageMillis()}"
+            }
+        }
+    }
+
+    private companion object {
+        /** Less than this is not enough for any endpoint to answer. */
+        const val MIN_SEND_MILLIS: Long = 5
+
+        /** Endpoints tried for one call, whether they ran it or not. */
+        const val MAX_SENDS: Int = 3
+
+        /** Part of the time left after which a first endpoint that is silent is given up for another one. */
+        const val FIRST_TRY_SHARE: Double = 0.4
+
+        /** Pause between looks for an endpoint while none takes requests. */
+        const val PLACE_POLL_MILLIS: Long = 25
+
+        /** Spreads callers that were refused together. */
+        const val RETRY_SPREAD: Double = 0.5
+        const val MILLIS_PER_SECOND: Double = 1_000.0
+        const val NANOS_PER_MILLI: Long = 1_000_000
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
@@ -0,0 +1,137 @@
+/** Sends a call to one endpoint and brings its answer to the caller. */
+package lacewingweir.transport.relay
+
+import lacewingweir.coordination.placement.Booking
+import lacewingweir.coordination.placement.BookingOutcome
+import lacewingweir.transport.http.ClientResponse
+import lacewingweir.transport.http.ClientResult
+import lacewingweir.transport.http.HttpClient
+import lacewingweir.transport.http.ReadResult
+import lacewingweir.transport.http.ServerExchange
+import lacewingweir.transport.http.readAll
+
+internal class EndpointSender(
+    private val http: HttpClient,
+    private val protocol: EndpointProtocol,
+) {
+    /** Sends once. The booking is ended in every case. */
+    suspend fun send(
+        send: EndpointSend,
+        booking: Booking,
+        exchange: ServerExchange,
+        progress: StreamProgress,
+    ): SendOutcome {
+        var outcome: SendOutcome? = null
+        try {
+            outcome = attempt(send, booking, exchange, progress)
+            return outcome
+        } finally {
+            // Without an outcome the caller left, which says nothing of the endpoint.
+            booking.end(outcome?.let(::verdict) ?: BookingOutcome.NEUTRAL)
+        }
+    }
+
+    private fun verdict(outcome: SendOutcome) =
+        when (outcome) {
+            is SendOutcome.Delivered -> BookingOutcome.SERVED
+            is SendOutcome.NotRun -> if (outcome.otherWeights) BookingOutcome.OTHER_WEIGHTS else BookingOutcome.FAILED
+            is SendOutcome.ErrorAnswer, is SendOutcome.Broken -> BookingOutcome.FAILED
+        }
+
+    private suspend fun attempt(
+        send: EndpointSend,
+        booking: Booking,
+        exchange: ServerExchange,
+        progress: StreamProgress,
+    ): SendOutcome {
+        val response =
+            when (val result = http.open(protocol.request(send))) {
+                is ClientResult.Answered -> result.response
+                is ClientResult.NotSent -> return SendOutcome.NotRun("not sent: ${result.reason}")
+                is ClientResult.Unknown -> return SendOutcome.Broken(result.reason)
+            }
+        val head = protocol.head(send.call, response)
+        head.weights?.let(booking::sawWeights)
+        if (head.notRun) {
+            response.readAll(MAX_REFUSAL_BYTES)
+            return SendOutcome.NotRun("status ${head.status}", otherWeights = head.status == MISDIRECTED)
+        }
+        // A status that promises "not run" must not reach the caller unless the endpoint says so itself.
+        if (head.encoded || (head.success && !head.forThisRequest) || head.status in NOT_RUN_STATUS) {
+            response.close()
+            return SendOutcome.Broken("not the endpoint's own answer")
+        }
+        return if (head.success && head.eventStream) {
+            relayEvents(response, head, booking, exchange, progress)
+        } else {
+            relayWhole(response, head, booking, exchange)
+        }
+    }
+
+    private suspend fun relayWhole(
+        response: ClientResponse,
+        head: AnswerHead,
+        booking: Booking,
+        exchange: ServerExchange,
+    ): SendOutcome {
+        val body = response.readAll(MAX_ANSWER_BYTES, BODY_SILENCE_MILLIS) ?: return SendOutcome.Broken("answer cut")
+        if (!head.success) return SendOutcome.ErrorAnswer(head, body)
+        booking.firstEvent()
+        exchange.respond(head.status, head.headers, body)
+        return SendOutcome.Delivered(head.status)
+    }
+
+    private suspend fun relayEvents(
+        response: ClientResponse,
+        head: AnswerHead,
+        booking: Booking,
+        exchange: ServerExchange,
+        progress: StreamProgress,
+    ): SendOutcome {
+        val blocks = EventBlocks()
+        val resumedAfter = progress.lastId
+        while (true) {
+            when (val part = response.read(BODY_SILENCE_MILLIS)) {
+                is ReadResult.Data -> {
+                    val events = blocks.feed(part.bytes)
+                    if (events.isEmpty()) continue
+                    booking.firstEvent()
+                    if (!continues(resumedAfter, blocks.firstId)) {
+                        response.close()
+                        return SendOutcome.Broken("resumed stream repeats event ${blocks.firstId}")
+                    }
+                    progress.forward(head, events, blocks.lastId)
+                }
+                ReadResult.End -> {
+                    if (blocks.hasPartialEvent ||
+                        !progress.started
+                    ) {
+                        return SendOutcome.Broken("stream ended within an event")
+                    }
+                    exchange.finish()
+                    return SendOutcome.Delivered(head.status)
+                }
+                is ReadResult.Broken -> return SendOutcome.Broken("stream cut: ${part.reason}")
+            }
+        }
+    }
+
+    private fun continues(
+        after: String?,
+        firstId: String?,
+    ): Boolean {
+        val last = after?.toLongOrNull() ?: return true
+        val first = firstId?.toLongOrNull() ?: return false
+        return first > last
+    }
+
+    private companion object {
+        const val MISDIRECTED: Int = 421
+        val NOT_RUN_STATUS: Set<Int> = setOf(408, 421, 429, 503)
+        const val MAX_REFUSAL_BYTES: Int = 64 * 1024
+        const val MAX_ANSWER_BYTES: Int = 8 * 1024 * 1024
+
+        /** The call's own deadline ends a silent answer; this only bounds a forgotten one. */
+        const val BODY_SILENCE_MILLIS: Long = 60_000
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/transport/relay/EventBlocks.kt
@@ -0,0 +1,57 @@
+package lacewingweir.transport.relay
+
+/**
+ * Cuts a stream of server-sent events into runs of whole events, bytes unchanged.
+ *
+ * Not safe for use by several threads.
+ */
+internal class EventBlocks {
+    private var pending = ByteArray(0)
+
+    /** Id of the last whole event that had one. */
+    var lastId: String? = null
+        private set
+
+    /** Id of the first event that had one. */
+    var firstId: String? = null
+        private set
+
+    /** Whether the bytes so far end within an event. */
+    val hasPartialEvent: Boolean
+        get() = pending.isNotEmpty()
+
+    /** Takes the next [bytes] and returns all bytes up to the end of the last whole event; empty if there is none. */
+    fun feed(bytes: ByteArray): ByteArray {
+        val all = if (pending.isEmpty()) bytes else pending + bytes
+        val end = endOfLastEvent(all)
+        pending = all.copyOfRange(end, all.size)
+        val whole = all.copyOf(end)
+        readIds(whole)
+        return whole
+    }
+
+    private fun endOfLastEvent(bytes: ByteArray): Int {
+        for (n in bytes.size - 1 downTo 1) {
+            if (bytes[n] != LINE_FEED) continue
+            val previous = if (bytes[n - 1] == CARRIAGE_RETURN) n - 2 else n - 1
+            if (previous >= 0 && bytes[previous] == LINE_FEED) return n + 1
+        }
+        return 0
+    }
+
+    private fun readIds(whole: ByteArray) {
+        if (whole.isEmpty()) return
+        for (line in whole.decodeToString().lineSequence()) {
+            if (!line.startsWith(ID_FIELD)) continue
+            val id = line.removePrefix(ID_FIELD).trim()
+            if (firstId == null) firstId = id
+            lastId = id
+        }
+    }
+
+    private companion object {
+        const val LINE_FEED: Byte = 10
+        const val CARRIAGE_RETURN: Byte = 13
+        const val ID_FIELD: String = "id:"
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/transport/relay/SendOutcome.kt
@@ -0,0 +1,27 @@
+package lacewingweir.transport.relay
+
+/** How one send to one endpoint ended. */
+internal sealed interface SendOutcome {
+    /** The caller has its whole answer. */
+    data class Delivered(
+        val status: Int,
+    ) : SendOutcome
+
+    /** The call certainly did not run there. */
+    data class NotRun(
+        val reason: String,
+        val otherWeights: Boolean = false,
+    ) : SendOutcome
+
+    /** The endpoint answered with a failure that can be passed on unless another endpoint does better. */
+    class ErrorAnswer(
+        val head: AnswerHead,
+        val body: ByteArray,
+    ) : SendOutcome
+
+    /** No usable answer; the call may have run. What reached the caller so far is a part of a stream or nothing. */
+    data class Broken(
+        val reason: String,
+        val timedOut: Boolean = false,
+    ) : SendOutcome
+}
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/transport/relay/StreamProgress.kt
@@ -0,0 +1,33 @@
+package lacewingweir.transport.relay
+
+import lacewingweir.transport.http.ServerExchange
+
+/** What of an event stream has reached the caller, over all endpoints that produced it. */
+internal class StreamProgress(
+    private val exchange: ServerExchange,
+) {
+    /** Id of the last event that the caller was sent. */
+    var lastId: String? = null
+        private set
+
+    /** When the first event was sent on, as [System.nanoTime]; zero before. */
+    var firstEventAtNanos: Long = 0
+        private set
+
+    val started: Boolean
+        get() = firstEventAtNanos != 0L
+
+    /** Sends whole events on; the head of the first endpoint's answer goes before the first of them. */
+    suspend fun forward(
+        head: AnswerHead,
+        events: ByteArray,
+        upToId: String?,
+    ) {
+        if (!started) {
+            firstEventAtNanos = System.nanoTime()
+            exchange.startStream(head.status, head.headers)
+        }
+        exchange.write(events)
+        if (upToId != null) lastId = upToId
+    }
+}
