Close the listener once out of rotation, and split the relay's decisions

Ruled out: kept connections, which were closed at 2.6 s. The listener now closes when the entry has taken the instance out, and the drain lasts until 0.4 s before the kill. The key is checked again after waiting for an endpoint.

--- a/src/main/kotlin/lacewingweir/cli/router/RouteCommand.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouteCommand.kt
@@ -18,8 +18,8 @@
 private val logger = KotlinLogging.logger {}
 
 /**
- * `route [--settings FILE]`: runs a router on the operators' platform until SIGTERM. The file is that of the environment
- * variable LACEWINGWEIR_CONFIG unless the option is given. SIGHUP reads it again.
+ * `route [--settings FILE]`: runs a router on the operators' platform until SIGTERM. The file is that of the
+ * environment variable LACEWINGWEIR_CONFIG unless the option is given. SIGHUP reads it again.
  */
 @OptIn(ExperimentalCli::class)
 internal class RouteCommand(
--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -154,12 +154,12 @@
         val endMillis =
             clock.nowMillis() + (bounds.shutdownSeconds * MILLIS_PER_SECOND).toLong() - SHUTDOWN_MARGIN_MILLIS
         delay(ROTATION_MILLIS)
+        callers.stopAccepting()
         callers.closeIdleConnections()
         while (clock.nowMillis() < endMillis && callers.requestsInFlight > 0) {
             delay(DRAIN_POLL_MILLIS)
             callers.closeIdleConnections()
         }
-        callers.stopAccepting()
         registration.stop()
         logger.info { "router: stopped, requests in flight=${callers.requestsInFlight}" }
     }
@@ -233,7 +233,7 @@
         const val ROTATION_MILLIS: Long = 2_600
 
         /** Time between the end of the drain and the kill. */
-        const val SHUTDOWN_MARGIN_MILLIS: Long = 800
+        const val SHUTDOWN_MARGIN_MILLIS: Long = 400
         const val DRAIN_POLL_MILLIS: Long = 50
     }
 }
--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetDirectory.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetDirectory.kt
@@ -100,7 +100,8 @@
         }
         config = offered
         logger.info {
-            "directory: configuration ${offered.number} adopted routes=${offered.routes.size} customers=${offered.customers.size}"
+            "directory: configuration ${offered.number} adopted routes=${offered.routes.size} " +
+                "customers=${offered.customers.size}"
         }
     }
 
--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetSnapshot.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetSnapshot.kt
@@ -9,7 +9,9 @@
 import lacewingweir.state.id.WeightsNumber
 import lacewingweir.state.time.Moment
 
-/** The newest [weights] that the operators named, and when this instance learned of each number, in ascending order. */
+/**
+ * The newest [weights] that the operators named, and when this instance learned of each number, in ascending order.
+ */
 internal data class WeightsTarget(
     val weights: WeightsNumber,
     val learned: List<Pair<WeightsNumber, Moment>>,
--- a/src/main/kotlin/lacewingweir/coordination/fleet/StoreMirror.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/StoreMirror.kt
@@ -1,9 +1,9 @@
 /**
  * Keeps a copy of the store's items: one listing, then one long watch after the other.
  *
- * A watch that ends without changes after its whole wait proves that nothing had changed when the wait ended; any other
- * answer proves it for the moment at which the call was sent. Calls that fail are repeated after a short delay, since
- * waiting longer would let the contact proof lapse.
+ * A watch that ends without changes after its whole wait proves that nothing had changed when the wait ended; any
+ * other answer proves it for the moment at which the call was sent. Calls that fail are repeated after a short delay,
+ * since waiting longer would let the contact proof lapse.
  */
 package lacewingweir.coordination.fleet
 
--- a/src/main/kotlin/lacewingweir/coordination/gossip/CustomerRates.kt
+++ b/src/main/kotlin/lacewingweir/coordination/gossip/CustomerRates.kt
@@ -16,7 +16,9 @@
     ) : RateDecision
 }
 
-/** [heard] names the peers that are heard, [instances] counts all instances, [windowMillis] is the window of the rates. */
+/**
+ * [heard] names the peers that are heard, [instances] counts all instances, [windowMillis] is the window of the rates.
+ */
 internal class CustomerRates(
     private val clock: MonotonicClock,
     private val self: String,
--- a/src/main/kotlin/lacewingweir/coordination/gossip/InstanceDigest.kt
+++ b/src/main/kotlin/lacewingweir/coordination/gossip/InstanceDigest.kt
@@ -32,9 +32,9 @@
  * State that an instance repeats to its peers. All of it is absolute, so lost and repeated datagrams do no harm.
  *
  * [run] tells restarts apart, [number] orders the digests of one run. [admitted] holds the tokens admitted for each
- * customer since the start of the run. [reads] repeats the reads of the last while, so that a lost datagram hides none.
- * [windows] holds the tokens of the whole fleet in each customer's window; a peer that has just started takes them over
- * from an instance that is [settled], that is, has run for a whole window.
+ * customer since the start of the run. [reads] repeats the reads of the last while, so that a lost datagram hides
+ * none. [windows] holds the tokens of the whole fleet in each customer's window; a peer that has just started takes
+ * them over from an instance that is [settled], that is, has run for a whole window.
  */
 @Serializable
 internal data class InstanceDigest(
--- a/src/main/kotlin/lacewingweir/coordination/membership/ContactTracker.kt
+++ b/src/main/kotlin/lacewingweir/coordination/membership/ContactTracker.kt
@@ -15,7 +15,9 @@
         store.accumulateAndGet(sentAtMillis, ::maxOf)
     }
 
-    /** Takes a round of heartbeats, sent at [sentAtMillis], that a majority acknowledged. Returns whether it is new. */
+    /**
+     * Takes a round of heartbeats, sent at [sentAtMillis], that a majority acknowledged. Returns whether it is new.
+     */
     public fun majorityContact(sentAtMillis: Long): Boolean =
         majority.getAndAccumulate(sentAtMillis, ::maxOf) < sentAtMillis
 
--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointBoard.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointBoard.kt
@@ -28,7 +28,9 @@
 
 private val logger = KotlinLogging.logger {}
 
-/** What a request needs of an endpoint. [excluded] were tried before. [isolation] separates cached parts, or is null. */
+/**
+ * What a request needs of an endpoint. [excluded] were tried before. [isolation] separates cached parts, or is null.
+ */
 internal class PlacementRequest(
     val service: ServiceName,
     val prompt: Prompt?,
@@ -66,35 +68,58 @@
             val known = states[id]
             if (known != null && known.entry.startedAtUnixMillis == entry.startedAtUnixMillis) {
                 known.update(entry)
-                continue
+            } else {
+                states[id] = newState(entry, known, snapshot)
             }
-            if (known != null) logger.info { "board: endpoint $id has restarted; forgetting what it held" }
-            val memory =
-                snapshot.config
-                    ?.services
-                    ?.get(entry.service)
-                    ?.engine
-                    ?.memoryTokens ?: 0
-            states[id] = EndpointState(entry, memory).also { it.seenWeights = known?.weights() }
         }
     }
 
+    /** A restarted endpoint has the weights that it had before and nothing else. */
+    private fun newState(
+        entry: EndpointEntry,
+        predecessor: EndpointState?,
+        snapshot: FleetSnapshot,
+    ): EndpointState {
+        if (predecessor != null) logger.info { "board: endpoint ${entry.id} has restarted; forgetting what it held" }
+        val memory =
+            snapshot.config
+                ?.services
+                ?.get(entry.service)
+                ?.engine
+                ?.memoryTokens ?: 0
+        return EndpointState(entry, memory).also { it.seenWeights = predecessor?.weights() }
+    }
+
     /** Takes a peer's digest. */
     @Synchronized
     fun onDigest(digest: InstanceDigest) {
         val now = clock.nowMillis()
         reported[digest.instance] = digest.loads.associate { EndpointId(it.endpoint) to ReportedLoad(it, now) }
         for (engine in digest.weights) {
-            val state = states[EndpointId(engine.endpoint)] ?: continue
-            if (state.entry.startedAtUnixMillis != engine.startedAtUnixMillis) continue
-            if (engine.loading) state.loadingUntilMillis = now + PeerBoard.BELIEF_MILLIS
-            if (!engine.loading) state.loadingUntilMillis = 0
-            val seen = WeightsNumber(engine.weights)
-            if (seen > (state.weights() ?: seen)) state.learnWeights(seen)
+            val state = states[EndpointId(engine.endpoint)]
+            if (state != null &&
+                state.entry.startedAtUnixMillis == engine.startedAtUnixMillis
+            ) {
+                apply(engine, state, now)
+            }
         }
         for (read in digest.reads) states[EndpointId(read.endpoint)]?.cached?.read(read.hash, read.tokens)
     }
 
+    private fun apply(
+        engine: EngineWeights,
+        state: EndpointState,
+        now: Long,
+    ) {
+        // Only the instance that ordered the load knows when it has ended.
+        if (engine.loading) state.loadingUntilMillis = now + PeerBoard.BELIEF_MILLIS
+        val seen = WeightsNumber(engine.weights)
+        if (seen > (state.weights() ?: seen)) {
+            state.learnWeights(seen)
+            state.loadingUntilMillis = 0
+        }
+    }
+
     /** Own load for the digest, without endpoints that have none. */
     @Synchronized
     fun ownLoads(): List<EndpointLoad> = states.values.filter { it.running > 0 }.map { it.load() }
--- a/src/main/kotlin/lacewingweir/coordination/placement/WeightsRules.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/WeightsRules.kt
@@ -7,8 +7,8 @@
 /**
  * How long older weights may still serve after newer ones were named.
  *
- * For a short time they are as good as new. Then they count as worse, so that requests move to engines that have loaded
- * the new ones, and after [limitMillis] nothing is sent to them.
+ * For a short time they are as good as new. Then they count as worse, so that requests move to engines that have
+ * loaded the new ones, and after [limitMillis] nothing is sent to them.
  */
 internal class WeightsRules(
     private val clock: SuspendAwareClock,
@@ -36,7 +36,9 @@
         /** A later answer of the new weights is worth more than an earlier one of the old, up to this wait. */
         const val OLD_WEIGHTS_MILLIS: Double = 250.0
 
-        /** Covers the delay between the store's acknowledgement and this instance's watch, and the way to the engine. */
+        /**
+         * Covers the delay between the store's acknowledgement and this instance's watch, and the way to the engine.
+         */
         const val LIMIT_MARGIN_MILLIS: Long = 1_500
     }
 }
--- a/src/main/kotlin/lacewingweir/coordination/weights/WeightsControl.kt
+++ b/src/main/kotlin/lacewingweir/coordination/weights/WeightsControl.kt
@@ -5,7 +5,10 @@
 import lacewingweir.state.id.ModelName
 import lacewingweir.state.id.WeightsNumber
 
-/** What an engine says of itself. [orders] counts the orders it has accepted in this run; [busy] while one is in progress. */
+/**
+ * What an engine says of itself. [orders] counts the orders it has accepted in this run; [busy] while one is in
+ * progress.
+ */
 internal data class EngineStatus(
     val orders: Long,
     val busy: Boolean,
--- a/src/main/kotlin/lacewingweir/coordination/weights/WeightsRollout.kt
+++ b/src/main/kotlin/lacewingweir/coordination/weights/WeightsRollout.kt
@@ -1,8 +1,8 @@
 /**
  * Brings engines to the weights that the operators named.
  *
- * The holder of the rollout lease compares what engines run with what is named, a few engines at a time, and orders the
- * newest weights even where older ones have not arrived everywhere. Peers learn from its digest which engines are
+ * The holder of the rollout lease compares what engines run with what is named, a few engines at a time, and orders
+ * the newest weights even where older ones have not arrived everywhere. Peers learn from its digest which engines are
  * loading and which are done.
  */
 package lacewingweir.coordination.weights
@@ -97,8 +97,9 @@
         }
 
     /**
-     * Load pattern: new weights are named every few seconds while callers keep coming. A lightly loaded fleet loads half
-     * of its engines at once, so that within one load all new requests find new weights; a busy one keeps more serving.
+     * Load pattern: new weights are named every few seconds while callers keep coming. A lightly loaded fleet loads
+     * half of its engines at once, so that within one load all new requests find new weights; a busy one keeps more
+     * serving.
      */
     private fun loadsAtOnce(snapshot: FleetSnapshot): Int {
         val engines = snapshot.endpoints.values.filter { it.weights.isNotEmpty() && !it.leaving }
@@ -159,7 +160,9 @@
         awaitLoaded(engine, model, target)
     }
 
-    /** Waits until the prompts that the engine was reading have got to their first token, as far as the digests tell. */
+    /**
+     * Waits until the prompts that the engine was reading have got to their first token, as far as the digests tell.
+     */
     private suspend fun settle(engine: EndpointEntry) {
         delay(SETTLE_MILLIS)
         repeat(SETTLE_CHECKS) {
@@ -218,7 +221,9 @@
         /** Engines that load at once at least, even in the smallest fleet. */
         const val MIN_AT_ONCE: Int = 2
 
-        /** Share of the engines that load at once while each runs fewer than [LIGHT_LOAD_RUNNING] requests, and else. */
+        /**
+         * Share of the engines that load at once while each runs fewer than [LIGHT_LOAD_RUNNING] requests, and else.
+         */
         const val LIGHT_LOAD_SHARE: Double = 0.5
         const val BUSY_SHARE: Double = 0.26
         const val LIGHT_LOAD_RUNNING: Double = 3.0
--- a/src/main/kotlin/lacewingweir/platform/JsonFields.kt
+++ b/src/main/kotlin/lacewingweir/platform/JsonFields.kt
@@ -9,11 +9,6 @@
 import kotlinx.serialization.json.doubleOrNull
 import kotlinx.serialization.json.longOrNull
 
-/** A field is missing or of another type. */
-internal class FieldException(
-    message: String,
-) : IllegalArgumentException(message)
-
 /** Parses [bytes] as a JSON object. */
 internal fun parseObject(bytes: ByteArray): JsonObject =
     Json.parseToJsonElement(bytes.decodeToString(throwOnInvalidSequence = true)) as? JsonObject
--- a/src/main/kotlin/lacewingweir/platform/PlatformStore.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformStore.kt
@@ -1,6 +1,7 @@
 /** The platform's store over HTTP. */
 package lacewingweir.platform
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.handler.codec.http.QueryStringEncoder
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
@@ -26,6 +27,8 @@
 import lacewingweir.transport.http.readAll
 import java.util.Base64
 
+private val logger = KotlinLogging.logger {}
+
 internal class PlatformStore(
     private val http: HttpClient,
     private val address: HostPort,
@@ -163,6 +166,7 @@
         try {
             parseObject(answer.body)
         } catch (e: IllegalArgumentException) {
+            logger.warn { "platform: malformed answer of the store: ${e.message}" }
             null
         }
 
--- a/src/main/kotlin/lacewingweir/protocol/settings/RouterSettings.kt
+++ b/src/main/kotlin/lacewingweir/protocol/settings/RouterSettings.kt
@@ -1,4 +1,6 @@
-/** Settings of an instance that runs on its operators' platform: a JSON file, read at the start and again on request. */
+/**
+ * Settings of an instance that runs on its operators' platform: a JSON file, read at the start and again on request.
+ */
 package lacewingweir.protocol.settings
 
 import kotlinx.serialization.Serializable
--- a/src/main/kotlin/lacewingweir/state/fleet/EndpointEntry.kt
+++ b/src/main/kotlin/lacewingweir/state/fleet/EndpointEntry.kt
@@ -7,8 +7,8 @@
 import lacewingweir.state.id.WeightsNumber
 
 /**
- * What an endpoint says of itself. [startedAtUnixMillis] tells two runs under one id apart. [leaving] endpoints take no
- * new requests.
+ * What an endpoint says of itself. [startedAtUnixMillis] tells two runs under one id apart. [leaving] endpoints take
+ * no new requests.
  */
 internal data class EndpointEntry(
     val id: EndpointId,
--- a/src/main/kotlin/lacewingweir/state/fleet/FleetConfig.kt
+++ b/src/main/kotlin/lacewingweir/state/fleet/FleetConfig.kt
@@ -62,7 +62,10 @@
     val models: List<ModelName>,
 )
 
-/** A group of endpoints. [maxConnections] bounds the connections of all callers to one endpoint; [engine] is null for plain services. */
+/**
+ * A group of endpoints. [maxConnections] bounds the connections of all callers to one endpoint; [engine] is null for
+ * plain services.
+ */
 internal data class ServiceSpec(
     val name: ServiceName,
     val maxConnections: Int,
--- a/src/main/kotlin/lacewingweir/state/fleet/Prompt.kt
+++ b/src/main/kotlin/lacewingweir/state/fleet/Prompt.kt
@@ -8,7 +8,9 @@
     val tokens: Int,
 )
 
-/** The prompt of a request to an engine: its [parts] in order, all of its tokens and the most that may be generated. */
+/**
+ * The prompt of a request to an engine: its [parts] in order, all of its tokens and the most that may be generated.
+ */
 internal class Prompt(
     val model: ModelName,
     val inputTokens: Long,
--- a/src/main/kotlin/lacewingweir/state/placement/PartPlacement.kt
+++ b/src/main/kotlin/lacewingweir/state/placement/PartPlacement.kt
@@ -11,8 +11,9 @@
 import lacewingweir.state.id.EndpointId
 
 /**
- * One engine at the moment of a decision. [heldTokens] of the prompt are known to be cached there, [fetchableTokens] more
- * at another engine from which they can be copied, [backlogTokens] wait for prefill, [penaltyMillis] is what else speaks against the engine (old weights, recent failures, distance).
+ * One engine at the moment of a decision. [heldTokens] of the prompt are known to be cached there, [fetchableTokens]
+ * more at another engine from which they can be copied, [backlogTokens] wait for prefill, [penaltyMillis] is what else
+ * speaks against the engine (old weights, recent failures, distance).
  */
 internal data class EngineView(
     val id: EndpointId,
@@ -25,7 +26,9 @@
     val penaltyMillis: Double,
 )
 
-/** What placement needs of a prompt: all its tokens, those that others may share, and the hash of the shared beginning. */
+/**
+ * What placement needs of a prompt: all its tokens, those that others may share, and the hash of the shared beginning.
+ */
 internal data class PartQuery(
     val inputTokens: Double,
     val sharedTokens: Double,
@@ -40,8 +43,8 @@
 )
 
 /**
- * The engine of [engines] with the least expected time, or null if there is none. [tokensPerMilli] is the prefill speed,
- * [fetchMillisPerToken] the time to copy a cached token from another engine.
+ * The engine of [engines] with the least expected time, or null if there is none. [tokensPerMilli] is the prefill
+ * speed, [fetchMillisPerToken] the time to copy a cached token from another engine.
  */
 internal fun placeByParts(
     query: PartQuery,
--- a/src/main/kotlin/lacewingweir/state/rate/FleetWindow.kt
+++ b/src/main/kotlin/lacewingweir/state/rate/FleetWindow.kt
@@ -1,10 +1,10 @@
 /**
  * One customer's tokens over the whole fleet within a sliding window, as one instance knows them.
  *
- * What this instance admits counts at once, what the others admitted counts when their digests arrive. Usage is kept for
- * each instance, so that while some are silent the others hold themselves to their part of the limit, and the parts of a
- * split fleet together never exceed it. An instance that has just started assumes a window that was fully used until a
- * peer tells it better: what its predecessor admitted is forgotten.
+ * What this instance admits counts at once, what the others admitted counts when their digests arrive. Usage is kept
+ * for each instance, so that while some are silent the others hold themselves to their part of the limit, and the
+ * parts of a split fleet together never exceed it. An instance that has just started assumes a window that was fully
+ * used until a peer tells it better: what its predecessor admitted is forgotten.
  */
 package lacewingweir.state.rate
 
--- a/src/main/kotlin/lacewingweir/transport/gateway/ServiceCall.kt
+++ b/src/main/kotlin/lacewingweir/transport/gateway/ServiceCall.kt
@@ -4,7 +4,9 @@
 import lacewingweir.state.id.CustomerId
 import java.security.MessageDigest
 
-/** A call of a plain service as it is sent to an endpoint: without the caller's key, with allow-listed headers only. */
+/**
+ * A call of a plain service as it is sent to an endpoint: without the caller's key, with allow-listed headers only.
+ */
 internal class ServiceCall private constructor(
     val context: RequestContext,
     val route: Route,
--- a/src/main/kotlin/lacewingweir/transport/http/ClientConnection.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ClientConnection.kt
@@ -179,10 +179,12 @@
     /** Marks the connection as idle. Returns false if it can't be used again. */
     internal fun returnToPool(): Boolean {
         val ctx = context ?: return false
-        if (!keepAlive || delimitedByClose || !ctx.channel().isActive || !events.isEmpty) return false
         // The server may answer before it has read the request; the rest of it must not mix with the next one.
-        if (written?.isSuccess != true) return false
-        if (!state.compareAndSet(BUSY, IDLE)) return false
+        val requestSent = written?.isSuccess == true
+        val bodyFramed = keepAlive && !delimitedByClose
+        val quiet = ctx.channel().isActive && events.isEmpty
+        val reusable = requestSent && bodyFramed && quiet
+        if (!reusable || !state.compareAndSet(BUSY, IDLE)) return false
         // Reads while idle, so that a close by the server is noticed.
         ctx.read()
         return true
--- a/src/main/kotlin/lacewingweir/transport/http/ClientRequest.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ClientRequest.kt
@@ -6,9 +6,9 @@
  * A request to an endpoint or to the platform.
  *
  * [freshConnection] forbids the use of a pooled connection, which the peer may have closed meanwhile.
- * [headTimeoutMillis] bounds the wait for the head of the answer after the request was sent. Answers that [answersThis]
- * rejects belong to an earlier request of the connection and are skipped. [keepHost] leaves a `Host` header of [headers]
- * as it is.
+ * [headTimeoutMillis] bounds the wait for the head of the answer after the request was sent. Answers that
+ * [answersThis] rejects belong to an earlier request of the connection and are skipped. [keepHost] leaves a `Host`
+ * header of [headers] as it is.
  */
 public class ClientRequest(
     public val host: String,
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -76,17 +76,16 @@
     }
 
     /** Checks that need no endpoint. Answers and returns null if one fails. */
-    private suspend fun admit(run: Run): Admitted? {
-        val snapshot = directory.snapshot
-        val config = snapshot.config ?: return run.refuse(RelayRefusal.UNINFORMED, limits().uninformedRetryMillis)
-        val found = check(run.call, config)
-        if (found is Check.Refused) {
-            // Without fresh knowledge the route or key may exist by now.
-            val known = proof.ageMillis() < limits().certainKnowledgeMillis
-            return run.refuse(if (known) found.refusal else RelayRefusal.UNINFORMED, limits().uninformedRetryMillis)
+    private suspend fun admit(run: Run): Admitted? =
+        when (val found = check(run.call)) {
+            is Check.Refused -> run.refuse(found.refusal, limits().uninformedRetryMillis)
+            is Check.Passed -> admitRate(run, found.admitted)
         }
-        val admitted = (found as Check.Passed).admitted
-        if (!proved(admitted)) return run.refuse(RelayRefusal.UNINFORMED, limits().uninformedRetryMillis)
+
+    private suspend fun admitRate(
+        run: Run,
+        admitted: Admitted,
+    ): Admitted? {
         val customer = admitted.customer ?: return admitted
         val decision = rates.admit(customer, tokens(run.call, customer))
         if (decision is RateDecision.Refused) {
@@ -101,7 +100,20 @@
         return admitted
     }
 
-    private fun check(
+    /** Whether the newest configuration allows the call, on a proof that is young enough for the answer. */
+    private fun check(call: InboundCall): Check {
+        val config = directory.snapshot.config ?: return Check.Refused(RelayRefusal.UNINFORMED)
+        val found = lookUp(call, config)
+        val oldest =
+            when (found) {
+                // Without fresh knowledge the route or key may exist by now.
+                is Check.Refused -> limits().certainKnowledgeMillis
+                is Check.Passed -> if (found.admitted.customer == null) Long.MAX_VALUE else limits().keyProofMillis
+            }
+        return if (proof.ageMillis() <= oldest) found else Check.Refused(RelayRefusal.UNINFORMED)
+    }
+
+    private fun lookUp(
         call: InboundCall,
         config: FleetConfig,
     ): Check {
@@ -111,8 +123,6 @@
         return Check.Passed(Admitted(route, customer))
     }
 
-    private fun proved(admitted: Admitted) = admitted.customer == null || proof.ageMillis() < limits().keyProofMillis
-
     private fun tokens(
         call: InboundCall,
         customer: CustomerSpec,
@@ -132,29 +142,38 @@
         admitted: Admitted,
         service: ServiceName,
     ) {
-        while (true) {
-            val left = run.deadlineAtMillis - clock.nowMillis()
-            if (left < MIN_SEND_MILLIS) return run.giveUpLate()
-            if (run.sends > 0 && !mayRepeat(run, admitted, service)) return run.giveUp()
-            val booking = place(run, admitted, service, left) ?: return
-            val sendLeft = run.deadlineAtMillis - clock.nowMillis()
-            val outcome = sendOnce(run, admitted, booking, sendLeft)
+        while (maySend(run, admitted, service)) {
+            val booking = place(run, admitted, service) ?: return
+            val outcome = sendOnce(run, admitted, booking)
             if (settle(run, booking, outcome)) return
         }
     }
 
+    /** Whether another send makes sense. Answers the caller if not. */
+    private suspend fun maySend(
+        run: Run,
+        admitted: Admitted,
+        service: ServiceName,
+    ): Boolean {
+        if (run.leftMillis < MIN_SEND_MILLIS) {
+            run.giveUpLate()
+            return false
+        }
+        if (run.sends > 0 && !mayRepeat(run, admitted, service)) {
+            run.giveUp()
+            return false
+        }
+        return true
+    }
+
     private fun mayRepeat(
         run: Run,
         admitted: Admitted,
         service: ServiceName,
     ): Boolean {
         val route = admitted.route
-        if (run.mayHaveRun && (!route.repeatable || run.runs >= route.maxEndpoints)) return false
-        if (run.sends >= MAX_SENDS) return false
-        // The configuration may have changed since the first send; a withdrawn key must not be used again.
-        val config = directory.snapshot.config ?: return false
-        if (check(run.call, config) !is Check.Passed || !proved(admitted)) return false
-        return repeats.tryRepeat(service)
+        val harmless = !run.mayHaveRun || (route.repeatable && run.runs < route.maxEndpoints)
+        return harmless && run.sends < MAX_SENDS && repeats.tryRepeat(service)
     }
 
     /** Finds an endpoint, waiting a little while none takes requests. Answers and returns null if there is none. */
@@ -162,27 +181,19 @@
         run: Run,
         admitted: Admitted,
         service: ServiceName,
-        leftMillis: Long,
     ): Booking? {
-        val waitUntil = clock.nowMillis() + minOf(leftMillis / 3, limits().placeWaitMillis)
+        val waitUntil = clock.nowMillis() + minOf(run.leftMillis / 3, limits().placeWaitMillis)
+        val isolation =
+            admitted.customer
+                ?.takeIf { it.isolated }
+                ?.id
+                ?.value
+        val request = PlacementRequest(service, run.call.prompt, isolation, run.tried)
         while (true) {
-            val isolation =
-                admitted.customer
-                    ?.takeIf { it.isolated }
-                    ?.id
-                    ?.value
-            val request = PlacementRequest(service, run.call.prompt, isolation, run.tried)
             val booking = board.place(request) ?: if (run.tried.isEmpty()) null else board.place(request.anyEndpoint())
-            if (booking != null) return admitLoad(run, booking, leftMillis)
+            if (booking != null) return accept(run, booking)
             if (clock.nowMillis() >= waitUntil) {
-                if (run.mayHaveRun) {
-                    run.giveUp()
-                } else {
-                    run.refuse<Booking>(
-                        RelayRefusal.NO_ENDPOINT,
-                        limits().noEndpointRetryMillis,
-                    )
-                }
+                run.giveUpUnplaced(RelayRefusal.NO_ENDPOINT, limits().noEndpointRetryMillis)
                 return null
             }
             delay(PLACE_POLL_MILLIS)
@@ -193,18 +204,20 @@
      * Load pattern: more prompts arrive than engines can read before callers give up. Turning the excess away at once
      * keeps what is admitted on time, and its callers learn when the backlog will have gone.
      */
-    private suspend fun admitLoad(
+    private suspend fun accept(
         run: Run,
         booking: Booking,
-        leftMillis: Long,
     ): Booking? {
-        if (booking.expectedMillis <= leftMillis * limits().usableShareOfTimeLeft) return booking
+        val usableMillis = run.leftMillis * limits().usableShareOfTimeLeft
+        // The key may have been withdrawn, or its proof grown too old, while the call waited.
+        val current = check(run.call)
+        if (current is Check.Passed && booking.expectedMillis <= usableMillis) return booking
         booking.end(BookingOutcome.NEUTRAL)
-        if (run.mayHaveRun) {
-            run.giveUp()
+        if (current is Check.Refused) {
+            run.giveUpUnplaced(current.refusal, limits().uninformedRetryMillis)
         } else {
-            val excess = booking.expectedMillis - leftMillis * limits().usableShareOfTimeLeft
-            run.refuse<Booking>(RelayRefusal.OVERLOADED, excess.toLong().coerceAtLeast(limits().overloadRetryMillis))
+            val excess = (booking.expectedMillis - usableMillis).toLong()
+            run.giveUpUnplaced(RelayRefusal.OVERLOADED, maxOf(excess, limits().overloadRetryMillis))
         }
         return null
     }
@@ -213,9 +226,9 @@
         run: Run,
         admitted: Admitted,
         booking: Booking,
-        leftMillis: Long,
     ): SendOutcome {
         val route = admitted.route
+        val leftMillis = run.leftMillis
         val engine = run.call.prompt != null
         run.sends++
         run.tried += booking.endpoint.id
@@ -317,6 +330,17 @@
             return null
         }
 
+        val leftMillis: Long
+            get() = deadlineAtMillis - clock.nowMillis()
+
+        /** Gives up without another send. */
+        suspend fun giveUpUnplaced(
+            refusal: RelayRefusal,
+            retryAfterMillis: Long,
+        ) {
+            if (mayHaveRun) giveUp() else refuse<Unit>(refusal, retryAfterMillis)
+        }
+
         suspend fun giveUpLate() {
             if (mayHaveRun) finish(RelayRefusal.TIMED_OUT) else finish(RelayRefusal.OUT_OF_TIME)
         }
@@ -345,11 +369,12 @@
         }
 
         fun log(outcome: String) {
-            val first = if (progress.started) (progress.firstEventAtNanos - exchange.arrivedAtNanos) / NANOS_PER_MILLI else -1
+            val firstNanos = if (progress.started) progress.firstEventAtNanos - exchange.arrivedAtNanos else -1
+            val total = clock.nowMillis() - call.arrivedAtMillis
             logger.info {
                 "relay: id=${call.id} $outcome route=${route?.id} endpoint=$endpoint sends=$sends runs=$runs " +
-                    "firstMs=$first totalMs=${clock.nowMillis() - call.arrivedAtMillis} config=${directory.snapshot.config?.number} " +
-                    "proofMs=${proof.ageMillis()}"
+                    "firstMs=${firstNanos / NANOS_PER_MILLI} totalMs=$total " +
+                    "config=${directory.snapshot.config?.number} proofMs=${proof.ageMillis()}"
             }
         }
     }
--- a/src/main/kotlin/lacewingweir/transport/relay/EndpointProtocol.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/EndpointProtocol.kt
@@ -8,9 +8,9 @@
 import lacewingweir.transport.http.ClientResponse
 
 /**
- * What accompanies a call to [endpoint]. [leftMillis] is the time that remains for the answer. [cacheSalt] and [weights]
- * are null for plain services; the engine must refuse the call if it has other weights. A lower [priority] is more
- * urgent. The engine copies what it lacks of the prompt from [fetchFrom].
+ * What accompanies a call to [endpoint]. [leftMillis] is the time that remains for the answer. [cacheSalt] and
+ * [weights] are null for plain services; the engine must refuse the call if it has other weights. A lower [priority]
+ * is more urgent. The engine copies what it lacks of the prompt from [fetchFrom].
  */
 internal class EndpointSend(
     val call: InboundCall,
@@ -26,9 +26,9 @@
 )
 
 /**
- * What the head of an answer says. [notRun] is the endpoint's word that it did not run the request. [forThisRequest] is
- * false if the answer does not name the request. [encoded] bodies are not the endpoint's own bytes. [headers] go back to
- * the caller.
+ * What the head of an answer says. [notRun] is the endpoint's word that it did not run the request. [forThisRequest]
+ * is false if the answer does not name the request. [encoded] bodies are not the endpoint's own bytes. [headers] go
+ * back to the caller.
  */
 internal class AnswerHead(
     val status: Int,
--- a/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
@@ -43,21 +43,27 @@
         booking: Booking,
         exchange: ServerExchange,
         progress: StreamProgress,
+    ): SendOutcome =
+        when (val result = http.open(protocol.request(send))) {
+            is ClientResult.Answered -> relay(send, result.response, booking, exchange, progress)
+            is ClientResult.NotSent -> SendOutcome.NotRun("not sent: ${result.reason}")
+            is ClientResult.Unknown -> SendOutcome.Broken(result.reason)
+        }
+
+    private suspend fun relay(
+        send: EndpointSend,
+        response: ClientResponse,
+        booking: Booking,
+        exchange: ServerExchange,
+        progress: StreamProgress,
     ): SendOutcome {
-        val response =
-            when (val result = http.open(protocol.request(send))) {
-                is ClientResult.Answered -> result.response
-                is ClientResult.NotSent -> return SendOutcome.NotRun("not sent: ${result.reason}")
-                is ClientResult.Unknown -> return SendOutcome.Broken(result.reason)
-            }
         val head = protocol.head(send.call, response)
         head.weights?.let(booking::sawWeights)
         if (head.notRun) {
             response.readAll(MAX_REFUSAL_BYTES)
             return SendOutcome.NotRun("status ${head.status}", otherWeights = head.status == MISDIRECTED)
         }
-        // A status that promises "not run" must not reach the caller unless the endpoint says so itself.
-        if (head.encoded || (head.success && !head.forThisRequest) || head.status in NOT_RUN_STATUS) {
+        if (!genuine(head)) {
             response.close()
             return SendOutcome.Broken("not the endpoint's own answer")
         }
@@ -68,6 +74,12 @@
         }
     }
 
+    /** A status that promises "not run" must not reach the caller unless the endpoint says so itself. */
+    private fun genuine(head: AnswerHead): Boolean {
+        val answersIt = head.forThisRequest || !head.success
+        return answersIt && !head.encoded && head.status !in NOT_RUN_STATUS
+    }
+
     private suspend fun relayWhole(
         response: ClientResponse,
         head: AnswerHead,
--- a/src/main/kotlin/lacewingweir/transport/relay/RelayLimits.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/RelayLimits.kt
@@ -3,11 +3,11 @@
 /**
  * Bounds of the request path.
  *
- * [keyProofMillis] is the greatest age of the contact proof with which keyed calls are served: the platform's bound for
- * withdrawn keys less the way to the endpoint. With a proof younger than [certainKnowledgeMillis] an unknown route or
- * key is refused for good; with an older one it may exist by now. A call waits up to [placeWaitMillis] for an endpoint
- * while all are loading or gone. Calls whose expected wait exceeds [usableShareOfTimeLeft] of their time are turned away.
- * The other figures are the least `Retry-After` of each refusal, in milliseconds.
+ * [keyProofMillis] is the greatest age of the contact proof with which keyed calls are served: the platform's bound
+ * for withdrawn keys less the way to the endpoint. With a proof younger than [certainKnowledgeMillis] an unknown route
+ * or key is refused for good; with an older one it may exist by now. A call waits up to [placeWaitMillis] for an
+ * endpoint while all are loading or gone. Calls whose expected wait exceeds [usableShareOfTimeLeft] of their time are
+ * turned away. The other figures are the least `Retry-After` of each refusal, in milliseconds.
  */
 internal data class RelayLimits(
     val keyProofMillis: Long,
--- a/src/test/kotlin/lacewingweir/LayersTest.kt
+++ b/src/test/kotlin/lacewingweir/LayersTest.kt
@@ -18,9 +18,10 @@
             "coordination" to setOf("state"),
             "protocol" to setOf("state", "coordination"),
             "transport" to setOf("state", "coordination", "protocol"),
+            "platform" to setOf("state", "coordination", "protocol", "transport"),
             "standin" to setOf("state", "coordination", "protocol", "transport"),
             "load" to setOf("state", "coordination", "protocol", "transport"),
-            "cli" to setOf("state", "coordination", "protocol", "transport", "standin", "load"),
+            "cli" to setOf("state", "coordination", "protocol", "transport", "platform", "standin", "load"),
         )
 
     private val root = Path.of("src/main/kotlin/lacewingweir")
--- a/src/test/kotlin/lacewingweir/coordination/rate/RateBoundTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/rate/RateBoundTest.kt
@@ -130,7 +130,9 @@
                 process.at(time.nowMicros + minOf(random.nextLong(1_000, 2 * meanMicros), PHASE_MICROS / 2)) { offer() }
             }
 
-            /** Calm phases fill the buckets, phases of one busy instance move loans, and full load then spends both. */
+            /**
+             * Calm phases fill the buckets, phases of one busy instance move loans, and full load then spends both.
+             */
             private fun busy(): Boolean {
                 val phase = time.nowMicros / PHASE_MICROS
                 return when (phase % 3) {
--- a/src/test/kotlin/lacewingweir/fleet/RateFaultTest.kt
+++ b/src/test/kotlin/lacewingweir/fleet/RateFaultTest.kt
@@ -61,7 +61,8 @@
         checkNotNull(fleet.instances[2].process).resume()
     }
 
-    // G7: guards against tokens that are spent twice when an instance dies or wakes up with rights that have passed on.
+    // G7: guards against tokens that are spent twice when an instance dies or wakes up with rights that have passed
+    // on.
     @Test
     fun `a flooding customer stays within rate and burst while instances are killed and paused`() =
         runBlocking<Unit> {
