--- a/src/main/kotlin/lacewingweir/state/rate/FleetWindow.kt
+++ b/src/main/kotlin/lacewingweir/state/rate/FleetWindow.kt
@@ -45,7 +45,7 @@
         heard: Set<String>,
         instances: Int,
     ): Boolean {
-        if (total(nowMillis, heard) >= allowance() * part(heard, instances)) return false
+        if (room(nowMillis, heard, instances) < MIN_ROOM_TOKENS) return false
         sumOf(self).add(tokens, nowMillis)
         admitted += tokens
         return true
@@ -57,7 +57,7 @@
         heard: Set<String>,
         instances: Int,
     ): Long {
-        val excess = total(nowMillis, heard) - allowance() * part(heard, instances)
+        val excess = -room(nowMillis, heard, instances)
         val perMilli = maxOf(total(nowMillis, heard), 1.0) / windowMillis
         return (excess / perMilli).toLong().coerceIn(MIN_WAIT_MILLIS, windowMillis)
     }
@@ -86,6 +86,12 @@
         inherited.fill(total, nowMillis)
     }
 
+    private fun room(
+        nowMillis: Long,
+        heard: Set<String>,
+        instances: Int,
+    ): Double = allowance() * part(heard, instances) - total(nowMillis, heard)
+
     private fun total(
         nowMillis: Long,
         heard: Set<String>,
@@ -103,6 +109,9 @@
     private companion object {
         const val MILLIS_PER_SECOND: Double = 1_000.0
 
+        /** Tokens are whole; a smaller rest comes from rounding. */
+        const val MIN_ROOM_TOKENS: Double = 1.0
+
         /** Sooner than this nothing has left the window. */
         const val MIN_WAIT_MILLIS: Long = 100
     }
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/coordination/fleet/FleetDirectoryTest.kt
@@ -0,0 +1,126 @@
+package lacewingweir.coordination.fleet
+
+import lacewingweir.coordination.store.StoreChange
+import lacewingweir.state.fleet.CallerLimits
+import lacewingweir.state.fleet.EndpointEntry
+import lacewingweir.state.fleet.FleetConfig
+import lacewingweir.state.id.EndpointId
+import lacewingweir.state.id.FailureDomain
+import lacewingweir.state.id.ModelName
+import lacewingweir.state.id.ServiceName
+import lacewingweir.state.id.WeightsNumber
+import lacewingweir.state.time.SuspendAwareClock
+import lacewingweir.testing.ManualTimers
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+
+internal class FleetDirectoryTest {
+    private val timers = ManualTimers()
+    private val directory = FleetDirectory(::decode, SuspendAwareClock(timers, { 0 }), timers)
+    private var revision = 0L
+    private val service = ServiceName("s")
+
+    private fun decode(
+        key: String,
+        value: ByteArray,
+    ): FleetFact {
+        val text = value.decodeToString()
+        return when {
+            text == "?" -> FleetFact.Unreadable("test")
+            key == "config" ->
+                FleetFact.Config(
+                    FleetConfig(text.toLong(), emptyList(), emptyList(), emptyList(), CallerLimits()),
+                )
+            key == "weights" -> FleetFact.NamedWeights(ModelName("m"), WeightsNumber(text.toLong()))
+            else -> FleetFact.Endpoint(endpoint(key, leaving = text == "leaving"))
+        }
+    }
+
+    private fun endpoint(
+        id: String,
+        leaving: Boolean,
+    ) = EndpointEntry(EndpointId(id), service, "127.0.0.1", 1, FailureDomain("d"), 4, leaving, 0, emptyMap())
+
+    private fun write(
+        key: String,
+        value: String,
+    ) = directory.changed(listOf(StoreChange(key, ++revision, value.encodeToByteArray())))
+
+    private fun remove(key: String) = directory.changed(listOf(StoreChange(key, ++revision, null)))
+
+    private fun usable() = directory.snapshot.usable(service).map { it.id.value }
+
+    @Test
+    fun `the configuration never goes back`() {
+        write("config", "7")
+        write("config", "5")
+        write("config", "?")
+        expectThat(directory.snapshot.config).isNotNull().get { number }.isEqualTo(7)
+    }
+
+    @Test
+    fun `a change that arrives twice or late is ignored`() {
+        write("e", "ready")
+        remove("e")
+        directory.changed(listOf(StoreChange("e", 1, "ready".encodeToByteArray())))
+        expectThat(usable()).isEmpty()
+    }
+
+    @Test
+    fun `leaving and unreadable endpoints take nothing new`() {
+        write("a", "ready")
+        write("b", "ready")
+        write("c", "ready")
+        write("b", "leaving")
+        write("c", "?")
+        expectThat(usable()).containsExactly("a")
+    }
+
+    /** Items lapse while the store is away; the endpoints behind them live and register again within two seconds. */
+    @Test
+    fun `an endpoint that lapsed during an outage is kept for a while and no longer`() {
+        write("a", "ready")
+        directory.contactRegained()
+        remove("a")
+        expectThat(usable()).containsExactly("a")
+        timers.advance(2_100)
+        expectThat(usable()).isEmpty()
+    }
+
+    @Test
+    fun `an endpoint that registers again after an outage stays`() {
+        write("a", "ready")
+        directory.contactRegained()
+        remove("a")
+        timers.advance(1_000)
+        write("a", "ready")
+        timers.advance(2_000)
+        expectThat(usable()).containsExactly("a")
+    }
+
+    @Test
+    fun `a listing removes what it does not hold`() {
+        write("a", "ready")
+        write("b", "ready")
+        directory.listed(listOf(StoreChange("b", 2, "ready".encodeToByteArray())))
+        expectThat(usable()).containsExactly("b")
+    }
+
+    /** Counting from the newest name let an engine fall behind for good while names came in quick succession. */
+    @Test
+    fun `an engine is outdated since the first name that is newer than its weights`() {
+        val start = timers.nowMillis()
+        write("weights", "2")
+        timers.advance(3_000)
+        write("weights", "3")
+        val target = directory.snapshot.weights.getValue(ModelName("m"))
+        expectThat(target.weights).isEqualTo(WeightsNumber(3))
+        expectThat(target.outdatedSince(WeightsNumber(1))?.monotonicMillis).isEqualTo(start)
+        expectThat(target.outdatedSince(WeightsNumber(2))?.monotonicMillis).isEqualTo(start + 3_000)
+        expectThat(target.outdatedSince(WeightsNumber(3))).isEqualTo(null)
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/coordination/weights/RolloutLeaseTest.kt
@@ -0,0 +1,103 @@
+package lacewingweir.coordination.weights
+
+import kotlinx.coroutines.runBlocking
+import lacewingweir.coordination.store.ClusterStore
+import lacewingweir.coordination.store.CommitResult
+import lacewingweir.coordination.store.StoreRange
+import lacewingweir.coordination.store.StoreResult
+import lacewingweir.coordination.store.StoreTransaction
+import lacewingweir.coordination.store.WatchResult
+import lacewingweir.state.time.SuspendAwareClock
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+
+internal class RolloutLeaseTest {
+    private var monotonic = 0L
+    private var wall = 0L
+    private val store = FakeLeases()
+    private val lease =
+        RolloutLease(store, SuspendAwareClock({ monotonic }, { wall }), "rollout", "a", ttlMillis = 3_000)
+
+    private class FakeLeases : ClusterStore {
+        var commit: StoreResult<CommitResult> = StoreResult.Ok(CommitResult.Committed(41))
+        var renewal: StoreResult<Boolean> = StoreResult.Ok(true)
+        var ended = 0
+
+        override suspend fun range(prefix: String): StoreResult<StoreRange> = StoreResult.Unknown("unused")
+
+        override suspend fun watch(
+            prefix: String,
+            revision: Long,
+            waitMillis: Long,
+        ): WatchResult = WatchResult.Failed("unused")
+
+        override suspend fun commit(transaction: StoreTransaction) = commit
+
+        override suspend fun grantLease(ttlMillis: Long) = StoreResult.Ok(7L)
+
+        override suspend fun renewLease(leaseId: Long) = renewal
+
+        override suspend fun endLease(leaseId: Long): StoreResult<Unit> {
+            ended++
+            return StoreResult.Ok(Unit)
+        }
+    }
+
+    @Test
+    fun `the holder gives orders under the revision of its claim`(): Unit =
+        runBlocking {
+            expectThat(lease.acquire()).isTrue()
+            expectThat(lease.fence()).isEqualTo(41)
+        }
+
+    @Test
+    fun `a lost race holds nothing and ends its lease`(): Unit =
+        runBlocking {
+            store.commit = StoreResult.Ok(CommitResult.Conflict)
+            expectThat(lease.acquire()).isFalse()
+            expectThat(lease.fence()).isNull()
+            expectThat(store.ended).isEqualTo(1)
+        }
+
+    /** The claim may have taken effect; without its lease the item can't stay without a holder. */
+    @Test
+    fun `a claim without an answer holds nothing and ends its lease`(): Unit =
+        runBlocking {
+            store.commit = StoreResult.Unknown("answer lost")
+            lease.acquire()
+            expectThat(lease.fence()).isNull()
+            expectThat(store.ended).isEqualTo(1)
+        }
+
+    @Test
+    fun `orders stop before an unrenewed lease can end`(): Unit =
+        runBlocking {
+            lease.acquire()
+            store.renewal = StoreResult.Unknown("store away")
+            monotonic += 1_900
+            lease.renew()
+            expectThat(lease.fence()).isNull()
+        }
+
+    /** What wakes up from a suspension must not give an order before it has renewed. */
+    @Test
+    fun `a suspended holder gives no order when it wakes up`(): Unit =
+        runBlocking {
+            lease.acquire()
+            wall += 5_000
+            expectThat(lease.fence()).isNull()
+        }
+
+    @Test
+    fun `a lease that the store has ended is given up`(): Unit =
+        runBlocking {
+            lease.acquire()
+            store.renewal = StoreResult.Ok(false)
+            lease.renew()
+            expectThat(lease.holding).isFalse()
+        }
+}
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/platform/PlatformFactsTest.kt
@@ -0,0 +1,110 @@
+package lacewingweir.platform
+
+import lacewingweir.coordination.fleet.FleetFact
+import lacewingweir.state.fleet.RequestKind
+import lacewingweir.state.id.EndpointId
+import lacewingweir.state.id.FailureDomain
+import lacewingweir.state.id.KeyDigest
+import lacewingweir.state.id.ModelName
+import lacewingweir.state.id.ServiceName
+import lacewingweir.state.id.WeightsNumber
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+
+internal class PlatformFactsTest {
+    private fun decode(
+        key: String,
+        json: String,
+    ) = PlatformFacts.decode(key, json.encodeToByteArray())
+
+    private val server =
+        """{"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v7","slots":48,"state":"ready","coldLeftMs":0,
+        "models":[{"name":"m","version":3,"adapters":[]}],"sequence":4,"born":1700000000000}"""
+
+    @Test
+    fun `a server's item is read with its weights and start, not its software version`() {
+        expectThat(decode("servers/i-1", server)).isA<FleetFact.Endpoint>().get { entry }.and {
+            get { id }.isEqualTo(EndpointId("i-1"))
+            get { service }.isEqualTo(ServiceName("s"))
+            get { port }.isEqualTo(8080)
+            get { domain }.isEqualTo(FailureDomain("z"))
+            get { leaving }.isFalse()
+            get { startedAtUnixMillis }.isEqualTo(1_700_000_000_000)
+            get { weights }.isEqualTo(mapOf(ModelName("m") to WeightsNumber(3)))
+        }
+        expectThat(decode("servers/i-1", server.replace("ready", "draining")))
+            .isA<FleetFact.Endpoint>()
+            .get {
+                entry.leaving
+            }.isTrue()
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = [
+            "", "[]", "{", "null", "{\"service\":\"s\"}",
+            """{"service":"s","address":"nowhere","zone":"z","slots":48,"state":"ready"}""",
+            """{"service":"s","address":"10.0.0.9:8080","zone":"z","slots":"48","state":"ready"}""",
+            """{"service":"s","address":"10.0.0.9:8080","zone":"z","slots":48,"state":"asleep"}""",
+            """{"service":7,"address":"10.0.0.9:8080","zone":"z","slots":48,"state":"ready"}""",
+        ],
+    )
+    fun `an item of another writer is unreadable`(json: String) {
+        expectThat(decode("servers/i-1", json)).isA<FleetFact.Unreadable>()
+    }
+
+    @Test
+    fun `bytes that are no text are unreadable`() {
+        expectThat(PlatformFacts.decode("servers/i-1", byteArrayOf(0x7b, 0x22, -1, -2))).isA<FleetFact.Unreadable>()
+    }
+
+    @Test
+    fun `keys that mean nothing here are passed over`() {
+        expectThat(decode("status/x", "{}")).isNull()
+    }
+
+    @Test
+    fun `a configuration is read with its longest prefixes first`() {
+        val config =
+            decode(
+                "op/config",
+                """{"version":7,"routes":[
+                {"name":"a","host":"H.example","prefix":"/a/","kind":"non_idempotent","timeoutMs":1000,"service":"s","maxAttempts":1},
+                {"name":"b","host":"h.example","prefix":"/a/b/","kind":"stream","timeoutMs":15000.0,"priority":1,
+                 "split":[{"service":"s","weight":90},{"service":"t","weight":10}],"maxAttempts":2,"public":true,"resumable":true},
+                {"name":"c","host":"h.example","prefix":"/c/","kind":"new","timeoutMs":1000,"service":"s"}],
+                "services":[{"name":"s","maxConns":300,"engine":{"slots":48,"kvCapTokens":1000,"kvTokenBytes":163840,"linkMbps":260000.0,
+                 "models":[{"name":"m"}]}},{"name":"w","kvStoreAddr":"10.0.0.1:1","zone":"z"}],
+                "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+                "tenants":[{"name":"t","apiKeys":["k"],"priority":1,"unit":"token_stream","plainTokens":200,"isolated":true,
+                 "ratePerS":86054,"burst":86054},{"name":"u","apiKeys":[],"ratePerS":0}]}""",
+            )
+        expectThat(config).isA<FleetFact.Config>().get { this.config }.and {
+            get { number }.isEqualTo(7)
+            get { route("h.example", "/a/x") }.isNotNull().get { id.value }.isEqualTo("a")
+            get { route("h.example", "/a/b/x") }.isNotNull().and {
+                get { id.value }.isEqualTo("b")
+                get { repeatable }.isTrue()
+                get { targets.sumOf { it.weight } }.isEqualTo(100)
+            }
+            get { route("h.example", "/d/") }.isNull()
+            // What is not known must not be repeated.
+            get { route("h.example", "/c/x") }.isNotNull().get { kind }.isEqualTo(RequestKind.NON_IDEMPOTENT)
+            get { services[ServiceName("w")] }.isNull()
+            get { customer(KeyDigest.of("k")) }.isNotNull().and {
+                get { isolated }.isTrue()
+                get { rate?.perSecond }.isEqualTo(86_054.0)
+            }
+            get { customers.last().rate }.isNull()
+            get { customer(KeyDigest.of("other")) }.isNull()
+        }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/platform/RelayFixture.kt
@@ -0,0 +1,173 @@
+package lacewingweir.platform
+
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import lacewingweir.coordination.fleet.ContactProof
+import lacewingweir.coordination.fleet.FleetDirectory
+import lacewingweir.coordination.gossip.CustomerRates
+import lacewingweir.coordination.placement.EndpointBoard
+import lacewingweir.coordination.placement.WeightsRules
+import lacewingweir.coordination.store.StoreChange
+import lacewingweir.coordination.time.CoroutineTimerService
+import lacewingweir.state.id.FailureDomain
+import lacewingweir.state.retry.RepeatAllowance
+import lacewingweir.state.time.MonotonicClock
+import lacewingweir.state.time.SuspendAwareClock
+import lacewingweir.transport.http.ClientRequest
+import lacewingweir.transport.http.ClientResult
+import lacewingweir.transport.http.HttpClient
+import lacewingweir.transport.http.HttpServer
+import lacewingweir.transport.http.ServerExchange
+import lacewingweir.transport.http.readAll
+import lacewingweir.transport.relay.CallRelay
+import lacewingweir.transport.relay.EndpointSender
+import lacewingweir.transport.relay.RelayLimits
+import lacewingweir.transport.relay.RepeatBudgets
+import java.util.concurrent.CopyOnWriteArrayList
+
+/** A relay on loopback before endpoints that answer as a test says. */
+internal class RelayFixture : AutoCloseable {
+    class Endpoint(
+        val id: String,
+        val arrivals: MutableList<ServerExchange>,
+        val server: HttpServer,
+    )
+
+    class CallerAnswer(
+        val status: Int,
+        val body: String,
+        val retryAfter: String?,
+        val whole: Boolean,
+    )
+
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val scope = CoroutineScope(SupervisorJob() + group.next().asCoroutineDispatcher())
+    private val http = HttpClient(group)
+    private val ages = SuspendAwareClock()
+    val proof = ContactProof(ages).also { it.prove(ages.now()) }
+    private val directory = FleetDirectory(PlatformFacts::decode, ages, CoroutineTimerService(scope))
+    private val clock = MonotonicClock.SYSTEM
+    private val rates = CustomerRates(clock, "a", 8_000, { emptySet() }, { 1 })
+    private val board = EndpointBoard(clock, FailureDomain("z1"), WeightsRules(ages) { 8_000 })
+    private val repeats = RepeatBudgets(clock, { 1 }) { RepeatAllowance(10_000, ratio = 0.2, extra = 50.0) }
+    var limits = RelayLimits(keyProofMillis = 4_500, placeWaitMillis = 100)
+    private val relay =
+        CallRelay(directory, proof, rates, repeats, board, EndpointSender(http, PlatformEndpoints), clock, { limits })
+    private val front =
+        HttpServer(group, scope, "127.0.0.1", 0) { exchange ->
+            val call = checkNotNull(PlatformFront.decode(exchange, clock.nowMillis()))
+            relay.handle(call, exchange)
+        }.start()
+    private val servers = ArrayList<HttpServer>()
+    private var revision = 0L
+    private var configNumber = 0L
+
+    init {
+        directory.observe { snapshot ->
+            snapshot.config?.let(rates::configure)
+            board.onFleet(snapshot)
+        }
+    }
+
+    /** Ages the contact proof by [millis]. */
+    fun proofOf(millis: Long) = ContactProof(ages).let { ages.now().plus(-millis) }
+
+    fun write(
+        key: String,
+        json: String,
+    ) = directory.changed(listOf(StoreChange(key, ++revision, json.encodeToByteArray())))
+
+    /** Writes a configuration with one route of each kind and one customer with [keys]. */
+    fun configure(vararg keys: String) {
+        val kinds =
+            listOf(
+                "idempotent" to "plain",
+                "non_idempotent" to "plain",
+                "stream" to "engine",
+            ).joinToString(",") { (kind, service) ->
+                """{"name":"r-$kind","host":"h.example","prefix":"/$kind/","kind":"$kind","timeoutMs":2000,
+                "latencyTargetMs":500,"priority":1,"service":"$service","maxAttempts":2,"public":false,"resumable":true}"""
+            }
+        val tenant = """{"name":"acme","apiKeys":[${keys.joinToString(",") { "\"$it\"" }}],"isolated":true}"""
+        write(
+            "op/config",
+            """{"version":${++configNumber},"routes":[$kinds],"services":[{"name":"plain","maxConns":10},
+            {"name":"engine","maxConns":10,"engine":{"slots":8,"kvCapTokens":10000,"models":[{"name":"m"}]}}],"tenants":[$tenant]}""",
+        )
+    }
+
+    /** Starts an endpoint that answers with [handler] and registers it. */
+    fun endpoint(
+        id: String,
+        service: String = "plain",
+        handler: suspend (ServerExchange) -> Unit,
+    ): Endpoint {
+        val arrivals = CopyOnWriteArrayList<ServerExchange>()
+        val server =
+            HttpServer(group, scope, "127.0.0.1", 0) {
+                arrivals += it
+                handler(it)
+            }.start()
+        servers += server
+        val models = if (service == "engine") ""","models":[{"name":"m","version":1,"adapters":[]}]""" else ""
+        write(
+            "servers/$id",
+            """{"service":"$service","address":"127.0.0.1:${server.port}","zone":"z1","version":"v1","slots":4,"state":"ready",
+            "coldLeftMs":0,"sequence":1,"born":1000$models}""",
+        )
+        return Endpoint(id, arrivals, server)
+    }
+
+    suspend fun call(
+        kind: String,
+        key: String = "k1",
+        headers: List<Pair<String, String>> = emptyList(),
+        deadlineMillis: Long = 2_000,
+    ): CallerAnswer {
+        val request =
+            ClientRequest(
+                host = "127.0.0.1",
+                port = front.port,
+                method = "POST",
+                path = "/$kind/x?y=%20z",
+                headers =
+                    listOf(
+                        "Host" to "h.example",
+                        "Attempt-Id" to ID,
+                        "X-Api-Key" to key,
+                        "Deadline-Ms" to "$deadlineMillis",
+                    ) +
+                        headers,
+                body = "body".encodeToByteArray(),
+                keepHost = true,
+            )
+        val response = (http.open(request) as ClientResult.Answered).response
+        val body = response.readAll(1_000_000)
+        return CallerAnswer(
+            response.status,
+            body?.decodeToString().orEmpty(),
+            response.headers.get("Retry-After"),
+            whole =
+                body != null,
+        )
+    }
+
+    override fun close() {
+        front.close()
+        servers.forEach { it.close() }
+        http.close()
+        scope.cancel()
+        group.shutdownGracefully(0, 100, java.util.concurrent.TimeUnit.MILLISECONDS)
+    }
+
+    internal companion object {
+        const val ID = "9c41d07be2a35f68"
+
+        /** Headers of a genuine answer. */
+        val stamped = listOf("Attempt-Id" to ID, "Server-Stamp" to "stamp")
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/state/retry/RepeatAllowanceTest.kt
@@ -0,0 +1,29 @@
+package lacewingweir.state.retry
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isTrue
+
+internal class RepeatAllowanceTest {
+    /** Load pattern: every request fails and is repeated as often as the budget lets it, on all instances. */
+    @Test
+    fun `all instances together keep to the budget of the fleet`() {
+        val instances = 8
+        val allowances = List(instances) { RepeatAllowance(windowMillis = 10_000, ratio = 0.2, extra = 56.0) }
+        var repeats = 0
+        val requests = 1_000
+        repeat(requests) { n ->
+            val allowance = allowances[n % instances]
+            allowance.onRequest(n.toLong())
+            if (allowance.tryRepeat(n.toLong(), instances)) repeats++
+        }
+        expectThat(repeats.toDouble()).isLessThanOrEqualTo(0.2 * requests + 56)
+    }
+
+    @Test
+    fun `a quiet instance may still repeat`() {
+        val allowance = RepeatAllowance(windowMillis = 10_000, ratio = 0.2, extra = 56.0)
+        expectThat(allowance.tryRepeat(0, 8)).isTrue()
+    }
+}
