Keep engines that turn prompts away, announce first loads, and serve at once after a load

Ruled out: the load model, whose expected and real times to the first token agree (p50 439/437 ms at 4 s). Change: turned away is not failed; a first token resets failures; loads are announced by who ordered them; customers that use most of their rate are noted in the store, others start with a part of the window; fewer loads at once while busy.

--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -19,6 +19,8 @@
 import lacewingweir.coordination.gossip.PeerBoard
 import lacewingweir.coordination.placement.EndpointBoard
 import lacewingweir.coordination.placement.WeightsRules
+import lacewingweir.coordination.store.StoreTransaction
+import lacewingweir.coordination.store.StoreWrite
 import lacewingweir.coordination.time.CoroutineTimerService
 import lacewingweir.coordination.weights.RolloutLease
 import lacewingweir.coordination.weights.WeightsRollout
@@ -129,7 +131,7 @@
     /** Opens the ports and begins to follow the store. */
     suspend fun start() {
         directory.observe { snapshot ->
-            snapshot.config?.let(rates::configure)
+            snapshot.config?.let { rates.configure(it, snapshot.hotCustomers) }
             board.onFleet(snapshot)
         }
         network.start()
@@ -138,6 +140,7 @@
         scope.launch { mirror.run() }
         scope.launch { registration.start() }
         digests.start()
+        timers.every("hot customers", HOT_PERIOD_MILLIS) { noteHotCustomers() }
         rollout.start()
         logger.info { "router: started name=${settings.name} domain=${settings.failureDomain} store=$storeAddress" }
     }
@@ -198,6 +201,15 @@
 
     private fun ready() = !draining && directory.snapshot.config != null && proof.ageMillis() < READY_PROOF_MILLIS
 
+    /** Keeps in the store who uses most of their rate, for instances that start after all have been lost together. */
+    private suspend fun noteHotCustomers() {
+        val hot = rates.hot()
+        if (lease.fence() == null || !settled() || hot == directory.snapshot.hotCustomers) return
+        val write = StoreWrite(PlatformKeys.HOT_CUSTOMERS, PlatformFacts.encodeHotCustomers(hot))
+        val result = store.commit(StoreTransaction(writes = listOf(write)))
+        logger.info { "router: hot customers noted count=${hot.size} result=$result" }
+    }
+
     private fun settled() = clock.nowMillis() - startedAtMillis > rateWindowMillis
 
     private fun onDigest(digest: InstanceDigest) {
@@ -235,5 +247,8 @@
         /** Time between the end of the drain and the kill. */
         const val SHUTDOWN_MARGIN_MILLIS: Long = 400
         const val DRAIN_POLL_MILLIS: Long = 50
+
+        /** A flood fills a rate's window within a second or two. */
+        const val HOT_PERIOD_MILLIS: Long = 1_000
     }
 }
--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetDirectory.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetDirectory.kt
@@ -13,6 +13,7 @@
 import lacewingweir.state.fleet.EndpointEntry
 import lacewingweir.state.fleet.FleetConfig
 import lacewingweir.state.fleet.PeerEntry
+import lacewingweir.state.id.CustomerId
 import lacewingweir.state.id.ModelName
 import lacewingweir.state.time.Moment
 import lacewingweir.state.time.SuspendAwareClock
@@ -26,7 +27,9 @@
     private val timers: TimerService,
 ) : MirrorListener {
     private val current =
-        AtomicReference(FleetSnapshot(null, emptyMap(), emptyMap(), emptyMap(), rolloutLeaderPresent = false))
+        AtomicReference(
+            FleetSnapshot(null, emptyMap(), emptyMap(), emptyMap(), rolloutLeaderPresent = false, emptySet()),
+        )
     private val observers = ArrayList<(FleetSnapshot) -> Unit>()
     private val revisions = HashMap<String, Long>()
     private val endpointsByKey = HashMap<String, EndpointEntry>()
@@ -34,6 +37,7 @@
     private val weights = HashMap<ModelName, WeightsTarget>()
     private var config: FleetConfig? = null
     private var leaderKey: String? = null
+    private var hotCustomers: Set<CustomerId> = emptySet()
     private var regainedAt: Moment? = null
 
     val snapshot: FleetSnapshot
@@ -81,6 +85,7 @@
             }
             is FleetFact.Peer -> peersByKey[key] = fact.entry
             FleetFact.RolloutLeader -> leaderKey = key
+            is FleetFact.HotCustomers -> hotCustomers = fact.customers
             is FleetFact.Unreadable -> {
                 logger.warn { "directory: unreadable item key=$key reason=${fact.reason}" }
                 endpointsByKey.remove(key)
@@ -136,7 +141,7 @@
     private fun publish() {
         val endpoints = endpointsByKey.values.associateBy { it.id }
         val peers = peersByKey.values.associateBy { it.name }
-        val next = FleetSnapshot(config, weights.toMap(), endpoints, peers, leaderKey != null)
+        val next = FleetSnapshot(config, weights.toMap(), endpoints, peers, leaderKey != null, hotCustomers)
         current.set(next)
         observers.forEach { it(next) }
     }
--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetFact.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetFact.kt
@@ -4,6 +4,7 @@
 import lacewingweir.state.fleet.EndpointEntry
 import lacewingweir.state.fleet.FleetConfig
 import lacewingweir.state.fleet.PeerEntry
+import lacewingweir.state.id.CustomerId
 import lacewingweir.state.id.ModelName
 import lacewingweir.state.id.WeightsNumber
 
@@ -26,6 +27,11 @@
         val entry: PeerEntry,
     ) : FleetFact
 
+    /** Customers that use most of their rate. */
+    data class HotCustomers(
+        val customers: Set<CustomerId>,
+    ) : FleetFact
+
     /** The instance that coordinates the loading of weights holds a lease on this item. */
     data object RolloutLeader : FleetFact
 
--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetSnapshot.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetSnapshot.kt
@@ -3,6 +3,7 @@
 import lacewingweir.state.fleet.EndpointEntry
 import lacewingweir.state.fleet.FleetConfig
 import lacewingweir.state.fleet.PeerEntry
+import lacewingweir.state.id.CustomerId
 import lacewingweir.state.id.EndpointId
 import lacewingweir.state.id.ModelName
 import lacewingweir.state.id.ServiceName
@@ -42,6 +43,7 @@
     val endpoints: Map<EndpointId, EndpointEntry>,
     val peers: Map<String, PeerEntry>,
     val rolloutLeaderPresent: Boolean,
+    val hotCustomers: Set<CustomerId>,
 ) {
     private val byService: Map<ServiceName, List<EndpointEntry>> = endpoints.values.groupBy { it.service }
 
--- a/src/main/kotlin/lacewingweir/coordination/gossip/CustomerRates.kt
+++ b/src/main/kotlin/lacewingweir/coordination/gossip/CustomerRates.kt
@@ -28,9 +28,12 @@
 ) {
     private val windows = HashMap<CustomerId, FleetWindow>()
 
-    /** Applies the rates of a new configuration. */
+    /** Applies the rates of a new configuration. [hot] customers used most of theirs when it was last noted. */
     @Synchronized
-    fun configure(config: FleetConfig) {
+    fun configure(
+        config: FleetConfig,
+        hot: Set<CustomerId>,
+    ) {
         for (customer in config.customers) {
             val limit = customer.rate
             when (val known = windows[customer.id]) {
@@ -38,7 +41,8 @@
                     if (limit !=
                         null
                     ) {
-                        windows[customer.id] = FleetWindow(limit, windowMillis, self, clock.nowMillis())
+                        windows[customer.id] =
+                            FleetWindow(limit, windowMillis, self, customer.id in hot, clock.nowMillis())
                     }
                 else -> if (limit == null) windows.remove(customer.id) else known.reshape(limit)
             }
@@ -72,6 +76,10 @@
         }
     }
 
+    /** Customers that use most of their rate. */
+    @Synchronized
+    fun hot(): Set<CustomerId> = windows.filterValues { it.isHot(clock.nowMillis()) }.keys
+
     /** Tokens admitted for each customer since the start. */
     @Synchronized
     fun admitted(): Map<String, Long> =
--- a/src/main/kotlin/lacewingweir/coordination/placement/Booking.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/Booking.kt
@@ -9,8 +9,8 @@
     SERVED,
     FAILED,
 
-    /** The engine runs with other weights than were believed. */
-    OTHER_WEIGHTS,
+    /** The endpoint is full, is loading weights or has others than were believed. It works all the same. */
+    TURNED_AWAY,
 
     /** Says nothing of the endpoint's health, for example because the caller left. */
     NEUTRAL,
--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointBoard.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointBoard.kt
@@ -100,24 +100,26 @@
             if (state != null &&
                 state.entry.startedAtUnixMillis == engine.startedAtUnixMillis
             ) {
-                apply(engine, state, now)
+                apply(digest.instance, engine, state, now)
             }
         }
         for (read in digest.reads) states[EndpointId(read.endpoint)]?.cached?.read(read.hash, read.tokens)
     }
 
     private fun apply(
+        from: String,
         engine: EngineWeights,
         state: EndpointState,
         now: Long,
     ) {
-        // Only the instance that ordered the load knows when it has ended.
-        if (engine.loading) state.loadingUntilMillis = now + PeerBoard.BELIEF_MILLIS
-        val seen = WeightsNumber(engine.weights)
-        if (seen > (state.weights() ?: seen)) {
-            state.learnWeights(seen)
+        if (engine.loading) {
+            state.loadingUntilMillis = now + PeerBoard.BELIEF_MILLIS
+            state.loadingBy = from
+        } else if (state.loadingBy == from) {
             state.loadingUntilMillis = 0
         }
+        val seen = WeightsNumber(engine.weights)
+        if (seen > (state.weights() ?: seen)) state.learnWeights(seen)
     }
 
     /** Own load for the digest, without endpoints that have none. */
@@ -165,7 +167,8 @@
                 .usable(request.service)
                 .filter { it.id !in request.excluded }
                 .mapNotNull { states[it.id] }
-        val healthy = candidates.filterNot { it.health.isEjected(now) }.ifEmpty { candidates }
+        val calm = candidates.filterNot { it.avoidedUntilMillis > now }.ifEmpty { candidates }
+        val healthy = calm.filterNot { it.health.isEjected(now) }.ifEmpty { calm }
         if (healthy.isEmpty()) return null
         return if (request.prompt ==
             null
@@ -197,7 +200,7 @@
         val usable =
             candidates.filter {
                 it.loadingUntilMillis <= now &&
-                    it.unsureUntilMillis <= now &&
+                    it.avoidedUntilMillis <= now &&
                     weightsRules.allowed(it.weights(), target)
             }
         if (usable.isEmpty()) return null
@@ -326,6 +329,8 @@
         val state = booking.state
         state.backlogTokens = (state.backlogTokens - booking.missedTokens).coerceAtLeast(0.0)
         booking.read?.let { remember(state, it) }
+        // An engine that gets prompts to their first token works, however long others wait.
+        state.health = state.health.succeeded(clock.nowMillis())
         booking.speed?.observe(booking.missedTokens, (clock.nowMillis() - booking.placedAtMillis).toDouble())
     }
 
@@ -365,7 +370,7 @@
                     }
                 }
             }
-            BookingOutcome.OTHER_WEIGHTS -> state.unsureUntilMillis = now + UNSURE_MILLIS
+            BookingOutcome.TURNED_AWAY -> state.avoidedUntilMillis = now + AVOIDED_MILLIS
             BookingOutcome.NEUTRAL -> Unit
         }
     }
@@ -382,7 +387,9 @@
     @Synchronized
     fun engineWeights(loading: Set<EndpointId>): List<EngineWeights> =
         states.values.mapNotNull { state ->
-            val weights = state.seenWeights ?: return@mapNotNull null
+            val weights =
+                state.weights().takeIf { state.seenWeights != null || state.entry.id in loading }
+                    ?: return@mapNotNull null
             EngineWeights(
                 state.entry.id.value,
                 state.entry.startedAtUnixMillis,
@@ -414,7 +421,7 @@
         /** Fewer tokens are read again faster than they are fetched. */
         private const val MIN_FETCH_TOKENS: Double = 200.0
 
-        /** Time for a report of the engine's true weights to arrive. */
-        private const val UNSURE_MILLIS: Long = 300
+        /** Time for news of a full or loading endpoint, or of its true weights, to arrive. */
+        private const val AVOIDED_MILLIS: Long = 250
     }
 }
--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointState.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointState.kt
@@ -21,13 +21,19 @@
     var seenWeights: WeightsNumber? = null
     var loadingUntilMillis = 0L
 
-    /** The engine last refused for other weights than expected; it gets nothing until this time. */
-    var unsureUntilMillis = 0L
+    /** The instance that announced the load; only it knows when the load has ended. */
+    var loadingBy: String? = null
+
+    /** The endpoint turned a request away without running it; it gets nothing until this time. */
+    var avoidedUntilMillis = 0L
 
     /** Takes over a newer item of the endpoint's. */
     fun update(changed: EndpointEntry) {
         val stated = changed.weights.values.maxOrNull()
-        if (stated != null && stated > (seenWeights ?: stated)) learnWeights(stated)
+        if (stated != null && stated > (weights() ?: stated)) {
+            learnWeights(stated)
+            loadingUntilMillis = 0
+        }
         entry = changed
     }
 
--- a/src/main/kotlin/lacewingweir/coordination/weights/WeightsRollout.kt
+++ b/src/main/kotlin/lacewingweir/coordination/weights/WeightsRollout.kt
@@ -21,7 +21,6 @@
 import lacewingweir.state.id.WeightsNumber
 import lacewingweir.state.time.SuspendAwareClock
 import java.util.concurrent.ConcurrentHashMap
-import kotlin.math.ceil
 import kotlin.random.Random
 
 private val logger = KotlinLogging.logger {}
@@ -96,16 +95,9 @@
                 .map { Stale(it, model, target.weights) }
         }
 
-    /**
-     * Load pattern: new weights are named every few seconds while callers keep coming. A lightly loaded fleet loads
-     * half of its engines at once, so that within one load all new requests find new weights; a busy one keeps more
-     * serving.
-     */
     private fun loadsAtOnce(snapshot: FleetSnapshot): Int {
         val engines = snapshot.endpoints.values.filter { it.weights.isNotEmpty() && !it.leaving }
-        val running = engines.sumOf { board.runningAt(it.id) }.toDouble() / engines.size.coerceAtLeast(1)
-        val share = if (running < LIGHT_LOAD_RUNNING) LIGHT_LOAD_SHARE else BUSY_SHARE
-        return maxOf(MIN_AT_ONCE, ceil(engines.size * share).toInt())
+        return loadsAtOnce(engines.size, engines.sumOf { board.runningAt(it.id) })
     }
 
     /** Engines that stay outdated for too long go first, whatever runs there. */
@@ -218,16 +210,6 @@
         const val MAX_REPORTS: Int = 60
         const val UNREACHABLE_PAUSE_MILLIS: Long = 500
 
-        /** Engines that load at once at least, even in the smallest fleet. */
-        const val MIN_AT_ONCE: Int = 2
-
-        /**
-         * Share of the engines that load at once while each runs fewer than [LIGHT_LOAD_RUNNING] requests, and else.
-         */
-        const val LIGHT_LOAD_SHARE: Double = 0.5
-        const val BUSY_SHARE: Double = 0.26
-        const val LIGHT_LOAD_RUNNING: Double = 3.0
-
         /** Half of the time that the platform grants for new weights. */
         const val OVERDUE_MILLIS: Long = 4_000
 
--- a/src/main/kotlin/lacewingweir/platform/PlatformFacts.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformFacts.kt
@@ -4,7 +4,9 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.add
 import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.putJsonArray
 import lacewingweir.coordination.fleet.FleetFact
 import lacewingweir.protocol.settings.HostPort
 import lacewingweir.state.fleet.CallerLimits
@@ -44,6 +46,8 @@
                     FleetFact.Endpoint(endpoint(EndpointId(key.removePrefix(PlatformKeys.SERVERS)), parseObject(value)))
                 key.startsWith(PlatformKeys.INSTANCES) ->
                     FleetFact.Peer(peer(key.removePrefix(PlatformKeys.INSTANCES), parseObject(value)))
+                key == PlatformKeys.HOT_CUSTOMERS ->
+                    FleetFact.HotCustomers(parseObject(value).texts("customers").mapTo(HashSet()) { CustomerId(it) })
                 key == PlatformKeys.ROLLOUT -> FleetFact.RolloutLeader
                 else -> null
             }
@@ -66,6 +70,12 @@
             put("failureDomain", JsonPrimitive(domain.value))
         }.toString().encodeToByteArray()
 
+    /** The item that names the customers that use most of their rate. */
+    fun encodeHotCustomers(customers: Set<CustomerId>): ByteArray =
+        buildJsonObject {
+            putJsonArray("customers") { customers.forEach { add(it.value) } }
+        }.toString().encodeToByteArray()
+
     private fun peer(
         name: String,
         item: JsonObject,
--- a/src/main/kotlin/lacewingweir/platform/PlatformNames.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformNames.kt
@@ -61,5 +61,6 @@
     const val WEIGHTS = "op/version/"
     const val SERVERS = "servers/"
     const val INSTANCES = "lacewingweir/instances/"
+    const val HOT_CUSTOMERS = "lacewingweir/hot-customers"
     const val ROLLOUT = "lacewingweir/rollout"
 }
--- a/src/main/kotlin/lacewingweir/state/rate/FleetWindow.kt
+++ b/src/main/kotlin/lacewingweir/state/rate/FleetWindow.kt
@@ -3,8 +3,9 @@
  *
  * What this instance admits counts at once, what the others admitted counts when their digests arrive. Usage is kept
  * for each instance, so that while some are silent the others hold themselves to their part of the limit, and the
- * parts of a split fleet together never exceed it. An instance that has just started assumes a window that was fully
- * used until a peer tells it better: what its predecessor admitted is forgotten.
+ * parts of a split fleet together never exceed it. What an instance admitted is forgotten when it ends; one that has
+ * just started assumes usage until a peer tells it better: a full window of a customer known to use most of its rate,
+ * else a part.
  */
 package lacewingweir.state.rate
 
@@ -15,12 +16,16 @@
     private var limit: RateLimit,
     private val windowMillis: Long,
     private val self: String,
+    hot: Boolean,
     nowMillis: Long,
 ) {
     private val used = HashMap<String, SlidingSum>()
 
     /** Usage of instances before they could be told apart; it fades as the window moves on. */
-    private val inherited = SlidingSum(windowMillis).also { it.fill(allowance(), nowMillis) }
+    private val inherited =
+        SlidingSum(
+            windowMillis,
+        ).also { it.fill(allowance() * if (hot) 1.0 else HOT_SHARE, nowMillis) }
     private var inheritedIsGuess = true
 
     /** Total that this instance admitted; part of its digest. */
@@ -86,6 +91,9 @@
         inherited.fill(total, nowMillis)
     }
 
+    /** Whether most of the allowance is used. */
+    fun isHot(nowMillis: Long): Boolean = total(nowMillis) > allowance() * HOT_SHARE
+
     private fun room(
         nowMillis: Long,
         heard: Set<String>,
@@ -109,6 +117,9 @@
     private companion object {
         const val MILLIS_PER_SECOND: Double = 1_000.0
 
+        /** Share of the allowance above which a customer counts as hot. */
+        const val HOT_SHARE: Double = 0.6
+
         /** Tokens are whole; a smaller rest comes from rounding. */
         const val MIN_ROOM_TOKENS: Double = 1.0
 
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -234,7 +234,9 @@
         run.tried += booking.endpoint.id
         run.endpoint = booking.endpoint.id
         val another = route.repeatable && run.runs + 1 < route.maxEndpoints
-        val headTimeout = if (another) (leftMillis * FIRST_TRY_SHARE).toLong() else leftMillis
+        // Another endpoint costs a second run, so a busy one is given the time that it was expected to take, and more.
+        val patience = leftMillis * FIRST_TRY_SHARE + booking.expectedMillis
+        val headTimeout = if (another) minOf(patience.toLong(), leftMillis) else leftMillis
         val send =
             EndpointSend(
                 call = run.call,
@@ -248,6 +250,11 @@
                 resumeAfter = run.progress.lastId ?: run.call.resumeAfter,
                 fetchFrom = booking.holder,
             )
+        logger.info {
+            "relay: id=${run.call.id} sent to=${booking.endpoint.id} try=${run.sends} leftMs=$leftMillis " +
+                "expectedMs=${booking.expectedMillis.toLong()} missed=${booking.missedTokens.toLong()} " +
+                "weights=${booking.weights} fetch=${booking.holder?.id}"
+        }
         return withTimeoutOrNull(leftMillis) { sender.send(send, booking, run.exchange, run.progress) }
             ?: SendOutcome.Broken("out of time", timedOut = true)
     }
--- a/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
@@ -34,7 +34,7 @@
     private fun verdict(outcome: SendOutcome) =
         when (outcome) {
             is SendOutcome.Delivered -> BookingOutcome.SERVED
-            is SendOutcome.NotRun -> if (outcome.otherWeights) BookingOutcome.OTHER_WEIGHTS else BookingOutcome.FAILED
+            is SendOutcome.NotRun -> if (outcome.refused) BookingOutcome.TURNED_AWAY else BookingOutcome.FAILED
             is SendOutcome.ErrorAnswer, is SendOutcome.Broken -> BookingOutcome.FAILED
         }
 
@@ -46,7 +46,7 @@
     ): SendOutcome =
         when (val result = http.open(protocol.request(send))) {
             is ClientResult.Answered -> relay(send, result.response, booking, exchange, progress)
-            is ClientResult.NotSent -> SendOutcome.NotRun("not sent: ${result.reason}")
+            is ClientResult.NotSent -> SendOutcome.NotRun("not sent: ${result.reason}", refused = false)
             is ClientResult.Unknown -> SendOutcome.Broken(result.reason)
         }
 
@@ -61,7 +61,7 @@
         head.weights?.let(booking::sawWeights)
         if (head.notRun) {
             response.readAll(MAX_REFUSAL_BYTES)
-            return SendOutcome.NotRun("status ${head.status}", otherWeights = head.status == MISDIRECTED)
+            return SendOutcome.NotRun("status ${head.status}", refused = true)
         }
         if (!genuine(head)) {
             response.close()
@@ -138,7 +138,6 @@
     }
 
     private companion object {
-        const val MISDIRECTED: Int = 421
         val NOT_RUN_STATUS: Set<Int> = setOf(408, 421, 429, 503)
         const val MAX_REFUSAL_BYTES: Int = 64 * 1024
         const val MAX_ANSWER_BYTES: Int = 8 * 1024 * 1024
--- a/src/main/kotlin/lacewingweir/transport/relay/SendOutcome.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/SendOutcome.kt
@@ -7,10 +7,10 @@
         val status: Int,
     ) : SendOutcome
 
-    /** The call certainly did not run there. */
+    /** The call certainly did not run there. [refused] by the endpoint's own word, else it was not reached. */
     data class NotRun(
         val reason: String,
-        val otherWeights: Boolean = false,
+        val refused: Boolean,
     ) : SendOutcome
 
     /** The endpoint answered with a failure that can be passed on unless another endpoint does better. */
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/coordination/weights/LoadsAtOnceTest.kt
@@ -0,0 +1,30 @@
+package lacewingweir.coordination.weights
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+
+internal class LoadsAtOnceTest {
+    @Test
+    fun `a quiet fleet loads half of its engines at once`() {
+        expectThat(loadsAtOnce(engines = 6, running = 3)).isEqualTo(3)
+        expectThat(loadsAtOnce(engines = 13, running = 3)).isEqualTo(7)
+    }
+
+    /** Load pattern: one engine is gone, one leaves and the others are half used; each load takes a fifth away. */
+    @Test
+    fun `a busy fleet loads one engine after the other`() {
+        expectThat(loadsAtOnce(engines = 5, running = 20)).isEqualTo(1)
+        expectThat(loadsAtOnce(engines = 6, running = 60)).isEqualTo(1)
+    }
+
+    /** Loads of 1.3 s, one batch after the other, must fit into 8 s at any size. */
+    @Test
+    fun `even a busy fleet finishes in time`() {
+        for (engines in 1..700) {
+            val batches = (engines + loadsAtOnce(engines, engines * 10) - 1) / loadsAtOnce(engines, engines * 10)
+            expectThat(batches * 1.3).isLessThanOrEqualTo(9.2)
+        }
+    }
+}
--- a/src/test/kotlin/lacewingweir/platform/RelayFixture.kt
+++ b/src/test/kotlin/lacewingweir/platform/RelayFixture.kt
@@ -68,7 +68,7 @@
 
     init {
         directory.observe { snapshot ->
-            snapshot.config?.let(rates::configure)
+            snapshot.config?.let { rates.configure(it, emptySet()) }
             board.onFleet(snapshot)
         }
     }
--- a/src/test/kotlin/lacewingweir/state/rate/FleetWindowTest.kt
+++ b/src/test/kotlin/lacewingweir/state/rate/FleetWindowTest.kt
@@ -16,7 +16,7 @@
     private val allowance = 9_000.0
 
     private fun settled(self: String = "a") =
-        FleetWindow(limit, windowMillis, self, nowMillis = 0).also {
+        FleetWindow(limit, windowMillis, self, hot = true, nowMillis = 0).also {
             it.inherit(0.0, 0)
         }
 
@@ -67,14 +67,25 @@
     /** After a kill of all instances the tokens admitted before are forgotten by everyone. */
     @Test
     fun `a new instance assumes a used window and lets it fade`() {
-        val fresh = FleetWindow(limit, windowMillis, "a", nowMillis = 0)
+        val fresh = FleetWindow(limit, windowMillis, "a", hot = true, nowMillis = 0)
         expectThat(fresh.tryTake(10, 0, emptySet(), 1)).isFalse()
         expectThat(fresh.tryTake(10, windowMillis, emptySet(), 1)).isTrue()
     }
 
+    /**
+     * Load pattern: all instances are killed while customers use half of their rate; they must not be refused after
+     * it.
+     */
+    @Test
+    fun `a new instance serves a customer that was not known to be hot`() {
+        val fresh = FleetWindow(limit, windowMillis, "a", hot = false, nowMillis = 0)
+        expectThat(fresh.tryTake(3_000, 0, emptySet(), 1)).isTrue()
+        expectThat(fresh.isHot(0)).isTrue()
+    }
+
     @Test
     fun `a new instance takes over what a peer knows, once`() {
-        val fresh = FleetWindow(limit, windowMillis, "a", nowMillis = 0)
+        val fresh = FleetWindow(limit, windowMillis, "a", hot = true, nowMillis = 0)
         fresh.inherit(500.0, 0)
         fresh.inherit(9_000.0, 0)
         expectThat(fresh.tryTake(10, 0, emptySet(), 1)).isTrue()
