Load a quarter of a busy fleet's engines at once

Cause: a load waits for the engine's runs, two to three seconds when busy, so one at a time took 13 s of the 8 s granted and the last engines could not be used meanwhile. What binds: five of seven engines work while two load.

--- a/src/test/kotlin/lacewingweir/coordination/weights/LoadsAtOnceTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/weights/LoadsAtOnceTest.kt
@@ -12,19 +12,19 @@
         expectThat(loadsAtOnce(engines = 13, running = 3)).isEqualTo(7)
     }
 
-    /** Load pattern: one engine is gone, one leaves and the others are half used; each load takes a fifth away. */
+    /** Load pattern: one engine is gone, one leaves and the others are half used. */
     @Test
-    fun `a busy fleet loads one engine after the other`() {
-        expectThat(loadsAtOnce(engines = 5, running = 20)).isEqualTo(1)
-        expectThat(loadsAtOnce(engines = 6, running = 60)).isEqualTo(1)
+    fun `a busy fleet keeps most of its engines`() {
+        expectThat(loadsAtOnce(engines = 5, running = 20)).isEqualTo(2)
+        expectThat(loadsAtOnce(engines = 13, running = 130)).isEqualTo(4)
     }
 
-    /** Loads of 1.3 s, one batch after the other, must fit into 8 s at any size. */
+    /** Loads of 2 s, one batch after the other, must fit into 8 s at any size. */
     @Test
     fun `even a busy fleet finishes in time`() {
         for (engines in 1..700) {
             val batches = (engines + loadsAtOnce(engines, engines * 10) - 1) / loadsAtOnce(engines, engines * 10)
-            expectThat(batches * 1.3).isLessThanOrEqualTo(9.2)
+            expectThat(batches * 2.0).isLessThanOrEqualTo(8.0)
         }
     }
 }
