--- a/src/main/kotlin/lacewingweir/coordination/placement/Booking.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/Booking.kt
@@ -9,6 +9,9 @@
     SERVED,
     FAILED,
 
+    /** No connection could be made. */
+    UNREACHABLE,
+
     /** The endpoint is full, is loading weights or has others than were believed. It works all the same. */
     TURNED_AWAY,
 
--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointBoard.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointBoard.kt
@@ -16,6 +16,7 @@
 import lacewingweir.coordination.gossip.PeerBoard
 import lacewingweir.state.fleet.EndpointEntry
 import lacewingweir.state.fleet.Prompt
+import lacewingweir.state.health.EndpointHealth
 import lacewingweir.state.id.EndpointId
 import lacewingweir.state.id.FailureDomain
 import lacewingweir.state.id.ServiceName
@@ -361,20 +362,24 @@
         val now = clock.nowMillis()
         when (outcome) {
             BookingOutcome.SERVED -> state.health = state.health.succeeded(now)
-            BookingOutcome.FAILED -> {
-                val known = state.health
-                state.health = known.failed(now)
-                if (state.health.ejections > known.ejections) {
-                    logger.warn {
-                        "board: endpoint ${state.entry.id} ejected failures=${state.health.consecutiveFailures}"
-                    }
-                }
-            }
+            BookingOutcome.FAILED -> fail(state, state.health.failed(now))
+            // Each further request would lose the time of a connection attempt, so one is enough.
+            BookingOutcome.UNREACHABLE -> fail(state, state.health.unreachable(now))
             BookingOutcome.TURNED_AWAY -> state.avoidedUntilMillis = now + AVOIDED_MILLIS
             BookingOutcome.NEUTRAL -> Unit
         }
     }
 
+    private fun fail(
+        state: EndpointState,
+        health: EndpointHealth,
+    ) {
+        if (health.ejections > state.health.ejections) {
+            logger.warn { "board: endpoint ${state.entry.id} ejected failures=${health.consecutiveFailures}" }
+        }
+        state.health = health
+    }
+
     @Synchronized
     internal fun sawWeights(
         state: EndpointState,
--- a/src/main/kotlin/lacewingweir/platform/PlatformStore.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformStore.kt
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.QueryStringEncoder
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
-import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.buildJsonArray
@@ -113,7 +112,7 @@
                     }
                 }
                 putJsonArray("writes") { transaction.writes.forEach { add(write(it.key, it.value, it.leaseId)) } }
-                put("remove", buildJsonArray { transaction.removals.forEach { add(JsonPrimitive(it)) } } as JsonArray)
+                put("remove", buildJsonArray { transaction.removals.forEach { add(JsonPrimitive(it)) } })
             }
         return when (val result = call("POST", PlatformPaths.TRANSACTION, body)) {
             is StoreResult.Ok -> StoreResult.Ok(committed(result.value))
--- a/src/main/kotlin/lacewingweir/state/health/EndpointHealth.kt
+++ b/src/main/kotlin/lacewingweir/state/health/EndpointHealth.kt
@@ -26,6 +26,10 @@
         )
     }
 
+    /** State after a connection could not be made, which ejects at once. */
+    public fun unreachable(nowMillis: Long): EndpointHealth =
+        copy(consecutiveFailures = maxOf(consecutiveFailures, FAILURES_TO_EJECT - 1)).failed(nowMillis)
+
     /** State after a whole answer. */
     public fun succeeded(nowMillis: Long): EndpointHealth {
         val recovered = ejections > 0 && nowMillis - ejectedUntilMillis > RECOVERY_MILLIS
--- a/src/main/kotlin/lacewingweir/state/rate/FleetWindow.kt
+++ b/src/main/kotlin/lacewingweir/state/rate/FleetWindow.kt
@@ -94,18 +94,17 @@
     /** Whether most of the allowance is used. */
     fun isHot(nowMillis: Long): Boolean = total(nowMillis) > allowance() * HOT_SHARE
 
+    /** What is left for the part of the fleet that hears each other; inherited usage is of the whole fleet. */
     private fun room(
         nowMillis: Long,
         heard: Set<String>,
         instances: Int,
-    ): Double = allowance() * part(heard, instances) - total(nowMillis, heard)
+    ): Double = (allowance() - inherited.total(nowMillis)) * part(heard, instances) - total(nowMillis, heard)
 
     private fun total(
         nowMillis: Long,
         heard: Set<String>,
-    ): Double =
-        used.entries.sumOf { if (it.key == self || it.key in heard) it.value.total(nowMillis) else 0.0 } +
-            inherited.total(nowMillis)
+    ): Double = used.entries.sumOf { if (it.key == self || it.key in heard) it.value.total(nowMillis) else 0.0 }
 
     private fun part(
         heard: Set<String>,
--- a/src/main/kotlin/lacewingweir/state/retry/RepeatAllowance.kt
+++ b/src/main/kotlin/lacewingweir/state/retry/RepeatAllowance.kt
@@ -19,14 +19,21 @@
         firsts.addLast(nowMillis)
     }
 
+    /** Whether [tryRepeat] would succeed now. */
+    fun hasRepeat(
+        nowMillis: Long,
+        instances: Int,
+    ): Boolean {
+        expire(nowMillis)
+        return repeats.size + 1 <= (ratio * firsts.size + extra / instances.coerceAtLeast(1)) * USED_SHARE
+    }
+
     /** Takes one repeat if the budget has one left for each of [instances] instances. */
     fun tryRepeat(
         nowMillis: Long,
         instances: Int,
     ): Boolean {
-        expire(nowMillis)
-        val allowed = (ratio * firsts.size + extra / instances.coerceAtLeast(1)) * USED_SHARE
-        if (repeats.size + 1 > allowed) return false
+        if (!hasRepeat(nowMillis, instances)) return false
         repeats.addLast(nowMillis)
         return true
     }
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -144,7 +144,7 @@
     ) {
         while (maySend(run, admitted, service)) {
             val booking = place(run, admitted, service) ?: return
-            val outcome = sendOnce(run, admitted, booking)
+            val outcome = sendOnce(run, admitted, service, booking)
             if (settle(run, booking, outcome)) return
         }
     }
@@ -173,7 +173,8 @@
     ): Boolean {
         val route = admitted.route
         val harmless = !run.mayHaveRun || (route.repeatable && run.runs < route.maxEndpoints)
-        return harmless && run.sends < MAX_SENDS && repeats.tryRepeat(service)
+        // A send that reached no endpoint is no load on any, so the next one is no repeat.
+        return harmless && run.sends < MAX_SENDS && (run.arrivals == 0 || repeats.tryRepeat(service))
     }
 
     /** Finds an endpoint, waiting a little while none takes requests. Answers and returns null if there is none. */
@@ -225,6 +226,7 @@
     private suspend fun sendOnce(
         run: Run,
         admitted: Admitted,
+        service: ServiceName,
         booking: Booking,
     ): SendOutcome {
         val route = admitted.route
@@ -233,7 +235,7 @@
         run.sends++
         run.tried += booking.endpoint.id
         run.endpoint = booking.endpoint.id
-        val another = route.repeatable && run.runs + 1 < route.maxEndpoints
+        val another = route.repeatable && run.runs + 1 < route.maxEndpoints && repeats.hasRepeat(service)
         // Another endpoint costs a second run, so a busy one is given the time that it was expected to take, and more.
         val patience = leftMillis * FIRST_TRY_SHARE + booking.expectedMillis
         val headTimeout = if (another) minOf(patience.toLong(), leftMillis) else leftMillis
@@ -270,11 +272,14 @@
                 run.log("answered status=${outcome.status}")
                 return true
             }
-            is SendOutcome.NotRun ->
+            is SendOutcome.NotRun -> {
+                if (outcome.refused) run.arrivals++
                 logger.info {
                     "relay: id=${run.call.id} not run at ${booking.endpoint.id}: ${outcome.reason}"
                 }
+            }
             is SendOutcome.ErrorAnswer -> {
+                run.arrivals++
                 run.runs++
                 run.error = outcome
                 logger.info {
@@ -282,6 +287,7 @@
                 }
             }
             is SendOutcome.Broken -> {
+                run.arrivals++
                 run.runs++
                 logger.info { "relay: id=${run.call.id} broken at ${booking.endpoint.id}: ${outcome.reason}" }
                 if (outcome.timedOut) {
@@ -318,6 +324,9 @@
         var deadlineAtMillis = 0L
         var sends = 0
 
+        /** Sends that reached an endpoint. */
+        var arrivals = 0
+
         /** Sends after which the call may have run. */
         var runs = 0
         var error: SendOutcome.ErrorAnswer? = null
--- a/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
@@ -34,7 +34,7 @@
     private fun verdict(outcome: SendOutcome) =
         when (outcome) {
             is SendOutcome.Delivered -> BookingOutcome.SERVED
-            is SendOutcome.NotRun -> if (outcome.refused) BookingOutcome.TURNED_AWAY else BookingOutcome.FAILED
+            is SendOutcome.NotRun -> if (outcome.refused) BookingOutcome.TURNED_AWAY else BookingOutcome.UNREACHABLE
             is SendOutcome.ErrorAnswer, is SendOutcome.Broken -> BookingOutcome.FAILED
         }
 
--- a/src/main/kotlin/lacewingweir/transport/relay/RepeatBudgets.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/RepeatBudgets.kt
@@ -18,5 +18,8 @@
     @Synchronized
     fun tryRepeat(service: ServiceName): Boolean = allowance(service).tryRepeat(clock.nowMillis(), instances())
 
+    @Synchronized
+    fun hasRepeat(service: ServiceName): Boolean = allowance(service).hasRepeat(clock.nowMillis(), instances())
+
     private fun allowance(service: ServiceName) = allowances.getOrPut(service, newAllowance)
 }
--- a/src/test/kotlin/lacewingweir/platform/PlatformRelayTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/PlatformRelayTest.kt
@@ -97,6 +97,34 @@
             expectThat(second.arrivals).hasSize(3)
         }
 
+    /** Load pattern: endpoints are gone and the budget for repeats is spent by others that turn requests away. */
+    @Test
+    fun `a send that reached no endpoint takes nothing from the repeat budget`(): Unit =
+        runBlocking {
+            RelayFixture(repeatExtra = 0.0).use { poor ->
+                poor.configure("k1")
+                poor.endpoint("i-1", handler = ok).server.close()
+                poor.endpoint("i-2", handler = ok)
+                repeat(4) { expectThat(poor.call("non_idempotent").status).isEqualTo(200) }
+            }
+        }
+
+    /** Load pattern: engines are late and the budget is spent; giving a late one up then serves nobody. */
+    @Test
+    fun `without a repeat left a late endpoint is waited for`(): Unit =
+        runBlocking {
+            RelayFixture(repeatExtra = 0.0).use { poor ->
+                poor.configure("k1")
+                val late: suspend (lacewingweir.transport.http.ServerExchange) -> Unit = {
+                    delay(1_200)
+                    ok(it)
+                }
+                poor.endpoint("i-1", handler = late)
+                poor.endpoint("i-2", handler = late)
+                expectThat(poor.call("idempotent").status).isEqualTo(200)
+            }
+        }
+
     @Test
     fun `an error of every endpoint is passed on as it is`(): Unit =
         runBlocking {
--- a/src/test/kotlin/lacewingweir/platform/RelayFixture.kt
+++ b/src/test/kotlin/lacewingweir/platform/RelayFixture.kt
@@ -30,7 +30,9 @@
 import java.util.concurrent.CopyOnWriteArrayList
 
 /** A relay on loopback before endpoints that answer as a test says. */
-internal class RelayFixture : AutoCloseable {
+internal class RelayFixture(
+    repeatExtra: Double = 50.0,
+) : AutoCloseable {
     class Endpoint(
         val id: String,
         val arrivals: MutableList<ServerExchange>,
@@ -53,7 +55,7 @@
     private val clock = MonotonicClock.SYSTEM
     private val rates = CustomerRates(clock, "a", 8_000, { emptySet() }, { 1 })
     private val board = EndpointBoard(clock, FailureDomain("z1"), WeightsRules(ages) { 8_000 })
-    private val repeats = RepeatBudgets(clock, { 1 }) { RepeatAllowance(10_000, ratio = 0.2, extra = 50.0) }
+    private val repeats = RepeatBudgets(clock, { 1 }) { RepeatAllowance(10_000, ratio = 0.0, extra = repeatExtra) }
     var limits = RelayLimits(keyProofMillis = 4_500, placeWaitMillis = 100)
     private val relay =
         CallRelay(directory, proof, rates, repeats, board, EndpointSender(http, PlatformEndpoints), clock, { limits })
@@ -90,13 +92,15 @@
                 "stream" to "engine",
             ).joinToString(",") { (kind, service) ->
                 """{"name":"r-$kind","host":"h.example","prefix":"/$kind/","kind":"$kind","timeoutMs":2000,
-                "latencyTargetMs":500,"priority":1,"service":"$service","maxAttempts":2,"public":false,"resumable":true}"""
+                "latencyTargetMs":500,"priority":1,"service":"$service",
+                "maxAttempts":2,"public":false,"resumable":true}"""
             }
         val tenant = """{"name":"acme","apiKeys":[${keys.joinToString(",") { "\"$it\"" }}],"isolated":true}"""
         write(
             "op/config",
             """{"version":${++configNumber},"routes":[$kinds],"services":[{"name":"plain","maxConns":10},
-            {"name":"engine","maxConns":10,"engine":{"slots":8,"kvCapTokens":10000,"models":[{"name":"m"}]}}],"tenants":[$tenant]}""",
+            {"name":"engine","maxConns":10,
+            "engine":{"slots":8,"kvCapTokens":10000,"models":[{"name":"m"}]}}],"tenants":[$tenant]}""",
         )
     }
 
--- a/src/test/kotlin/lacewingweir/state/rate/FleetWindowTest.kt
+++ b/src/test/kotlin/lacewingweir/state/rate/FleetWindowTest.kt
@@ -83,6 +83,13 @@
         expectThat(fresh.isHot(0)).isTrue()
     }
 
+    /** Load pattern: all instances start again together and have not heard of each other yet. */
+    @Test
+    fun `an instance that starts with all others serves its part of a customer's rate`() {
+        val fresh = FleetWindow(limit, windowMillis, "a", hot = false, nowMillis = 0)
+        expectThat(fresh.tryTake(100, 0, emptySet(), instances = 8)).isTrue()
+    }
+
     @Test
     fun `a new instance takes over what a peer knows, once`() {
         val fresh = FleetWindow(limit, windowMillis, "a", hot = true, nowMillis = 0)
