--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointBoard.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointBoard.kt
@@ -29,34 +29,16 @@
 
 private val logger = KotlinLogging.logger {}
 
-/**
- * What a request needs of an endpoint. [excluded] were tried before. [isolation] separates cached parts, or is null.
- */
-internal class PlacementRequest(
-    val service: ServiceName,
-    val prompt: Prompt?,
-    val isolation: String?,
-    val excluded: Set<EndpointId>,
-) {
-    /** The same request where no other endpoint is left than those tried before. */
-    fun anyEndpoint() = PlacementRequest(service, prompt, isolation, emptySet())
-}
-
 internal class EndpointBoard(
     private val clock: MonotonicClock,
     private val domain: FailureDomain,
     private val weightsRules: WeightsRules,
     private val random: Random = Random.Default,
 ) {
-    private class ReportedLoad(
-        val load: EndpointLoad,
-        val atMillis: Long,
-    )
-
     private val states = HashMap<EndpointId, EndpointState>()
-    private val reported = HashMap<String, Map<EndpointId, ReportedLoad>>()
+    private val peerLoads = PeerLoads(clock)
     private val speeds = HashMap<ServiceName, PrefillSpeed>()
-    private val reads = ArrayDeque<Pair<Long, PartRead>>()
+    private val reads = RecentReads(clock)
 
     private var fleet: FleetSnapshot? = null
 
@@ -95,7 +77,7 @@
     @Synchronized
     fun onDigest(digest: InstanceDigest) {
         val now = clock.nowMillis()
-        reported[digest.instance] = digest.loads.associate { EndpointId(it.endpoint) to ReportedLoad(it, now) }
+        peerLoads.onDigest(digest)
         for (engine in digest.weights) {
             val state = states[EndpointId(engine.endpoint)]
             if (state != null &&
@@ -129,11 +111,7 @@
 
     /** Shared beginnings that engines have read for this instance within the last while. */
     @Synchronized
-    fun recentReads(): List<PartRead> {
-        val oldest = clock.nowMillis() - PeerBoard.BELIEF_MILLIS
-        while (reads.isNotEmpty() && reads.first().first < oldest) reads.removeFirst()
-        return reads.map { it.second }
-    }
+    fun recentReads(): List<PartRead> = reads.recent()
 
     /** Marks an engine that this instance has ordered to load weights, or that has finished doing so. */
     @Synchronized
@@ -151,12 +129,12 @@
     fun weightsOf(id: EndpointId): WeightsNumber? = states[id]?.weights()
 
     @Synchronized
-    fun runningAt(id: EndpointId): Int = (states[id]?.running ?: 0) + othersLoad(id).sumOf { it.load.running }
+    fun runningAt(id: EndpointId): Int = (states[id]?.running ?: 0) + peerLoads.running(id)
 
     /** Prompt tokens that wait at an engine, by own count and the peers' digests. */
     @Synchronized
     fun backlogAt(id: EndpointId): Long =
-        (states[id]?.backlogTokens?.toLong() ?: 0) + othersLoad(id).sumOf { it.load.backlogTokens }
+        (states[id]?.backlogTokens?.toLong() ?: 0) + peerLoads.backlogTokens(id).toLong()
 
     /** Chooses an endpoint and counts the request there; null if no endpoint takes requests now. */
     @Synchronized
@@ -186,7 +164,7 @@
     }
 
     private fun occupancy(state: EndpointState): Double {
-        val others = othersLoad(state.entry.id).sumOf { it.load.running }
+        val others = peerLoads.running(state.entry.id)
         return (state.running + others + random.nextDouble(TIE_BREAK_REQUESTS)) / state.entry.slots.coerceAtLeast(1)
     }
 
@@ -264,10 +242,9 @@
         heldByHolder: Double,
         target: WeightsTarget?,
     ): EngineView {
-        val others = othersLoad(state.entry.id)
+        val id = state.entry.id
         val speed = speeds[state.entry.service]?.tokensPerMilli ?: PrefillSpeed.INITIAL
         val now = clock.nowMillis()
-        val othersBacklog = others.sumOf { (it.load.backlogTokens - (now - it.atMillis) * speed).coerceAtLeast(0.0) }
         val memory =
             fleet
                 ?.config
@@ -275,13 +252,13 @@
                 ?.get(state.entry.service)
                 ?.engine
                 ?.memoryTokens ?: 0
-        val used = state.memoryTokens + others.sumOf { it.load.memoryTokens }
+        val used = state.memoryTokens + peerLoads.memoryTokens(id)
         val distance = if (state.entry.domain == domain) 0.0 else REMOTE_MILLIS
         val ramp = (1.0 - state.health.slotShare(now)) * RECOVERING_MILLIS
         return EngineView(
-            id = state.entry.id,
-            backlogTokens = state.backlogTokens + othersBacklog,
-            running = state.running + others.sumOf { it.load.running }.toDouble(),
+            id = id,
+            backlogTokens = state.backlogTokens + peerLoads.backlogTokens(id, speed),
+            running = (state.running + peerLoads.running(id)).toDouble(),
             slots = state.entry.slots,
             memoryShare = if (memory > 0) used.toDouble() / memory else 0.0,
             heldTokens = heldTokens,
@@ -292,11 +269,6 @@
         )
     }
 
-    private fun othersLoad(id: EndpointId): List<ReportedLoad> {
-        val oldest = clock.nowMillis() - PeerBoard.BELIEF_MILLIS
-        return reported.values.mapNotNull { loads -> loads[id]?.takeIf { it.atMillis >= oldest } }
-    }
-
     private fun book(
         state: EndpointState,
         missedTokens: Double,
@@ -329,26 +301,15 @@
     internal fun firstEvent(booking: Booking) {
         val state = booking.state
         state.backlogTokens = (state.backlogTokens - booking.missedTokens).coerceAtLeast(0.0)
-        booking.read?.let { remember(state, it) }
+        booking.read?.let { read ->
+            state.cached.read(read.chain, read.sizes)
+            reads.add(state.entry.id, read)
+        }
         // An engine that gets prompts to their first token works, however long others wait.
         state.health = state.health.succeeded(clock.nowMillis())
         booking.speed?.observe(booking.missedTokens, (clock.nowMillis() - booking.placedAtMillis).toDouble())
     }
 
-    private fun remember(
-        state: EndpointState,
-        read: ReadParts,
-    ) {
-        state.cached.read(read.chain, read.sizes)
-        val now = clock.nowMillis()
-        // The last part belongs to the request alone.
-        for (n in 0 until read.chain.size - 1) {
-            reads.addLast(
-                now to PartRead(state.entry.id.value, read.chain[n], read.sizes[n]),
-            )
-        }
-    }
-
     @Synchronized
     internal fun ended(
         booking: Booking,
--- a/src/main/kotlin/lacewingweir/platform/JsonFields.kt
+++ b/src/main/kotlin/lacewingweir/platform/JsonFields.kt
@@ -14,6 +14,10 @@
     Json.parseToJsonElement(bytes.decodeToString(throwOnInvalidSequence = true)) as? JsonObject
         ?: throw FieldException("not an object")
 
+/** A field that is neither text nor a structure; a number in quotes is text. */
+private fun JsonObject.unquoted(name: String): JsonPrimitive? =
+    (this[name] as? JsonPrimitive)?.takeUnless { it.isString }
+
 internal fun JsonObject.text(name: String): String = textOrNull(name) ?: throw FieldException("$name is not a text")
 
 internal fun JsonObject.textOrNull(name: String): String? =
@@ -40,8 +44,7 @@
             !it.isString
         }?.doubleOrNull
 
-internal fun JsonObject.flag(name: String): Boolean =
-    (this[name] as? JsonPrimitive)?.takeIf { !it.isString }?.booleanOrNull ?: false
+internal fun JsonObject.flag(name: String): Boolean = unquoted(name)?.booleanOrNull ?: false
 
 internal fun JsonObject.objects(name: String): List<JsonObject> =
     (this[name] as? JsonArray).orEmpty().filterIsInstance<JsonObject>()
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -24,7 +24,6 @@
 import lacewingweir.state.fleet.FleetConfig
 import lacewingweir.state.fleet.RequestKind
 import lacewingweir.state.fleet.RoutePolicy
-import lacewingweir.state.id.EndpointId
 import lacewingweir.state.id.ServiceName
 import lacewingweir.state.time.MonotonicClock
 import lacewingweir.transport.http.PeerClosedException
@@ -49,7 +48,7 @@
         call: InboundCall,
         exchange: ServerExchange,
     ) {
-        val run = Run(call, exchange, StreamProgress(exchange))
+        val run = CallRun(call, exchange, directory, proof, clock, limits, random)
         try {
             serve(run)
         } catch (e: CancellationException) {
@@ -60,7 +59,7 @@
         }
     }
 
-    private suspend fun serve(run: Run) {
+    private suspend fun serve(run: CallRun) {
         val admitted = admit(run) ?: return
         run.route = admitted.route
         // What may run once only is left to finish: nobody else would learn whether it ran.
@@ -76,14 +75,14 @@
     }
 
     /** Checks that need no endpoint. Answers and returns null if one fails. */
-    private suspend fun admit(run: Run): Admitted? =
+    private suspend fun admit(run: CallRun): Admitted? =
         when (val found = check(run.call)) {
             is Check.Refused -> run.refuse(found.refusal, limits().uninformedRetryMillis)
             is Check.Passed -> admitRate(run, found.admitted)
         }
 
     private suspend fun admitRate(
-        run: Run,
+        run: CallRun,
         admitted: Admitted,
     ): Admitted? {
         val customer = admitted.customer ?: return admitted
@@ -138,7 +137,7 @@
     }
 
     private suspend fun sendUntilAnswered(
-        run: Run,
+        run: CallRun,
         admitted: Admitted,
         service: ServiceName,
     ) {
@@ -151,7 +150,7 @@
 
     /** Whether another send makes sense. Answers the caller if not. */
     private suspend fun maySend(
-        run: Run,
+        run: CallRun,
         admitted: Admitted,
         service: ServiceName,
     ): Boolean {
@@ -167,7 +166,7 @@
     }
 
     private fun mayRepeat(
-        run: Run,
+        run: CallRun,
         admitted: Admitted,
         service: ServiceName,
     ): Boolean {
@@ -179,7 +178,7 @@
 
     /** Finds an endpoint, waiting a little while none takes requests. Answers and returns null if there is none. */
     private suspend fun place(
-        run: Run,
+        run: CallRun,
         admitted: Admitted,
         service: ServiceName,
     ): Booking? {
@@ -206,7 +205,7 @@
      * keeps what is admitted on time, and its callers learn when the backlog will have gone.
      */
     private suspend fun accept(
-        run: Run,
+        run: CallRun,
         booking: Booking,
     ): Booking? {
         val usableMillis = run.leftMillis * limits().usableShareOfTimeLeft
@@ -224,7 +223,7 @@
     }
 
     private suspend fun sendOnce(
-        run: Run,
+        run: CallRun,
         admitted: Admitted,
         service: ServiceName,
         booking: Booking,
@@ -263,7 +262,7 @@
 
     /** Records the outcome of a send. Returns whether the call is finished. */
     private suspend fun settle(
-        run: Run,
+        run: CallRun,
         booking: Booking,
         outcome: SendOutcome,
     ): Boolean {
@@ -314,87 +313,6 @@
         val customer: CustomerSpec?,
     )
 
-    /** The state of one call. */
-    private inner class Run(
-        val call: InboundCall,
-        val exchange: ServerExchange,
-        val progress: StreamProgress,
-    ) {
-        var route: RoutePolicy? = null
-        var deadlineAtMillis = 0L
-        var sends = 0
-
-        /** Sends that reached an endpoint. */
-        var arrivals = 0
-
-        /** Sends after which the call may have run. */
-        var runs = 0
-        var error: SendOutcome.ErrorAnswer? = null
-        var tried: Set<EndpointId> = emptySet()
-        var endpoint: EndpointId? = null
-
-        val mayHaveRun: Boolean
-            get() = runs > 0
-
-        suspend fun <T> refuse(
-            refusal: RelayRefusal,
-            retryAfterMillis: Long,
-        ): T? {
-            val retryAfter = "%.2f".format(retryAfterMillis * (1 + random.nextDouble(RETRY_SPREAD)) / MILLIS_PER_SECOND)
-            log("refused reason=$refusal retryAfter=$retryAfter")
-            exchange.respond(refusal.status, listOf("Retry-After" to retryAfter))
-            return null
-        }
-
-        val leftMillis: Long
-            get() = deadlineAtMillis - clock.nowMillis()
-
-        /** Gives up without another send. */
-        suspend fun giveUpUnplaced(
-            refusal: RelayRefusal,
-            retryAfterMillis: Long,
-        ) {
-            if (mayHaveRun) giveUp() else refuse<Unit>(refusal, retryAfterMillis)
-        }
-
-        suspend fun giveUpLate() {
-            if (mayHaveRun) finish(RelayRefusal.TIMED_OUT) else finish(RelayRefusal.OUT_OF_TIME)
-        }
-
-        suspend fun giveUp() {
-            if (mayHaveRun) finish(RelayRefusal.FAILED) else finish(RelayRefusal.NOT_RUN)
-        }
-
-        private suspend fun finish(refusal: RelayRefusal) {
-            val failure = error
-            when {
-                progress.started -> {
-                    log("stream cut reason=$refusal")
-                    exchange.abort()
-                }
-                failure != null -> {
-                    log("answered status=${failure.head.status}")
-                    exchange.respond(failure.head.status, failure.head.headers, failure.body)
-                }
-                mayHaveRun -> {
-                    log("failed reason=$refusal")
-                    exchange.respond(refusal.status)
-                }
-                else -> refuse<Unit>(refusal, limits().notRunRetryMillis)
-            }
-        }
-
-        fun log(outcome: String) {
-            val firstNanos = if (progress.started) progress.firstEventAtNanos - exchange.arrivedAtNanos else -1
-            val total = clock.nowMillis() - call.arrivedAtMillis
-            logger.info {
-                "relay: id=${call.id} $outcome route=${route?.id} endpoint=$endpoint sends=$sends runs=$runs " +
-                    "firstMs=${firstNanos / NANOS_PER_MILLI} totalMs=$total " +
-                    "config=${directory.snapshot.config?.number} proofMs=${proof.ageMillis()}"
-            }
-        }
-    }
-
     private companion object {
         /** Less than this is not enough for any endpoint to answer. */
         const val MIN_SEND_MILLIS: Long = 5
@@ -407,10 +325,5 @@
 
         /** Pause between looks for an endpoint while none takes requests. */
         const val PLACE_POLL_MILLIS: Long = 25
-
-        /** Spreads callers that were refused together. */
-        const val RETRY_SPREAD: Double = 0.5
-        const val MILLIS_PER_SECOND: Double = 1_000.0
-        const val NANOS_PER_MILLI: Long = 1_000_000
     }
 }
