Keep the mirror, bookings and store answers sound when one item or moment is bad

Cause, found by reading: an exception while a change was applied ended the mirror for good; a booking leaked if the time ran out or the caller left between placement and send, which counts the endpoint as busier for ever; a malformed answer of the store threw. StoreMirrorTest replays the first, without the change it fails. Also: JSON fields share one accessor.

--- a/src/main/kotlin/lacewingweir/coordination/fleet/StoreMirror.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/StoreMirror.kt
@@ -8,6 +8,7 @@
 package lacewingweir.coordination.fleet
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.delay
 import lacewingweir.coordination.store.ClusterStore
 import lacewingweir.coordination.store.StoreChange
@@ -44,8 +45,16 @@
     /** Runs until it is cancelled. */
     suspend fun run(): Nothing {
         while (true) {
-            var revision = list()
-            while (revision != null) revision = watch(revision)
+            try {
+                var revision = list()
+                while (revision != null) revision = watch(revision)
+            } catch (e: CancellationException) {
+                throw e
+            } catch (e: Exception) {
+                // Without the mirror the instance would serve nobody for good, whatever one item made of it.
+                logger.error(e) { "mirror: failed prefix=$prefix; listing again" }
+                failed("apply", "exception")
+            }
         }
     }
 
--- a/src/main/kotlin/lacewingweir/platform/JsonFields.kt
+++ b/src/main/kotlin/lacewingweir/platform/JsonFields.kt
@@ -3,6 +3,7 @@
 
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.booleanOrNull
@@ -18,41 +19,28 @@
 private fun JsonObject.unquoted(name: String): JsonPrimitive? =
     (this[name] as? JsonPrimitive)?.takeUnless { it.isString }
 
-internal fun JsonObject.text(name: String): String = textOrNull(name) ?: throw FieldException("$name is not a text")
+private fun JsonElement?.textOrNull(): String? = (this as? JsonPrimitive)?.takeIf { it.isString }?.content
 
-internal fun JsonObject.textOrNull(name: String): String? =
-    (this[name] as? JsonPrimitive)
-        ?.takeIf {
-            it.isString
-        }?.content
+internal fun JsonObject.text(name: String): String =
+    this[name].textOrNull() ?: throw FieldException("$name is not a text")
+
+internal fun JsonObject.wholeOrNull(name: String): Long? = unquoted(name)?.longOrNull
 
 internal fun JsonObject.whole(name: String): Long =
     wholeOrNull(name) ?: throw FieldException("$name is not a whole number")
 
-internal fun JsonObject.wholeOrNull(name: String): Long? =
-    (this[name] as? JsonPrimitive)
-        ?.takeIf {
-            !it.isString
-        }?.longOrNull
+internal fun JsonObject.numberOrNull(name: String): Double? = unquoted(name)?.doubleOrNull
 
 internal fun JsonObject.number(name: String): Double =
     numberOrNull(name) ?: throw FieldException("$name is not a number")
 
-internal fun JsonObject.numberOrNull(name: String): Double? =
-    (this[name] as? JsonPrimitive)
-        ?.takeIf {
-            !it.isString
-        }?.doubleOrNull
-
+/** False if the field is missing. */
 internal fun JsonObject.flag(name: String): Boolean = unquoted(name)?.booleanOrNull ?: false
 
+/** The objects of a list; empty if it is missing. */
 internal fun JsonObject.objects(name: String): List<JsonObject> =
     (this[name] as? JsonArray).orEmpty().filterIsInstance<JsonObject>()
 
+/** The texts of a list; empty if it is missing. */
 internal fun JsonObject.texts(name: String): List<String> =
-    (this[name] as? JsonArray).orEmpty().mapNotNull {
-        (it as? JsonPrimitive)
-            ?.takeIf { text ->
-                text.isString
-            }?.content
-    }
+    (this[name] as? JsonArray).orEmpty().mapNotNull { it.textOrNull() }
--- a/src/main/kotlin/lacewingweir/platform/PlatformNames.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformNames.kt
@@ -45,7 +45,6 @@
 }
 
 internal object PlatformPaths {
-    const val READY = "/lacewingweir/ready"
     const val REPORT = "/lacewingweir/report"
     const val ORDER = "/lacewingweir/order"
     const val KEY_RANGE = "/lacewingweir/kv-range"
--- a/src/main/kotlin/lacewingweir/platform/PlatformStore.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformStore.kt
@@ -63,7 +63,14 @@
 
     private fun item(item: JsonObject) = StoreItem(item.text("key"), value(item), item.whole("revision"))
 
-    private fun value(item: JsonObject): ByteArray = Base64.getDecoder().decode(item.text("value"))
+    /** Bytes that are not even encoded as the store's page says are as good as any that can't be read. */
+    private fun value(item: JsonObject): ByteArray =
+        try {
+            Base64.getDecoder().decode(item.text("value"))
+        } catch (e: IllegalArgumentException) {
+            logger.warn { "platform: malformed value of ${item["key"]}: ${e.message}" }
+            ByteArray(0)
+        }
 
     override suspend fun watch(
         prefix: String,
@@ -115,7 +122,9 @@
                 put("remove", buildJsonArray { transaction.removals.forEach { add(JsonPrimitive(it)) } })
             }
         return when (val result = call("POST", PlatformPaths.TRANSACTION, body)) {
-            is StoreResult.Ok -> StoreResult.Ok(committed(result.value))
+            is StoreResult.Ok ->
+                committed(result.value)?.let { StoreResult.Ok(it) }
+                    ?: StoreResult.Unknown("malformed answer")
             is StoreResult.Unavailable -> result
             is StoreResult.Unknown -> result
         }
@@ -131,11 +140,11 @@
         put("lease", leaseId)
     }
 
-    private fun committed(answer: Answer): CommitResult =
+    private fun committed(answer: Answer): CommitResult? =
         when (answer.status) {
             PRECONDITION_FAILED -> CommitResult.Conflict
             NOT_FOUND -> CommitResult.LeaseEnded
-            else -> CommitResult.Committed(parseObject(answer.body).whole("revision"))
+            else -> CommitResult.Committed(parsed(answer)?.wholeOrNull("revision") ?: return null)
         }
 
     override suspend fun grantLease(ttlMillis: Long): StoreResult<Long> =
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -86,13 +86,11 @@
         admitted: Admitted,
     ): Admitted? {
         val customer = admitted.customer ?: return admitted
-        val decision = rates.admit(customer, tokens(run.call, customer))
+        val tokens = tokens(run.call, customer)
+        val decision = rates.admit(customer, tokens)
         if (decision is RateDecision.Refused) {
             logger.info {
-                "relay: id=${run.call.id} over rate customer=${customer.id} limit=${customer.rate} tokens=${tokens(
-                    run.call,
-                    customer,
-                )}"
+                "relay: id=${run.call.id} over rate customer=${customer.id} limit=${customer.rate} tokens=$tokens"
             }
             return run.refuse(RelayRefusal.OVER_RATE, decision.retryAfterMillis)
         }
@@ -256,8 +254,13 @@
                 "expectedMs=${booking.expectedMillis.toLong()} missed=${booking.missedTokens.toLong()} " +
                 "weights=${booking.weights} fetch=${booking.holder?.id}"
         }
-        return withTimeoutOrNull(leftMillis) { sender.send(send, booking, run.exchange, run.progress) }
-            ?: SendOutcome.Broken("out of time", timedOut = true)
+        try {
+            return withTimeoutOrNull(leftMillis) { sender.send(send, booking, run.exchange, run.progress) }
+                ?: SendOutcome.Broken("out of time", timedOut = true)
+        } finally {
+            // The send may not even have begun, if the caller left or the time ran out meanwhile.
+            booking.end(BookingOutcome.NEUTRAL)
+        }
     }
 
     /** Records the outcome of a send. Returns whether the call is finished. */
--- a/src/test/kotlin/lacewingweir/coordination/fleet/StoreMirrorTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/fleet/StoreMirrorTest.kt
@@ -136,6 +136,18 @@
         expectThat(proof.ageMillis()).isEqualTo(400)
     }
 
+    /** An instance whose mirror has ended would never learn anything again. */
+    @Test
+    fun `the mirror outlives a failure to apply a change`() {
+        val store =
+            ScriptedStore(
+                { error("one bad item") },
+                { WatchResult.Changes(listOf(StoreChange("a", 6, null)), 6) },
+            )
+        play(store)
+        expectThat(heard).containsExactly("listed k", "regained", "listed k", "changed a")
+    }
+
     @Test
     fun `there is no proof before the first answer`() {
         expectThat(proof.ageMillis()).isGreaterThan(1_000_000_000)
--- a/src/test/kotlin/lacewingweir/platform/RelayFixture.kt
+++ b/src/test/kotlin/lacewingweir/platform/RelayFixture.kt
@@ -75,9 +75,6 @@
         }
     }
 
-    /** Ages the contact proof by [millis]. */
-    fun proofOf(millis: Long) = ContactProof(ages).let { ages.now().plus(-millis) }
-
     fun write(
         key: String,
         json: String,
