Date weights named before an instance's start by what engines run

Ruled out: the rollout, which other instances followed. An instance that starts now takes weights that any engine runs already as named long ago, and others as just named, so that a fleet that starts together still serves.

--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetDirectory.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetDirectory.kt
@@ -39,6 +39,7 @@
     private var leaderKey: String? = null
     private var hotCustomers: Set<CustomerId> = emptySet()
     private var regainedAt: Moment? = null
+    private var hasListed = false
 
     val snapshot: FleetSnapshot
         get() = current.get()
@@ -53,9 +54,25 @@
         val missing = (endpointsByKey.keys + peersByKey.keys + setOfNotNull(leaderKey)).filter { it !in present }
         missing.forEach(::removed)
         changes.forEach(::apply)
+        if (!hasListed) dateFormerNames()
+        hasListed = true
         publish()
     }
 
+    /**
+     * An instance that has just started can't tell when weights were named. If an engine runs them already, they were
+     * named a while ago, so the older ones may be overdue and are not used; else the naming is taken as new.
+     */
+    private fun dateFormerNames() {
+        for ((model, target) in weights.toMap()) {
+            val loaded = endpointsByKey.values.any { (it.weights[model] ?: return@any false) >= target.weights }
+            if (loaded) {
+                weights[model] =
+                    WeightsTarget(target.weights, listOf(target.weights to clock.now().plus(-LONG_AGO_MILLIS)))
+            }
+        }
+    }
+
     override fun changed(changes: List<StoreChange>) {
         changes.forEach(::apply)
         publish()
@@ -149,5 +166,8 @@
     private companion object {
         /** Endpoints that live write their items again within about two seconds of the store's return. */
         const val LAPSE_GRACE_MILLIS: Long = 2_000
+
+        /** Longer than any time for which outdated weights may serve. */
+        const val LONG_AGO_MILLIS: Long = 3_600_000
     }
 }
--- a/src/test/kotlin/lacewingweir/coordination/fleet/FleetDirectoryTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/fleet/FleetDirectoryTest.kt
@@ -16,6 +16,7 @@
 import strikt.assertions.containsExactly
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
 import strikt.assertions.isNotNull
 
 internal class FleetDirectoryTest {
@@ -36,14 +37,27 @@
                     FleetConfig(text.toLong(), emptyList(), emptyList(), emptyList(), CallerLimits()),
                 )
             key == "weights" -> FleetFact.NamedWeights(ModelName("m"), WeightsNumber(text.toLong()))
-            else -> FleetFact.Endpoint(endpoint(key, leaving = text == "leaving"))
+            else -> FleetFact.Endpoint(endpoint(key, leaving = text == "leaving", weights = text.toLongOrNull() ?: 1))
         }
     }
 
     private fun endpoint(
         id: String,
         leaving: Boolean,
-    ) = EndpointEntry(EndpointId(id), service, "127.0.0.1", 1, FailureDomain("d"), 4, leaving, 0, emptyMap())
+        weights: Long,
+    ) = EndpointEntry(
+        EndpointId(id),
+        service,
+        "127.0.0.1",
+        1,
+        FailureDomain("d"),
+        4,
+        leaving,
+        0,
+        mapOf(
+            ModelName("m") to WeightsNumber(weights),
+        ),
+    )
 
     private fun write(
         key: String,
@@ -110,6 +124,31 @@
         expectThat(usable()).containsExactly("b")
     }
 
+    private fun list(vararg items: Pair<String, String>) =
+        directory.listed(items.map { (key, value) -> StoreChange(key, ++revision, value.encodeToByteArray()) })
+
+    private fun outdatedSince() =
+        directory.snapshot.weights
+            .getValue(ModelName("m"))
+            .outdatedSince(WeightsNumber(1))
+            ?.monotonicMillis
+
+    /** Seed of the bench: hunt-454d-39 of the Agence. A replaced instance sent to weights that were 8.1 s outdated. */
+    @Test
+    fun `weights that an engine runs already at the start were named long ago`() {
+        list("weights" to "2", "a" to "2", "b" to "1")
+        expectThat(outdatedSince()).isNotNull().isLessThan(timers.nowMillis() - 60_000)
+    }
+
+    /** Load pattern: all instances start again while no engine has the new weights; the old ones must serve on. */
+    @Test
+    fun `weights that no engine runs yet at the start count as just named`() {
+        list("weights" to "2", "a" to "1", "b" to "1")
+        expectThat(outdatedSince()).isEqualTo(timers.nowMillis())
+        list("weights" to "2", "a" to "2", "b" to "1")
+        expectThat(outdatedSince()).isEqualTo(timers.nowMillis())
+    }
+
     /** Counting from the newest name let an engine fall behind for good while names came in quick succession. */
     @Test
     fun `an engine is outdated since the first name that is newer than its weights`() {
