Remove an unused property of the rate window and correct a comment

Cause: the read of the whole change found FleetWindow.isGuess, which nothing calls, and a comment on unreadable items that missed what becomes of an endpoint. Behaviour is unchanged.

--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetFact.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetFact.kt
@@ -35,7 +35,7 @@
     /** The instance that coordinates the loading of weights holds a lease on this item. */
     data object RolloutLeader : FleetFact
 
-    /** The item can't be read as what its key says. The last readable state holds. */
+    /** The item can't be read as what its key says. An endpoint of this item is not used; all else holds. */
     data class Unreadable(
         val reason: String,
     ) : FleetFact
--- a/src/main/kotlin/lacewingweir/state/rate/FleetWindow.kt
+++ b/src/main/kotlin/lacewingweir/state/rate/FleetWindow.kt
@@ -77,10 +77,6 @@
     /** Tokens of all instances within the window, for peers that have just started. */
     fun total(nowMillis: Long): Double = used.values.sumOf { it.total(nowMillis) } + inherited.total(nowMillis)
 
-    /** Whether the window is still a guess of an instance that has just started. */
-    val isGuess: Boolean
-        get() = inheritedIsGuess
-
     /** Replaces the guess of a new instance by what a peer knows. */
     fun inherit(
         total: Double,
