Log the background traffic of router instances

The logs could not tell digests that fill a link from a store that refuses calls or a processor that can't keep up: no line said how much an instance sends, receives and calls.

--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -139,6 +139,15 @@
             PlatformItemCodec.encodePeer(settings.host, settings.internalPorts.first(), settings.domain),
         )
     private val callerServer = createServer(settings.callerListen, ::serve)
+    private val trafficReporter =
+        TrafficReporter(timers, clock, { callerServer.requestsInFlight }) {
+            BackgroundTraffic(
+                digestsSent = digestNetwork.sent.total(),
+                digestsReceived = digestNetwork.received.total(),
+                storeResponses = store.responses.total(),
+                storeFailures = store.failures,
+            )
+        }
     private val readinessServer = createServer(settings.readinessListen, ::answerReadiness)
 
     @Volatile
@@ -158,6 +167,7 @@
         digestSender.start()
         timers.every("hot customers", HOT_CUSTOMERS_PERIOD_MILLIS) { storeHotCustomers() }
         rollout.start()
+        trafficReporter.start()
         logger.info { "router: started name=${settings.name} domain=${settings.failureDomain} store=$storeAddress" }
     }
 
--- a/src/main/kotlin/lacewingweir/platform/PlatformStore.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformStore.kt
@@ -24,7 +24,9 @@
 import lacewingweir.transport.http.ClientResult
 import lacewingweir.transport.http.HttpClient
 import lacewingweir.transport.http.readAll
+import lacewingweir.transport.traffic.MessageCounter
 import java.util.Base64
+import java.util.concurrent.atomic.LongAdder
 
 private val logger = KotlinLogging.logger {}
 
@@ -38,6 +40,15 @@
         val body: ByteArray,
     )
 
+    private val failedCalls = LongAdder()
+
+    /** Responses of the store, with the size of their bodies. */
+    val responses = MessageCounter()
+
+    /** Number of calls that the store refused, or that got no usable response. */
+    val failures: Long
+        get() = failedCalls.sum()
+
     override suspend fun range(prefix: String): StoreResult<StoreRange> {
         val items = ArrayList<StoreItem>()
         var firstRevision = 0L
@@ -181,8 +192,11 @@
         timeoutMillis: Long = CALL_TIMEOUT_MILLIS,
     ): StoreResult<Response> {
         val request = jsonRequest(address, method, path, body, CONNECT_TIMEOUT_MILLIS, timeoutMillis)
-        return withTimeoutOrNull(timeoutMillis + CONNECT_TIMEOUT_MILLIS) { exchange(request) }
-            ?: StoreResult.Unknown("no response")
+        val result =
+            withTimeoutOrNull(timeoutMillis + CONNECT_TIMEOUT_MILLIS) { exchange(request) }
+                ?: StoreResult.Unknown("no response")
+        if (result is StoreResult.Ok) responses.add(result.value.body.size) else failedCalls.increment()
+        return result
     }
 
     private suspend fun exchange(request: ClientRequest): StoreResult<Response> {
--- a/src/main/kotlin/lacewingweir/transport/digest/DatagramDigestNetwork.kt
+++ b/src/main/kotlin/lacewingweir/transport/digest/DatagramDigestNetwork.kt
@@ -16,6 +16,7 @@
 import kotlinx.serialization.cbor.Cbor
 import lacewingweir.coordination.gossip.DigestNetwork
 import lacewingweir.coordination.gossip.InstanceDigest
+import lacewingweir.transport.traffic.MessageCounter
 
 private val logger = KotlinLogging.logger {}
 
@@ -39,13 +40,20 @@
     private val selector = SelectorManager(Dispatchers.IO)
     private var socket: BoundDatagramSocket? = null
 
+    /** Datagrams handed to the socket, with the size of their headers. */
+    val sent = MessageCounter()
+
+    /** Datagrams received, with the size of their headers. */
+    val received = MessageCounter()
+
     suspend fun start() {
         val boundSocket = aSocket(selector).udp().bind(InetSocketAddress(host, port))
         socket = boundSocket
         scope.launch {
             while (true) {
-                val datagram = boundSocket.receive()
-                decode(datagram.packet.readByteArray())?.let(onDigest)
+                val bytes = boundSocket.receive().packet.readByteArray()
+                received.add(bytes.size + DATAGRAM_HEADER_BYTES)
+                decode(bytes)?.let(onDigest)
             }
         }
     }
@@ -59,6 +67,7 @@
         for ((targetHost, targetPort) in targets) {
             try {
                 boundSocket.send(Datagram(Buffer().apply { write(bytes) }, InetSocketAddress(targetHost, targetPort)))
+                sent.add(bytes.size + DATAGRAM_HEADER_BYTES)
             } catch (e: CancellationException) {
                 throw e
             } catch (e: Exception) {
@@ -74,4 +83,9 @@
             logger.warn { "digest: malformed datagram of ${bytes.size} bytes: ${e.message}" }
             null
         }
+
+    private companion object {
+        /** Size of the IPv4 and UDP headers. */
+        const val DATAGRAM_HEADER_BYTES: Int = 28
+    }
 }
