Stop the run of a caller whose connection fails during a write

Callers: an engine went on generating for callers that had left (GONE). Cause: the connection to the engine was closed only if the send was cancelled while it read the next event. If writing an event to the caller failed instead, because the connection was reset or the time ran out while the caller read nothing, the send ended and nobody closed the connection. The engine then ran to the end of the answer. It needs an event that is already buffered when the reset is seen, so it shows on instances whose event loop is late. Evidence: EndpointSenderTest, both tests fail before (the engine sees no disconnect within 2 s) and pass now (45 ms). Why this works: the connection is closed whenever the send ends, and closing a response that was read to its end has no effect. Same cause elsewhere: serve closes the engine's stream in a finally block (CompletionRelay.relayResponse, ServiceSender.attempt), nothing to change.

--- a/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
@@ -46,7 +46,13 @@
         progress: StreamProgress,
     ): SendOutcome =
         when (val result = http.open(protocol.encodeRequest(outbound))) {
-            is ClientResult.Answered -> relay(outbound, result.response, reservation, exchange, progress)
+            is ClientResult.Answered ->
+                try {
+                    relay(outbound, result.response, reservation, exchange, progress)
+                } finally {
+                    // Closing the connection stops the run. It has no effect on a response that was read to its end.
+                    result.response.close()
+                }
             is ClientResult.NotSent -> SendOutcome.NotRun("not sent: ${result.reason}", refused = false)
             is ClientResult.Unknown -> SendOutcome.Broken(result.reason)
         }
@@ -64,10 +70,7 @@
             response.readAll(MAX_REFUSAL_BYTES)
             return SendOutcome.NotRun("status ${head.status}", refused = true)
         }
-        if (!isEndpointResponse(head)) {
-            response.close()
-            return SendOutcome.Broken("response is not the endpoint's own")
-        }
+        if (!isEndpointResponse(head)) return SendOutcome.Broken("response is not the endpoint's own")
         return if (head.success && head.eventStream) {
             relayEvents(outbound, response, head, reservation, exchange, progress)
         } else {
@@ -155,7 +158,6 @@
                     if (events.isEmpty()) continue
                     tracking.onEvent()
                     if (!startsAfter(resumedAfter, framer.firstId)) {
-                        response.close()
                         return SendOutcome.Broken("resumed stream repeats event ${framer.firstId}")
                     }
                     progress.forward(head, events, framer.lastId)
