Don't send a booking whose caller left while it waited

Callers: requests reached servers after their callers had left (GONE). Cause: a non-idempotent call is not cancelled when its caller disconnects, since the outcome of a sent call could not be determined. The same held while the call was still waiting for an endpoint, up to a second, or for its next send. Evidence: the new test in PlatformRelayTest fails before (the endpoint receives the call 100 ms after the close) and passes now. Why this works: the relay checks for the disconnect before each placement, and nothing suspends between a placement and its send. A call that was sent is still not cancelled.

--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -62,10 +62,11 @@
     private suspend fun serve(state: CallState) {
         val admitted = admit(state) ?: return
         state.route = admitted.route
-        // A call that is not idempotent is not cancelled, because its outcome could then not be determined.
-        if (admitted.route.kind != RequestKind.NON_IDEMPOTENT) {
-            val job = currentCoroutineContext().job
-            state.exchange.onDisconnect { job.cancel() }
+        val job = currentCoroutineContext().job
+        state.exchange.onDisconnect {
+            state.callerDisconnected = true
+            // The outcome of a non-idempotent call that was sent could not be determined after a cancellation.
+            if (admitted.route.kind != RequestKind.NON_IDEMPOTENT) job.cancel()
         }
         state.deadlineAtMillis =
             state.call.arrivedAtMillis +
@@ -193,6 +194,8 @@
      * Reserves an endpoint, polling for up to [RelayLimits.placementWaitMillis] while none is available.
      *
      * Responds to the caller and returns null if no endpoint becomes available, or if [accept] refuses the call.
+     *
+     * @throws PeerClosedException if the caller has disconnected
      */
     private suspend fun place(
         state: CallState,
@@ -207,6 +210,7 @@
                 ?.value
         val request = PlacementRequest(service, state.call.prompt, cacheIsolation, state.triedEndpoints)
         while (true) {
+            if (state.callerDisconnected) throw PeerClosedException("disconnected before the call was sent")
             val reservation =
                 tracker.place(request)
                     ?: if (state.triedEndpoints.isEmpty()) null else tracker.place(request.withoutExclusions())
--- a/src/main/kotlin/lacewingweir/transport/relay/CallState.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallState.kt
@@ -36,6 +36,9 @@
     var triedEndpoints: Set<EndpointId> = emptySet()
     var lastEndpoint: EndpointId? = null
 
+    @Volatile
+    var callerDisconnected = false
+
     val mayHaveRun: Boolean
         get() = possibleRuns > 0
 
--- a/src/test/kotlin/lacewingweir/platform/PlatformRelayTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/PlatformRelayTest.kt
@@ -1,6 +1,8 @@
 package lacewingweir.platform
 
+import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import lacewingweir.platform.RelayFixture.Companion.responseHeaders
 import org.junit.jupiter.api.AfterEach
@@ -175,6 +177,22 @@
             expectThat(duration.inWholeMilliseconds).isLessThan(1_000)
         }
 
+    /** Guards against bookings that are made for callers that left while their calls waited for an endpoint. */
+    @Test
+    fun `a non-idempotent call is not sent after its caller has disconnected`(): Unit =
+        runBlocking {
+            relay.limits = relay.limits.copy(placementWaitMillis = 1_500)
+            val endpoint = relay.endpoint("i-1", handler = respondOk)
+            relay.register(endpoint, "plain", state = "draining")
+            val call = launch { relay.call("non_idempotent", callerTimeoutMillis = 10_000) }
+            delay(200)
+            call.cancelAndJoin()
+            delay(100)
+            relay.register(endpoint, "plain")
+            delay(300)
+            expectThat(endpoint.receivedRequests).isEmpty()
+        }
+
     @Test
     fun `a call ends at its deadline`(): Unit =
         runBlocking {
