Pace digests by their size and report only news in them

Callers: on the grown deployments, requests reached engines 1.9 s after they were sent, runs went on after their callers' closes (GONE), and whatever else shares the links of 7 Mbit/s, such as the store's responses with a configuration, came late. Cause: every instance sent its digest to every other one four times a second. Once an engine had answered with other weights than its item showed first, each digest of each instance named it for good, by field names and ids in text. The leader of a rollout also sent its whole digest for each engine that finished. Change: digests are paced by their bytes (an eighth of the smallest link), their validity follows the pace; they carry weights only while these are news; prefills once instead of four times; window totals in one of eight; fields and endpoints by number. The leader sends small reports of the engines whose loading has changed, paced alike, instead of digests. Why this works: the bytes no longer depend on the size of the fleet. What depends on it now is the age of what peers know, 0.5 to 0.7 s on the grown deployments. Instances of this and of earlier builds can't read each other's datagrams; they count as silent to each other, which keeps the rates.

--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -14,8 +14,10 @@
 import lacewingweir.coordination.fleet.StoreContactProof
 import lacewingweir.coordination.fleet.StoreMirror
 import lacewingweir.coordination.gossip.DigestSender
+import lacewingweir.coordination.gossip.EngineReport
 import lacewingweir.coordination.gossip.FleetRateLimiter
 import lacewingweir.coordination.gossip.InstanceDigest
+import lacewingweir.coordination.gossip.PeerDatagram
 import lacewingweir.coordination.gossip.PeerDigests
 import lacewingweir.coordination.placement.EndpointTracker
 import lacewingweir.coordination.placement.WeightsAgePolicy
@@ -102,7 +104,8 @@
             { relayLimits },
         )
     private val relayLimits = RelayLimits(maxKeyProofAgeMillis = bounds.keyWithdrawalMillis - KEY_CHECK_MARGIN_MILLIS)
-    private val digestNetwork = DatagramDigestNetwork(settings.host, settings.internalPorts.first(), scope, ::onDigest)
+    private val digestNetwork =
+        DatagramDigestNetwork(settings.host, settings.internalPorts.first(), scope, ::onDatagram)
     private val lease =
         RolloutLease(store, ageClock, PlatformKeys.ROLLOUT_LEASE, settings.name, bounds.orderLeaseMillis)
     private val rollout: WeightsRollout =
@@ -115,22 +118,23 @@
             scope,
             settings.name,
             ageClock,
-            { digestSender.sendNow() },
+            { digestSender.reportEngines(it) },
         )
     private val digestSender: DigestSender =
-        DigestSender(directory, digestNetwork, timers) {
-            InstanceDigest(
-                instance = settings.name,
-                run = startedAtUnixMillis,
-                number = 0,
-                admittedTokens = rateLimiter.admittedTokens(),
-                loads = tracker.ownLoads(),
-                weights = tracker.observedEngineWeights(rollout.loading),
-                recentPrefills = tracker.recentPrefills(),
-                windowTotals = rateLimiter.windowTotals(),
-                hasFullWindow = hasRunForRateWindow(),
-            )
-        }
+        DigestSender(
+            settings.name,
+            directory,
+            digestNetwork,
+            timers,
+            createDigest = ::createDigest,
+            createReport = { engines ->
+                EngineReport(
+                    instance = settings.name,
+                    weights = tracker.engineWeights(engines, rollout.loading),
+                    validityMillis = InstanceDigest.MIN_VALIDITY_MILLIS,
+                )
+            },
+        )
     private val registration =
         LeasedInstanceRegistration(
             store,
@@ -248,6 +252,26 @@
 
     private fun hasRunForRateWindow() = clock.nowMillis() - startedAtMillis > rateWindowMillis
 
+    private fun createDigest(
+        intervalMillis: Long,
+        withWindowTotals: Boolean,
+    ) = InstanceDigest(
+        instance = settings.name,
+        run = startedAtUnixMillis,
+        number = 0,
+        intervalMillis = intervalMillis,
+        admittedTokens = rateLimiter.admittedTokens(),
+        loads = tracker.ownLoads(),
+        weights = tracker.engineNews(rollout.loading),
+        prefills = tracker.takePrefills(),
+        windowTotals = if (withWindowTotals && hasRunForRateWindow()) rateLimiter.windowTotals() else null,
+    )
+
+    private fun onDatagram(datagram: PeerDatagram) {
+        datagram.digest?.let(::onDigest)
+        datagram.engineReport?.let(tracker::onEngineReport)
+    }
+
     private fun onDigest(digest: InstanceDigest) {
         val result = peerDigests.accept(digest)
         if (result !is PeerDigests.AcceptResult.Updated) return
--- a/src/main/kotlin/lacewingweir/coordination/gossip/DigestSender.kt
+++ b/src/main/kotlin/lacewingweir/coordination/gossip/DigestSender.kt
@@ -1,54 +1,111 @@
+/**
+ * Sends the state of this instance to its peers.
+ *
+ * The traffic between instances grows with the square of their number, and instances share small links with their
+ * callers. Digests are therefore paced by their size: a larger fleet sends them less often, and its instances know each
+ * other's state later, instead of delaying the callers' requests.
+ */
 package lacewingweir.coordination.gossip
 
 import lacewingweir.coordination.fleet.FleetDirectory
 import lacewingweir.coordination.time.TimerService
+import lacewingweir.state.id.EndpointId
+import kotlin.random.Random
 
 /**
- * Sends the digest of this instance to its peers, periodically and on demand after an urgent change.
+ * Sends digests periodically, and reports of engines on demand.
  *
- * [createDigest] returns the current digest without its number, which the sender assigns.
+ * [self] is the name of this instance. [createDigest] returns the current digest for the given interval, with the
+ * totals of the rate windows if asked for. The sender assigns its number. [createReport] returns the report of the
+ * given engines. All functions must be called on the thread of [timers].
  */
 internal class DigestSender(
+    private val self: String,
     private val directory: FleetDirectory,
     private val network: DigestNetwork,
     private val timers: TimerService,
-    private val createDigest: () -> InstanceDigest,
+    private val random: Random = Random.Default,
+    private val createDigest: (intervalMillis: Long, withWindowTotals: Boolean) -> InstanceDigest,
+    private val createReport: (engines: Set<EndpointId>) -> EngineReport,
 ) {
     private var number = 0L
+    private var intervalMillis = MIN_INTERVAL_MILLIS
     private var lastDigest: InstanceDigest? = null
-    private var unchangedPeriods = 0
+    private var unchangedIntervals = 0
+    private val pendingEngines = LinkedHashSet<EndpointId>()
+    private var reportPaused = false
 
-    fun start() {
-        timers.every("digest", PeerDigests.DIGEST_PERIOD_MILLIS) { tick() }
+    fun start() = scheduleDigest()
+
+    /** Reports to all peers that the loading of [engines] has begun or ended. */
+    suspend fun reportEngines(engines: Collection<EndpointId>) {
+        pendingEngines += engines
+        if (!reportPaused) sendReport()
     }
 
-    /** Sends the current digest immediately. */
-    suspend fun sendNow() {
-        val current = createDigest()
-        lastDigest = current
-        unchangedPeriods = 0
-        send(current)
+    private fun scheduleDigest() {
+        val delayMillis = (intervalMillis * (1 + random.nextDouble(JITTER))).toLong()
+        timers.after("digest", delayMillis) {
+            try {
+                sendDigest()
+            } finally {
+                scheduleDigest()
+            }
+        }
     }
 
-    private suspend fun tick() {
-        val current = createDigest()
-        unchangedPeriods = if (current == lastDigest) unchangedPeriods + 1 else 0
-        lastDigest = current
+    private suspend fun sendDigest() {
+        val withWindowTotals = number % WINDOW_TOTALS_PERIOD == 0L
+        val digest = createDigest(intervalMillis, withWindowTotals)
+        unchangedIntervals = if (digest == lastDigest) unchangedIntervals + 1 else 0
+        lastDigest = digest
         // Also sent without changes, because peers consider an instance silent once its latest digest expires.
-        if (unchangedPeriods % UNCHANGED_SEND_PERIODS == 0) send(current)
+        if (unchangedIntervals % UNCHANGED_SEND_INTERVALS != 0) return
+        intervalMillis = send(PeerDatagram(digest = digest.copy(number = ++number))).coerceAtLeast(MIN_INTERVAL_MILLIS)
+    }
+
+    private suspend fun sendReport() {
+        reportPaused = true
+        val report = createReport(pendingEngines.toSet())
+        pendingEngines.clear()
+        val pauseMillis = send(PeerDatagram(engineReport = report)).coerceAtLeast(MIN_REPORT_PAUSE_MILLIS)
+        timers.after("engine report", pauseMillis) {
+            reportPaused = false
+            if (pendingEngines.isNotEmpty()) sendReport()
+        }
     }
 
-    private suspend fun send(digest: InstanceDigest) {
+    /** Sends [datagram] to all peers. Returns the time that its bytes take up of the budget, in milliseconds. */
+    private suspend fun send(datagram: PeerDatagram): Long {
         val targets =
             directory.snapshot.peers.values
-                .filter { it.name != digest.instance }
+                .filter { it.name != self }
                 .map { it.host to it.port }
-        if (targets.isEmpty()) return
-        network.send(digest.copy(number = ++number), targets)
+        if (targets.isEmpty()) return 0
+        return network.send(datagram, targets).toLong() * targets.size * MILLIS_PER_SECOND / BYTES_PER_SECOND
     }
 
-    private companion object {
-        /** Number of periods between unchanged digests: half of the validity of a digest. */
-        const val UNCHANGED_SEND_PERIODS: Int = 2
+    companion object {
+        /**
+         * Instances don't know each other's admissions before the next digest arrives, so a burst can exceed a rate by
+         * the tokens requested within this time.
+         */
+        const val MIN_INTERVAL_MILLIS: Long = 250
+
+        /** Bytes that digests may take up on the link of an instance: an eighth of the smallest one, 7 Mbit/s. */
+        const val BYTES_PER_SECOND: Long = 109_000
+        private const val MILLIS_PER_SECOND: Long = 1_000
+
+        /** Greatest share added to an interval, so that instances that started together don't send together. */
+        private const val JITTER: Double = 0.1
+
+        /** Collects the engines of a batch that finish loading at about the same time. */
+        private const val MIN_REPORT_PAUSE_MILLIS: Long = 50
+
+        /** Number of intervals between unchanged digests: half of the validity of a digest. */
+        private const val UNCHANGED_SEND_INTERVALS: Int = 2
+
+        /** A started instance needs the totals from only one of its peers, so each sends them in some digests only. */
+        private const val WINDOW_TOTALS_PERIOD: Long = 8
     }
 }
--- a/src/main/kotlin/lacewingweir/coordination/gossip/FleetRateLimiter.kt
+++ b/src/main/kotlin/lacewingweir/coordination/gossip/FleetRateLimiter.kt
@@ -91,8 +91,8 @@
         previous: InstanceDigest?,
     ) {
         val now = clock.nowMillis()
-        if (digest.hasFullWindow) {
-            for ((id, window) in windows) window.initializeUsage(digest.windowTotals[id.value] ?: 0.0, now)
+        digest.windowTotals?.let { totals ->
+            for ((id, window) in windows) window.initializeUsage((totals[id.value] ?: 0).toDouble(), now)
         }
         if (previous == null) return
         for ((customer, total) in digest.admittedTokens) {
@@ -114,6 +114,8 @@
 
     /** Returns the tokens that the whole fleet used within each customer's window. */
     @Synchronized
-    fun windowTotals(): Map<String, Double> =
-        windows.entries.associate { it.key.value to it.value.total(clock.nowMillis()) }
+    fun windowTotals(): Map<String, Long> {
+        val now = clock.nowMillis()
+        return windows.entries.associate { it.key.value to it.value.total(now).toLong() }
+    }
 }
--- a/src/main/kotlin/lacewingweir/coordination/gossip/InstanceDigest.kt
+++ b/src/main/kotlin/lacewingweir/coordination/gossip/InstanceDigest.kt
@@ -1,7 +1,9 @@
+/** Messages that instances send to each other without guarantee of delivery. */
 package lacewingweir.coordination.gossip
 
-import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.CborLabel
+import lacewingweir.state.id.EndpointTag
 
 /**
  * The load that one instance has on one endpoint: running requests, prompt tokens that wait for prefill, and tokens in
@@ -9,67 +11,88 @@
  */
 @Serializable
 internal data class EndpointLoad(
-    val endpoint: String,
-    val running: Int,
-    val backlogTokens: Long,
-    val memoryTokens: Long,
+    @CborLabel(1) val endpoint: EndpointTag,
+    @CborLabel(2) val running: Int,
+    @CborLabel(3) val backlogTokens: Long,
+    @CborLabel(4) val memoryTokens: Long,
 )
 
-/**
- * The weight version that an instance observed on the engine of [endpoint] that started at [startedAtUnixMillis]. While
- * the engine is [loading] weights, it accepts no new requests.
- */
+/** The weights of an engine as its reporter knows them. While the engine is [loading], it accepts no new requests. */
 @Serializable
 internal data class EngineWeights(
-    val endpoint: String,
-    val startedAtUnixMillis: Long,
-    val weights: Long,
-    val loading: Boolean,
+    @CborLabel(1) val endpoint: EndpointTag,
+    @CborLabel(2) val weights: Long,
+    @CborLabel(3) val loading: Boolean = false,
 )
 
 /** A prompt prefix that an engine has prefilled: the hash of the prefix and the number of tokens of its last part. */
 @Serializable
 internal data class PrefilledPrefix(
-    val endpoint: String,
-    val hash: Long,
-    val tokens: Int,
+    @CborLabel(1) val endpoint: EndpointTag,
+    @CborLabel(2) val hash: Long,
+    @CborLabel(3) val tokens: Int,
 )
 
 /**
- * The state that an instance sends to its peers periodically. It contains totals instead of changes, so lost and
- * duplicated datagrams do no harm.
+ * The state that an instance sends to its peers periodically. All but [prefills] are totals instead of changes, so lost
+ * and duplicated datagrams do no harm; a lost prefill costs at most a prefix that is read again.
  *
  * @property run identifies the run of the instance; a later run normally has a higher number
  * @property number orders the digests of one run
+ * @property intervalMillis the time until the next digest, in milliseconds
  * @property admittedTokens tokens admitted for each customer since the start of the run
- * @property recentPrefills prefixes that engines prefilled recently; each is repeated in several digests, so that none
- * is missed if one datagram is lost
- * @property windowTotals tokens admitted by the whole fleet within each customer's rate window
- * @property hasFullWindow whether the instance has run for a whole rate window; a peer that has just started adopts
- * [windowTotals] only from such an instance
+ * @property weights engines that the instance is loading, or whose weights it has learned recently from themselves
+ * @property prefills prefixes that engines have prefilled since the previous digest
+ * @property windowTotals tokens admitted by the whole fleet within each customer's rate window, for peers that have
+ *   just started; null in most digests, and if the instance has not run for a whole window
  */
 @Serializable
 internal data class InstanceDigest(
-    val instance: String,
-    val run: Long,
-    val number: Long,
-    @SerialName("admitted")
-    val admittedTokens: Map<String, Long>,
-    val loads: List<EndpointLoad>,
-    val weights: List<EngineWeights>,
-    @SerialName("reads")
-    val recentPrefills: List<PrefilledPrefix> = emptyList(),
-    @SerialName("windows")
-    val windowTotals: Map<String, Double> = emptyMap(),
-    @SerialName("settled")
-    val hasFullWindow: Boolean = false,
+    @CborLabel(1) val instance: String,
+    @CborLabel(2) val run: Long,
+    @CborLabel(3) val number: Long,
+    @CborLabel(4) val intervalMillis: Long,
+    @CborLabel(5) val admittedTokens: Map<String, Long>,
+    @CborLabel(6) val loads: List<EndpointLoad>,
+    @CborLabel(7) val weights: List<EngineWeights>,
+    @CborLabel(8) val prefills: List<PrefilledPrefix> = emptyList(),
+    @CborLabel(9) val windowTotals: Map<String, Long>? = null,
+) {
+    /** How long the digest describes its instance if no later one arrives. */
+    val validityMillis: Long
+        get() = maxOf(MIN_VALIDITY_MILLIS, intervalMillis * VALIDITY_INTERVALS)
+
+    companion object {
+        const val MIN_VALIDITY_MILLIS: Long = 1_000
+
+        /** An instance counts as silent only after several lost datagrams in a row. */
+        private const val VALIDITY_INTERVALS: Int = 4
+    }
+}
+
+/** Engines whose loading of weights has just begun or ended, sent between two digests of [instance]. */
+@Serializable
+internal data class EngineReport(
+    @CborLabel(1) val instance: String,
+    @CborLabel(2) val weights: List<EngineWeights>,
+    @CborLabel(3) val validityMillis: Long,
+)
+
+/** A datagram between instances. It contains one of its properties. */
+@Serializable
+internal data class PeerDatagram(
+    @CborLabel(1) val digest: InstanceDigest? = null,
+    @CborLabel(2) val engineReport: EngineReport? = null,
 )
 
-/** Sends digests to peers without guarantee of delivery. */
+/** Sends datagrams to peers without guarantee of delivery. */
 internal interface DigestNetwork {
-    /** Sends [digest] to each of [targets], which are pairs of host and port. */
+    /**
+     * Sends [datagram] to each of [targets], which are pairs of host and port. Returns the bytes that it takes up on
+     * the link for one target.
+     */
     suspend fun send(
-        digest: InstanceDigest,
+        datagram: PeerDatagram,
         targets: List<Pair<String, Int>>,
-    )
+    ): Int
 }
--- a/src/main/kotlin/lacewingweir/coordination/gossip/PeerDigests.kt
+++ b/src/main/kotlin/lacewingweir/coordination/gossip/PeerDigests.kt
@@ -10,7 +10,7 @@
 ) {
     private class Received(
         val digest: InstanceDigest,
-        val receivedAtMillis: Long,
+        val validUntilMillis: Long,
     )
 
     private val latest = ConcurrentHashMap<String, Received>()
@@ -21,13 +21,13 @@
         val known = latest[digest.instance]
         val sameRun = known != null && known.digest.run == digest.run
         if (known != null && isStale(digest, known, sameRun)) return AcceptResult.Stale
-        latest[digest.instance] = Received(digest, clock.nowMillis())
+        latest[digest.instance] = Received(digest, clock.nowMillis() + digest.validityMillis)
         return AcceptResult.Updated(if (sameRun) known.digest else null)
     }
 
     /**
      * Run numbers come from wall clocks, which may be set back, so a lower run is accepted once the higher run has been
-     * silent for [DIGEST_VALIDITY_MILLIS].
+     * silent for the validity of its digest.
      */
     private fun isStale(
         digest: InstanceDigest,
@@ -35,13 +35,13 @@
         sameRun: Boolean,
     ): Boolean {
         if (sameRun) return digest.number <= known.digest.number
-        return digest.run < known.digest.run && clock.nowMillis() - known.receivedAtMillis < DIGEST_VALIDITY_MILLIS
+        return digest.run < known.digest.run && clock.nowMillis() < known.validUntilMillis
     }
 
     /** Returns the digests that are still valid. */
     fun validDigests(): List<InstanceDigest> {
-        val oldest = clock.nowMillis() - DIGEST_VALIDITY_MILLIS
-        return latest.values.filter { it.receivedAtMillis >= oldest }.map { it.digest }
+        val now = clock.nowMillis()
+        return latest.values.filter { it.validUntilMillis >= now }.map { it.digest }
     }
 
     /** Returns the names of the peers whose digests are still valid. */
@@ -56,15 +56,4 @@
             val previous: InstanceDigest?,
         ) : AcceptResult
     }
-
-    companion object {
-        /** Validity of a digest: four periods, so that a peer is silent only after several lost datagrams in a row. */
-        const val DIGEST_VALIDITY_MILLIS: Long = 1_000
-
-        /**
-         * Period of digests. Instances don't know each other's admissions before the next digest arrives, so a burst
-         * can exceed a rate by the tokens requested within this period.
-         */
-        const val DIGEST_PERIOD_MILLIS: Long = 250
-    }
 }
--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointState.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointState.kt
@@ -23,6 +23,9 @@
 
     /** Weights reported by the engine's answers or by the instance that loaded them; null before the first report. */
     var observedWeights: WeightsNumber? = null
+
+    /** When this instance itself last learned of other weights from the engine. Its peers may not know them yet. */
+    var weightsLearnedAtMillis = Long.MIN_VALUE
     var loadingUntilMillis = 0L
 
     /** The instance that announced the load. Only its digests can say that the load has ended. */
@@ -55,7 +58,7 @@
         observedWeights = weights
     }
 
-    fun load() = EndpointLoad(entry.id.value, running, backlogTokens.toLong(), memoryTokens)
+    fun load() = EndpointLoad(entry.tag, running, backlogTokens.toLong(), memoryTokens)
 
     private companion object {
         /** Share of an engine's memory that cached prefixes may use; the rest is for running requests. */
--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
@@ -10,13 +10,14 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import lacewingweir.coordination.fleet.FleetSnapshot
 import lacewingweir.coordination.gossip.EndpointLoad
+import lacewingweir.coordination.gossip.EngineReport
 import lacewingweir.coordination.gossip.EngineWeights
 import lacewingweir.coordination.gossip.InstanceDigest
-import lacewingweir.coordination.gossip.PeerDigests
 import lacewingweir.coordination.gossip.PrefilledPrefix
 import lacewingweir.state.fleet.EndpointEntry
 import lacewingweir.state.health.EndpointHealth
 import lacewingweir.state.id.EndpointId
+import lacewingweir.state.id.EndpointTag
 import lacewingweir.state.id.FailureDomain
 import lacewingweir.state.id.WeightsNumber
 import lacewingweir.state.time.MonotonicClock
@@ -34,7 +35,8 @@
     private val states = HashMap<EndpointId, EndpointState>()
     private val peerLoads = PeerLoads(clock)
     private val engineChooser = EngineChooser(clock, domain, weightsAgePolicy, peerLoads, random)
-    private val prefills = RecentPrefills(clock)
+    private val prefills = RecentPrefills()
+    private var statesByTag: Map<EndpointTag, EndpointState> = emptyMap()
 
     private var drainingEngines: Set<EndpointId> = emptySet()
     private val drainingListeners = CopyOnWriteArrayList<(EndpointId) -> Unit>()
@@ -81,6 +83,7 @@
                 states[id] = newState(entry, known, snapshot)
             }
         }
+        statesByTag = states.values.associateBy { it.entry.tag }
         notifyDraining()
     }
 
@@ -100,17 +103,25 @@
     /** Applies a peer's digest. */
     @Synchronized
     fun onDigest(digest: InstanceDigest) {
-        val now = clock.nowMillis()
         peerLoads.onDigest(digest)
-        for (engine in digest.weights) {
-            val state = states[EndpointId(engine.endpoint)]
-            if (state != null && state.entry.startedAtUnixMillis == engine.startedAtUnixMillis) {
-                applyWeights(digest.instance, engine, state, now)
-            }
-        }
-        for (prefix in digest.recentPrefills) {
-            states[EndpointId(prefix.endpoint)]?.prefixes?.recordPrefill(prefix.hash, prefix.tokens)
+        for (prefix in digest.prefills) {
+            statesByTag[prefix.endpoint]?.prefixes?.recordPrefill(prefix.hash, prefix.tokens)
         }
+        applyWeights(digest.instance, digest.weights, digest.validityMillis)
+    }
+
+    /** Applies a peer's report that engines have begun or finished to load weights. */
+    @Synchronized
+    fun onEngineReport(report: EngineReport) = applyWeights(report.instance, report.weights, report.validityMillis)
+
+    private fun applyWeights(
+        reporter: String,
+        engines: List<EngineWeights>,
+        validityMillis: Long,
+    ) {
+        if (engines.isEmpty()) return
+        val validUntil = clock.nowMillis() + validityMillis
+        for (engine in engines) statesByTag[engine.endpoint]?.let { applyWeights(reporter, engine, it, validUntil) }
         notifyDraining()
     }
 
@@ -118,10 +129,10 @@
         reporter: String,
         engine: EngineWeights,
         state: EndpointState,
-        now: Long,
+        validUntilMillis: Long,
     ) {
         if (engine.loading) {
-            state.loadingUntilMillis = now + PeerDigests.DIGEST_VALIDITY_MILLIS
+            state.loadingUntilMillis = validUntilMillis
             state.loadingReporter = reporter
         } else if (state.loadingReporter == reporter) {
             state.loadingUntilMillis = 0
@@ -136,14 +147,14 @@
     @Synchronized
     fun ownLoads(): List<EndpointLoad> = states.values.filter { it.running > 0 }.map { it.load() }
 
-    /** Returns the shared prompt prefixes that engines have recently processed for this instance, for its digest. */
+    /** Returns the shared prompt prefixes that engines have processed for this instance since the last call. */
     @Synchronized
-    fun recentPrefills(): List<PrefilledPrefix> = prefills.recent()
+    fun takePrefills(): List<PrefilledPrefix> = prefills.take()
 
     /** Marks engines that this instance is about to instruct to load weights. */
     @Synchronized
     fun markLoading(ids: List<EndpointId>) {
-        for (id in ids) states[id]?.loadingUntilMillis = clock.nowMillis() + PeerDigests.DIGEST_VALIDITY_MILLIS
+        for (id in ids) states[id]?.loadingUntilMillis = clock.nowMillis() + LOADING_VALIDITY_MILLIS
         notifyDraining()
     }
 
@@ -159,20 +170,20 @@
         weights: WeightsNumber?,
     ) {
         val state = states[id] ?: return
-        state.loadingUntilMillis = if (loading) clock.nowMillis() + PeerDigests.DIGEST_VALIDITY_MILLIS else 0
-        if (weights != null) state.updateWeights(weights)
+        state.loadingUntilMillis = if (loading) clock.nowMillis() + LOADING_VALIDITY_MILLIS else 0
+        if (weights != null) learnWeights(state, weights)
     }
 
     @Synchronized
     fun weightsOf(id: EndpointId): WeightsNumber? = states[id]?.weights()
 
     @Synchronized
-    fun runningAt(id: EndpointId): Int = (states[id]?.running ?: 0) + peerLoads.running(id)
+    fun runningAt(id: EndpointId): Int = states[id]?.let { it.running + peerLoads.running(it.entry.tag) } ?: 0
 
     /** Returns the prompt tokens that wait for prefill at an engine, for this instance's requests and its peers'. */
     @Synchronized
     fun backlogAt(id: EndpointId): Long =
-        (states[id]?.backlogTokens?.toLong() ?: 0) + peerLoads.backlogTokens(id).toLong()
+        states[id]?.let { it.backlogTokens.toLong() + peerLoads.backlogTokens(it.entry.tag).toLong() } ?: 0
 
     /** Chooses an endpoint and reserves load there. Returns null if no endpoint accepts the request now. */
     @Synchronized
@@ -235,7 +246,7 @@
     }
 
     private fun occupancy(state: EndpointState): Double {
-        val others = peerLoads.running(state.entry.id)
+        val others = peerLoads.running(state.entry.tag)
         return (state.running + others + random.nextDouble(TIE_BREAK_REQUESTS)) / state.entry.slots.coerceAtLeast(1)
     }
 
@@ -255,7 +266,7 @@
         state.backlogTokens = (state.backlogTokens - reservation.uncachedTokens).coerceAtLeast(0.0)
         reservation.prefilled?.let { prefilled ->
             state.prefixes.recordPrefill(prefilled.prefixHashes, prefilled.partTokens)
-            prefills.add(state.entry.id, prefilled)
+            prefills.add(state.entry.tag, prefilled)
         }
         // An engine that produces first tokens is healthy, even if other requests time out in its queue.
         state.health = state.health.onSuccess(clock.nowMillis())
@@ -301,26 +312,40 @@
         state: EndpointState,
         weights: WeightsNumber,
     ) {
-        if (state.weights() != weights) state.updateWeights(weights)
+        if (state.weights() != weights) learnWeights(state, weights)
+    }
+
+    private fun learnWeights(
+        state: EndpointState,
+        weights: WeightsNumber,
+    ) {
+        state.updateWeights(weights)
+        state.weightsLearnedAtMillis = clock.nowMillis()
     }
 
     /**
-     * Returns the weights that engines are known to run, for the digest.
-     *
-     * Engines in [loading] are included even if their weights are known only from their store items.
+     * Returns the weights that this instance's digest reports: those of engines that it is [loading], and those that it
+     * has learned from an engine so recently that the engine's store item may not show them yet.
      */
     @Synchronized
-    fun observedEngineWeights(loading: Set<EndpointId>): List<EngineWeights> =
-        states.values.mapNotNull { state ->
-            val weights =
-                state.weights().takeIf { state.observedWeights != null || state.entry.id in loading }
-                    ?: return@mapNotNull null
-            EngineWeights(
-                state.entry.id.value,
-                state.entry.startedAtUnixMillis,
-                weights.value,
-                state.entry.id in loading,
-            )
+    fun engineNews(loading: Set<EndpointId>): List<EngineWeights> {
+        val oldest = clock.nowMillis() - NEWS_MILLIS
+        return engineWeights(loading) { it.entry.id in loading || it.weightsLearnedAtMillis >= oldest }
+    }
+
+    /** Returns the weights of [engines], and which of them this instance is [loading]. */
+    @Synchronized
+    fun engineWeights(
+        engines: Set<EndpointId>,
+        loading: Set<EndpointId>,
+    ): List<EngineWeights> = engineWeights(loading) { it.entry.id in engines }
+
+    private fun engineWeights(
+        loading: Set<EndpointId>,
+        included: (EndpointState) -> Boolean,
+    ): List<EngineWeights> =
+        states.values.filter(included).mapNotNull { state ->
+            state.weights()?.let { EngineWeights(state.entry.tag, it.value, state.entry.id in loading) }
         }
 
     private companion object {
@@ -333,5 +358,11 @@
          * request.
          */
         const val AVOIDANCE_MILLIS: Long = 250
+
+        /** The instance that loads an engine confirms several times within this period that the load goes on. */
+        const val LOADING_VALIDITY_MILLIS: Long = 1_000
+
+        /** Allows for at least two digests, in case one is lost. */
+        const val NEWS_MILLIS: Long = 1_500
     }
 }
--- a/src/main/kotlin/lacewingweir/coordination/placement/EngineChooser.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EngineChooser.kt
@@ -138,16 +138,16 @@
         spec: EngineSpec?,
         weightsPenaltyMillis: Double,
     ): EngineView {
-        val id = state.entry.id
+        val tag = state.entry.tag
         val speed = speeds[state.entry.service]?.tokensPerMilli ?: PrefillSpeed.INITIAL_TOKENS_PER_MILLI
         val memory = spec?.memoryTokens ?: 0
-        val usedMemory = state.memoryTokens + peerLoads.memoryTokens(id)
+        val usedMemory = state.memoryTokens + peerLoads.memoryTokens(tag)
         val domainPenalty = if (state.entry.domain == domain) 0.0 else REMOTE_DOMAIN_MILLIS
         val recoveryPenalty = (1.0 - state.health.slotShare(clock.nowMillis())) * RECOVERING_MILLIS
         return EngineView(
-            id = id,
-            backlogTokens = state.backlogTokens + peerLoads.backlogTokens(id, speed),
-            running = (state.running + peerLoads.running(id)).toDouble(),
+            id = state.entry.id,
+            backlogTokens = state.backlogTokens + peerLoads.backlogTokens(tag, speed),
+            running = (state.running + peerLoads.running(tag)).toDouble(),
             slots = state.entry.slots,
             memoryShare = if (memory > 0) usedMemory.toDouble() / memory else 0.0,
             cachedTokens = 0.0,
--- a/src/main/kotlin/lacewingweir/coordination/placement/PeerLoads.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/PeerLoads.kt
@@ -2,8 +2,7 @@
 
 import lacewingweir.coordination.gossip.EndpointLoad
 import lacewingweir.coordination.gossip.InstanceDigest
-import lacewingweir.coordination.gossip.PeerDigests
-import lacewingweir.state.id.EndpointId
+import lacewingweir.state.id.EndpointTag
 import lacewingweir.state.time.MonotonicClock
 
 /** Load of the peers at each endpoint, from their latest digests. Not thread-safe; the owner synchronizes. */
@@ -13,20 +12,22 @@
     private class ReceivedLoad(
         val load: EndpointLoad,
         val receivedAtMillis: Long,
+        val validUntilMillis: Long,
     )
 
-    private val byPeer = HashMap<String, Map<EndpointId, ReceivedLoad>>()
+    private val byPeer = HashMap<String, Map<EndpointTag, ReceivedLoad>>()
 
     fun onDigest(digest: InstanceDigest) {
         val now = clock.nowMillis()
-        byPeer[digest.instance] = digest.loads.associate { EndpointId(it.endpoint) to ReceivedLoad(it, now) }
+        val validUntil = now + digest.validityMillis
+        byPeer[digest.instance] = digest.loads.associate { it.endpoint to ReceivedLoad(it, now, validUntil) }
     }
 
     /** Returns the number of requests that all peers have running at the endpoint. */
-    fun running(id: EndpointId): Int = recentLoads(id).sumOf { it.load.running }
+    fun running(endpoint: EndpointTag): Int = recentLoads(endpoint).sumOf { it.load.running }
 
     /** Returns the KV cache memory, in tokens, that the peers' running requests may use at the engine. */
-    fun memoryTokens(id: EndpointId): Long = recentLoads(id).sumOf { it.load.memoryTokens }
+    fun memoryTokens(endpoint: EndpointTag): Long = recentLoads(endpoint).sumOf { it.load.memoryTokens }
 
     /**
      * Returns the peers' prompt tokens that wait for prefill at the engine.
@@ -34,17 +35,17 @@
      * Subtracts from each report the tokens that the engine has processed since, at [tokensPerMilli].
      */
     fun backlogTokens(
-        id: EndpointId,
+        endpoint: EndpointTag,
         tokensPerMilli: Double = 0.0,
     ): Double {
         val now = clock.nowMillis()
-        return recentLoads(id).sumOf {
+        return recentLoads(endpoint).sumOf {
             (it.load.backlogTokens - (now - it.receivedAtMillis) * tokensPerMilli).coerceAtLeast(0.0)
         }
     }
 
-    private fun recentLoads(id: EndpointId): List<ReceivedLoad> {
-        val oldest = clock.nowMillis() - PeerDigests.DIGEST_VALIDITY_MILLIS
-        return byPeer.values.mapNotNull { loads -> loads[id]?.takeIf { it.receivedAtMillis >= oldest } }
+    private fun recentLoads(endpoint: EndpointTag): List<ReceivedLoad> {
+        val now = clock.nowMillis()
+        return byPeer.values.mapNotNull { loads -> loads[endpoint]?.takeIf { it.validUntilMillis >= now } }
     }
 }
--- a/src/main/kotlin/lacewingweir/coordination/weights/WeightsRollout.kt
+++ b/src/main/kotlin/lacewingweir/coordination/weights/WeightsRollout.kt
@@ -34,7 +34,7 @@
     private val scope: CoroutineScope,
     private val holder: String,
     private val clock: SuspendAwareClock,
-    private val onLoadingChanged: suspend () -> Unit,
+    private val onLoadingChanged: suspend (Collection<EndpointId>) -> Unit,
     private val random: Random = Random.Default,
 ) {
     private val loadingEngines = ConcurrentHashMap.newKeySet<EndpointId>()
@@ -82,8 +82,9 @@
                 ).take(freeLoads.coerceAtLeast(0))
         if (chosen.isEmpty()) return
         chosen.forEach { loadingEngines.add(it.engine.id) }
-        tracker.markLoading(chosen.map { it.engine.id })
-        onLoadingChanged()
+        val chosenIds = chosen.map { it.engine.id }
+        tracker.markLoading(chosenIds)
+        onLoadingChanged(chosenIds)
         chosen.forEach { (engine, model, target) -> startLoad(engine, model, target) }
     }
 
@@ -127,7 +128,7 @@
             } finally {
                 loadingEngines.remove(engine.id)
                 tracker.setLoading(engine.id, loading = false, weights = null)
-                onLoadingChanged()
+                onLoadingChanged(listOf(engine.id))
             }
         }
     }
@@ -158,7 +159,7 @@
 
     /** Waits, for a limited time, until the digests show no prompts in prefill on [engine]. */
     private suspend fun awaitDrain(engine: EndpointEntry) {
-        delay(DIGEST_PROPAGATION_MILLIS)
+        delay(REPORT_PROPAGATION_MILLIS)
         repeat(MAX_DRAIN_CHECKS) {
             if (tracker.backlogAt(engine.id) == 0L) return
             tracker.setLoading(engine.id, loading = true, weights = null)
@@ -215,8 +216,8 @@
         /** Half of the time that the platform allows for loading new weights. */
         const val OVERDUE_MILLIS: Long = 4_000
 
-        /** Time within which all peers have received the digest and send no more prompts to the engine. */
-        const val DIGEST_PROPAGATION_MILLIS: Long = 260
+        /** Time within which all peers have received the report and send no more prompts to the engine. */
+        const val REPORT_PROPAGATION_MILLIS: Long = 260
         const val DRAIN_CHECK_PERIOD_MILLIS: Long = 60
         const val MAX_DRAIN_CHECKS: Int = 8
     }
--- a/src/main/kotlin/lacewingweir/state/fleet/EndpointEntry.kt
+++ b/src/main/kotlin/lacewingweir/state/fleet/EndpointEntry.kt
@@ -1,6 +1,7 @@
 package lacewingweir.state.fleet
 
 import lacewingweir.state.id.EndpointId
+import lacewingweir.state.id.EndpointTag
 import lacewingweir.state.id.FailureDomain
 import lacewingweir.state.id.ModelName
 import lacewingweir.state.id.ServiceName
@@ -23,6 +24,9 @@
     val startedAtUnixMillis: Long,
     val weights: Map<ModelName, WeightsNumber>,
 ) {
+    /** Identifies this run of the endpoint in messages between instances. */
+    val tag: EndpointTag = EndpointTag.of(id, startedAtUnixMillis)
+
     /** The address in the form `host:port`. */
     val address: String
         get() = "$host:$port"
--- a/src/main/kotlin/lacewingweir/transport/digest/DatagramDigestNetwork.kt
+++ b/src/main/kotlin/lacewingweir/transport/digest/DatagramDigestNetwork.kt
@@ -13,16 +13,14 @@
 import kotlinx.io.Buffer
 import kotlinx.io.readByteArray
 import kotlinx.serialization.SerializationException
-import kotlinx.serialization.cbor.Cbor
 import lacewingweir.coordination.gossip.DigestNetwork
-import lacewingweir.coordination.gossip.InstanceDigest
+import lacewingweir.coordination.gossip.PeerDatagram
 import lacewingweir.transport.traffic.MessageCounter
 
 private val logger = KotlinLogging.logger {}
 
 /**
- * A [DigestNetwork] that sends digests as CBOR in UDP datagrams. [onDigest] is called for each digest that arrives at
- * [host] and [port].
+ * A [DigestNetwork] on UDP. [onDatagram] is called for each readable datagram that arrives at [host] and [port].
  *
  * Failures to send are logged and otherwise ignored.
  */
@@ -30,13 +28,8 @@
     private val host: String,
     private val port: Int,
     private val scope: CoroutineScope,
-    private val onDigest: (InstanceDigest) -> Unit,
+    private val onDatagram: (PeerDatagram) -> Unit,
 ) : DigestNetwork {
-    private val cbor =
-        Cbor {
-            ignoreUnknownKeys = true
-            useDefiniteLengthEncoding = true
-        }
     private val selector = SelectorManager(Dispatchers.IO)
     private var socket: BoundDatagramSocket? = null
 
@@ -53,17 +46,17 @@
             while (true) {
                 val bytes = boundSocket.receive().packet.readByteArray()
                 received.add(bytes.size + DATAGRAM_HEADER_BYTES)
-                decode(bytes)?.let(onDigest)
+                decode(bytes)?.let(onDatagram)
             }
         }
     }
 
     override suspend fun send(
-        digest: InstanceDigest,
+        datagram: PeerDatagram,
         targets: List<Pair<String, Int>>,
-    ) {
-        val boundSocket = socket ?: return
-        val bytes = cbor.encodeToByteArray(InstanceDigest.serializer(), digest)
+    ): Int {
+        val boundSocket = socket ?: return 0
+        val bytes = DigestCodec.encode(datagram)
         for ((targetHost, targetPort) in targets) {
             try {
                 boundSocket.send(Datagram(Buffer().apply { write(bytes) }, InetSocketAddress(targetHost, targetPort)))
@@ -74,11 +67,12 @@
                 logger.debug { "digest: failed to send to $targetHost:$targetPort: ${e.message}" }
             }
         }
+        return bytes.size + DATAGRAM_HEADER_BYTES
     }
 
-    private fun decode(bytes: ByteArray): InstanceDigest? =
+    private fun decode(bytes: ByteArray): PeerDatagram? =
         try {
-            cbor.decodeFromByteArray(InstanceDigest.serializer(), bytes)
+            DigestCodec.decode(bytes)
         } catch (e: SerializationException) {
             logger.warn { "digest: malformed datagram of ${bytes.size} bytes: ${e.message}" }
             null
--- a/src/test/kotlin/lacewingweir/coordination/placement/EndpointTrackerTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/placement/EndpointTrackerTest.kt
@@ -44,10 +44,11 @@
         "peer",
         1,
         1,
+        250,
         emptyMap(),
         tracker.ownLoads(),
-        tracker.observedEngineWeights(loading),
-        tracker.recentPrefills(),
+        tracker.engineNews(loading),
+        tracker.takePrefills(),
     )
 
     /** Guards against peers that keep sending prompts to a loading engine, which can only reject them. */
