--- a/src/main/kotlin/lacewingweir/coordination/fleet/StoreMirror.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/StoreMirror.kt
@@ -92,6 +92,11 @@
                 logger.warn { "mirror: history after revision=$revision was compacted prefix=$prefix; listing again" }
                 null
             }
+            is WatchResult.Unreadable -> {
+                logger.warn { "mirror: changes after revision=$revision are unreadable: ${result.reason}" }
+                delay(RETRY_MIN_MILLIS)
+                null
+            }
             is WatchResult.Failed -> {
                 handleFailure("watch", result.reason)
                 revision
--- a/src/main/kotlin/lacewingweir/coordination/store/ClusterStore.kt
+++ b/src/main/kotlin/lacewingweir/coordination/store/ClusterStore.kt
@@ -32,6 +32,14 @@
     /** The store no longer has the history since the requested revision. The caller must read the whole range again. */
     data object HistoryGone : WatchResult
 
+    /**
+     * The changes arrived but can't be used, for example because they are too large together. The same call would fail
+     * again, so the caller must read the whole range again.
+     */
+    data class Unreadable(
+        val reason: String,
+    ) : WatchResult
+
     /** The call failed for [reason]. */
     data class Failed(
         val reason: String,
--- a/src/test/kotlin/lacewingweir/coordination/fleet/StoreMirrorTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/fleet/StoreMirrorTest.kt
@@ -148,6 +148,13 @@
         expectThat(events).containsExactly("listed k", "regained", "listed k", "changed a")
     }
 
+    /** Guards against a mirror that requests the same unusable changes until the store has discarded them. */
+    @Test
+    fun `items are listed again if the changes can't be read`() {
+        runMirror(ScriptedStore({ WatchResult.Unreadable("too large") }))
+        expectThat(events).containsExactly("listed k", "listed k")
+    }
+
     @Test
     fun `there is no proof before the first answer`() {
         expectThat(proof.ageMillis()).isGreaterThan(1_000_000_000)
