Gather changes of the store that follow each other

Cause: each change ends the watches of all instances, and each of them called again at once: up to one call per round trip and instance while engines load weights or a fleet restarts. 84 instances pass 6,000 calls/s at 72 changes/s. Why this works: two watch calls of an instance start at least 400 ms apart, so a change after a quiet time still arrives at once and later ones come together.

--- a/src/main/kotlin/lacewingweir/coordination/fleet/StoreMirror.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/StoreMirror.kt
@@ -5,6 +5,9 @@
  * A watch that returns no changes after its full wait proves that nothing had changed by the end of the wait. Any other
  * response proves only that the listener knows all changes up to the time when the call was sent. Failed calls are
  * retried after a short delay, since a longer one would let the contact proof expire.
+ *
+ * Each change ends the watches of all instances. Changes that follow soon are gathered into one response, so that a
+ * fleet that changes all the time doesn't exceed the store's rate of calls.
  */
 package lacewingweir.coordination.fleet
 
@@ -86,6 +89,7 @@
                 handleResponse(if (waitedInFull) sentAt.plus(waitMillis) else sentAt) {
                     if (result.changes.isNotEmpty()) listener.onChanged(result.changes)
                 }
+                delay(MIN_WATCH_INTERVAL_MILLIS - clock.ageMillis(sentAt))
                 maxOf(revision, result.revision)
             }
             WatchResult.HistoryGone -> {
@@ -128,6 +132,9 @@
     }
 
     private companion object {
+        /** Minimum time between the starts of two watch calls, and greatest delay of changes that are gathered. */
+        const val MIN_WATCH_INTERVAL_MILLIS: Long = 400
+
         /**
          * Short compared to the maximum age of the contact proof, long compared to the store's response time of
          * milliseconds.
--- a/src/test/kotlin/lacewingweir/coordination/fleet/StoreMirrorTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/fleet/StoreMirrorTest.kt
@@ -1,7 +1,9 @@
 package lacewingweir.coordination.fleet
 
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
 import lacewingweir.coordination.store.ClusterStore
 import lacewingweir.coordination.store.CommitResult
 import lacewingweir.coordination.store.StoreChange
@@ -16,6 +18,7 @@
 import strikt.assertions.containsExactly
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
 
 internal class StoreMirrorTest {
     private var monotonic = 0L
@@ -39,6 +42,24 @@
             }
         }
 
+    /** Reports a change to each watch after [responseMillis], as in a fleet that changes all the time. */
+    private inner class BusyStore(
+        private val responseMillis: Long,
+    ) : ClusterStore by ScriptedStore() {
+        var watches = 0
+
+        override suspend fun watch(
+            prefix: String,
+            revision: Long,
+            waitMillis: Long,
+        ): WatchResult {
+            watches++
+            delay(responseMillis)
+            advance(responseMillis)
+            return WatchResult.Changes(listOf(StoreChange("a", revision + 1, ByteArray(0))), revision + 1)
+        }
+    }
+
     /** Answers successive watches with the results of [steps], then ends the mirror by cancellation. */
     private inner class ScriptedStore(
         vararg steps: () -> WatchResult,
@@ -148,6 +169,14 @@
         expectThat(events).containsExactly("listed k", "regained", "listed k", "changed a")
     }
 
+    /** Guards against instances that all call the store for each change, until it refuses calls beyond its rate. */
+    @Test
+    fun `changes in quick succession are gathered`() {
+        val store = BusyStore(responseMillis = 10)
+        runBlocking { withTimeoutOrNull(1_000) { StoreMirror(store, "", 1_500, clock, proof, listener).run() } }
+        expectThat(store.watches).isLessThan(6)
+    }
+
     /** Guards against a mirror that requests the same unusable changes until the store has discarded them. */
     @Test
     fun `items are listed again if the changes can't be read`() {
