Bound what a server can send without end

Bodies were bounded each (8 MB) but not together, on a heap of 96 MB. Why this works: each has a limit in bytes, and what is not limited by the call's deadline has one in time; reaching it closes the connection.

--- a/src/main/kotlin/lacewingweir/platform/PlatformEngineClient.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformEngineClient.kt
@@ -1,11 +1,14 @@
 package lacewingweir.platform
 
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.JsonObject
 import lacewingweir.protocol.settings.HostPort
 import lacewingweir.state.fleet.EndpointEntry
 import lacewingweir.transport.http.ClientRequest
+import lacewingweir.transport.http.ClientResponse
 import lacewingweir.transport.http.ClientResult
 import lacewingweir.transport.http.HttpClient
+import lacewingweir.transport.http.readAll
 
 /** Sends control requests of this instance to engines. They do not occupy a slot of the engine. */
 internal class PlatformEngineClient(
@@ -30,12 +33,16 @@
             ),
         )
 
-    internal companion object {
+    /** Reads the body of a response to a control request. Returns null if it is too large or does not end in time. */
+    suspend fun readBody(response: ClientResponse): ByteArray? =
+        withTimeoutOrNull(RESPONSE_TIMEOUT_MILLIS) { response.readAll(MAX_RESPONSE_BYTES, RESPONSE_TIMEOUT_MILLIS) }
+
+    private companion object {
         /** Longer responses to control requests are not read. */
         const val MAX_RESPONSE_BYTES: Int = 256 * 1024
 
         /** Engines respond to control requests within milliseconds. */
-        private const val RESPONSE_TIMEOUT_MILLIS: Long = 400
+        const val RESPONSE_TIMEOUT_MILLIS: Long = 400
     }
 }
 
--- a/src/main/kotlin/lacewingweir/platform/PlatformKvCacheCopier.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformKvCacheCopier.kt
@@ -9,7 +9,6 @@
 import lacewingweir.state.id.RequestId
 import lacewingweir.transport.http.ClientResponse
 import lacewingweir.transport.http.ClientResult
-import lacewingweir.transport.http.readAll
 import lacewingweir.transport.relay.CopyResult
 import lacewingweir.transport.relay.KvCacheCopier
 import lacewingweir.transport.relay.KvCacheCopy
@@ -47,10 +46,9 @@
         source: EndpointEntry,
     ): CopyResult {
         val copy =
-            response
-                .readAll(
-                    PlatformEngineClient.MAX_RESPONSE_BYTES,
-                )?.let(::parseHandle)
+            engines
+                .readBody(response)
+                ?.let(::parseHandle)
                 ?.let { KvCacheCopy(source, it) }
         return when {
             response.status == COPIED && copy != null -> CopyResult.Copied(copy)
@@ -74,7 +72,7 @@
     override suspend fun release(copy: KvCacheCopy) {
         val result = engines.call(copy.source, "DELETE", PlatformPaths.KV_CACHE_COPY_PREFIX + copy.handle)
         if (result is ClientResult.Answered) {
-            result.response.readAll(PlatformEngineClient.MAX_RESPONSE_BYTES)
+            engines.readBody(result.response)
         } else {
             // Engines free unused copies after a few seconds.
             logger.info { "platform: copy ${copy.handle} at ${copy.source.id} not released: $result" }
--- a/src/main/kotlin/lacewingweir/platform/PlatformWeightsControl.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformWeightsControl.kt
@@ -10,7 +10,6 @@
 import lacewingweir.state.fleet.EndpointEntry
 import lacewingweir.transport.http.ClientResponse
 import lacewingweir.transport.http.ClientResult
-import lacewingweir.transport.http.readAll
 
 private val logger = KotlinLogging.logger {}
 
@@ -22,7 +21,7 @@
         val response =
             (engines.call(engine, "GET", PlatformPaths.ENGINE_STATUS) as? ClientResult.Answered)?.response
                 ?: return null
-        val body = response.readAll(PlatformEngineClient.MAX_RESPONSE_BYTES)
+        val body = engines.readBody(response)
         if (response.status != OK || body == null) return null
         return try {
             val fields = parseObject(body)
@@ -61,7 +60,7 @@
     }
 
     private suspend fun parseResult(response: ClientResponse): LoadWeightsResult {
-        response.readAll(PlatformEngineClient.MAX_RESPONSE_BYTES)
+        engines.readBody(response)
         return when (response.status) {
             OK -> LoadWeightsResult.ALREADY_LOADED
             ACCEPTED -> LoadWeightsResult.ACCEPTED
--- a/src/main/kotlin/lacewingweir/transport/gateway/GatewaySettings.kt
+++ b/src/main/kotlin/lacewingweir/transport/gateway/GatewaySettings.kt
@@ -11,7 +11,8 @@
  * stalled rollout does not delay requests until the deadline of their route. [maxAttempts] includes the first attempt;
  * the scheduler's retry budget may allow fewer. [maxBufferedResponseBytes] limits a response that is assembled in
  * memory; for a chat completion, it counts the characters of the chunks. [maxStoredOutcomeBytes] limits the Base64 text
- * of a response body that is stored with a claim.
+ * of a response body that is stored with a claim. [maxServiceResponseBytes] limits a response of a plain service that
+ * is passed on as it arrives.
  * [maxRecordSteps] limits the steps in one [RequestRecord].
  */
 public data class GatewaySettings(
@@ -22,5 +23,6 @@
     val maxAttempts: Int = 4,
     val maxBufferedResponseBytes: Int = 16 * 1024 * 1024,
     val maxStoredOutcomeBytes: Int = 512 * 1024,
+    val maxServiceResponseBytes: Long = 256L * 1024 * 1024,
     val maxRecordSteps: Int = 64,
 )
--- a/src/main/kotlin/lacewingweir/transport/gateway/HttpEngineStream.kt
+++ b/src/main/kotlin/lacewingweir/transport/gateway/HttpEngineStream.kt
@@ -1,5 +1,6 @@
 package lacewingweir.transport.gateway
 
+import kotlinx.coroutines.withTimeoutOrNull
 import lacewingweir.protocol.engine.DropReason
 import lacewingweir.protocol.engine.EngineEvent
 import lacewingweir.protocol.engine.EngineStreamValidator
@@ -17,13 +18,25 @@
     private val pendingEvents = ArrayDeque<SseEvent>()
 
     override suspend fun next(timeoutMillis: Long): EngineEvent {
-        var failure: EngineEvent.Violation? = null
-        while (pendingEvents.isEmpty() && failure == null) failure = readEvents(timeoutMillis)
-        val event = failure ?: validator.next(pendingEvents.removeFirst())
+        // The timeout applies to the event, because an engine may send bytes all the time without ever completing one.
+        val failure =
+            withTimeoutOrNull(timeoutMillis) { NextRead(awaitEvent(timeoutMillis)) }
+                ?: NextRead(EngineEvent.Violation(DropReason.CUT, "no event within $timeoutMillis ms"))
+        val event = failure.violation ?: validator.next(pendingEvents.removeFirst())
         if (event is EngineEvent.Violation) response.close()
         return event
     }
 
+    /** The outcome of waiting for an event: null if there is one. */
+    private class NextRead(
+        val violation: EngineEvent.Violation?,
+    )
+
+    private suspend fun awaitEvent(timeoutMillis: Long): EngineEvent.Violation? {
+        while (pendingEvents.isEmpty()) readEvents(timeoutMillis)?.let { return it }
+        return null
+    }
+
     private suspend fun readEvents(timeoutMillis: Long): EngineEvent.Violation? =
         when (val result = response.read(timeoutMillis)) {
             is ReadResult.Data -> {
--- a/src/main/kotlin/lacewingweir/transport/gateway/ServiceHandler.kt
+++ b/src/main/kotlin/lacewingweir/transport/gateway/ServiceHandler.kt
@@ -22,6 +22,7 @@
     settings: GatewaySettings,
     background: CoroutineScope,
 ) {
+    private val maxResponseBytes = settings.maxServiceResponseBytes
     private val sender = ServiceSender(client, endpointSelector, metrics, tracing)
     private val claimedCalls = ClaimedCallExecutor(claims, sender, settings, background)
 
@@ -171,9 +172,18 @@
             return
         }
         context.response.startStream(serviceResponse.status, headers)
+        var relayedBytes = 0L
         while (true) {
             when (val result = serviceResponse.read()) {
-                is ReadResult.Data -> context.response.write(result.bytes)
+                is ReadResult.Data -> {
+                    relayedBytes += result.bytes.size
+                    if (relayedBytes > maxResponseBytes) {
+                        context.recordOutcome("broken service_answer", "the answer exceeds $maxResponseBytes bytes")
+                        context.response.abort()
+                        return
+                    }
+                    context.response.write(result.bytes)
+                }
                 ReadResult.End -> {
                     context.recordOutcome("completed", "service answered ${serviceResponse.status}")
                     context.response.finish()
--- a/src/main/kotlin/lacewingweir/transport/http/ClientConnection.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ClientConnection.kt
@@ -78,28 +78,36 @@
             ctx.writeAndFlush(request).addListener { if (!it.isSuccess) fail("write failed: ${it.cause()?.message}") }
     }
 
-    /** Waits for the head of the first response that [accept] accepts. Skips responses to earlier requests. */
+    /** Waits for the head of the first response that [accept] accepts. Skips a few responses to earlier requests. */
     internal suspend fun awaitHead(accept: (HttpHeaders) -> Boolean): Head {
-        while (true) {
-            when (val event = nextEvent()) {
-                is Event.Start -> {
-                    if (accept(event.response.headers())) return Head.Received(event.response)
-                    if (!skipBody()) return Head.Failed("connection closed after a response to another request")
+        repeat(MAX_SKIPPED_RESPONSES) { nextHead(accept)?.let { return it } }
+        return Head.Failed("too many responses to other requests")
+    }
+
+    /** Returns null if a response to another request was skipped. */
+    private suspend fun nextHead(accept: (HttpHeaders) -> Boolean): Head? =
+        when (val event = nextEvent()) {
+            is Event.Start ->
+                when {
+                    accept(event.response.headers()) -> Head.Received(event.response)
+                    skipBody() -> null
+                    else -> Head.Failed("connection not usable after a response to another request")
                 }
-                is Event.Failure -> return Head.Failed(event.reason)
-                else -> return Head.Failed("body without a head")
-            }
+            is Event.Failure -> Head.Failed(event.reason)
+            else -> Head.Failed("body without a head")
         }
-    }
 
+    /** Returns whether the connection can be used after the body. */
     private suspend fun skipBody(): Boolean {
-        while (true) {
-            when (nextEvent()) {
-                is Event.Data -> Unit
+        var skippedBytes = 0
+        while (skippedBytes <= MAX_SKIPPED_BODY_BYTES) {
+            when (val event = nextEvent()) {
+                is Event.Data -> skippedBytes += event.bytes.size
                 Event.End -> return keepAlive
                 else -> return false
             }
         }
+        return false
     }
 
     internal suspend fun readBody(): ReadResult =
@@ -217,6 +225,10 @@
         const val BUSY: Int = 0
         const val IDLE: Int = 1
         const val CLOSED: Int = 2
+
+        /** At most one earlier request of a connection is still unanswered, but its server may respond repeatedly. */
+        const val MAX_SKIPPED_RESPONSES: Int = 8
+        const val MAX_SKIPPED_BODY_BYTES: Int = 1024 * 1024
         val BODYLESS_STATUS: Set<Int> = setOf(204, 304)
         val keepAliveTimeout = Regex("""timeout=(\d{1,6})""")
         const val MILLIS_PER_SECOND: Long = 1_000
--- a/src/main/kotlin/lacewingweir/transport/http/ClientResponse.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ClientResponse.kt
@@ -25,17 +25,18 @@
 
 /**
  * Reads the rest of the body into memory, waiting at most [timeoutMillis] for each chunk. Returns `null` if the body is
- * broken or longer than [maxBytes].
+ * broken or longer than [maxBytes], or if [mayBuffer] returns false for the size of a chunk.
  */
 public suspend fun ClientResponse.readAll(
     maxBytes: Int,
     timeoutMillis: Long = 10_000,
+    mayBuffer: (bytes: Int) -> Boolean = { true },
 ): ByteArray? {
     val out = ByteArrayOutputStream()
     while (true) {
         when (val chunk = read(timeoutMillis)) {
             is ReadResult.Data -> {
-                if (out.size() + chunk.bytes.size > maxBytes) {
+                if (out.size() + chunk.bytes.size > maxBytes || !mayBuffer(chunk.bytes.size)) {
                     close()
                     return null
                 }
--- a/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
@@ -14,6 +14,7 @@
     private val http: HttpClient,
     private val protocol: EndpointProtocol,
     private val handovers: RunHandovers,
+    private val bufferedBodies: BufferBudget = BufferBudget(MAX_BUFFERED_BYTES),
 ) {
     /** Sends the call once. Ends [reservation] in any case. */
     suspend fun send(
@@ -95,13 +96,15 @@
         reservation: EndpointReservation,
         exchange: ServerExchange,
     ): SendOutcome {
-        val body =
-            response.readAll(MAX_RESPONSE_BYTES, BODY_IDLE_TIMEOUT_MILLIS)
-                ?: return SendOutcome.Broken("incomplete response")
-        if (!head.success) return SendOutcome.ErrorResponse(head, body)
-        reservation.onFirstEvent()
-        exchange.respond(head.status, head.headers, body)
-        return SendOutcome.Delivered(head.status)
+        bufferedBodies.reserve().use { buffered ->
+            val body =
+                response.readAll(MAX_RESPONSE_BYTES, BODY_IDLE_TIMEOUT_MILLIS, buffered::tryAdd)
+                    ?: return SendOutcome.Broken("incomplete or too large response")
+            if (!head.success) return SendOutcome.ErrorResponse(head, body)
+            reservation.onFirstEvent()
+            exchange.respond(head.status, head.headers, body)
+            return SendOutcome.Delivered(head.status)
+        }
     }
 
     private suspend fun relayEvents(
@@ -155,11 +158,9 @@
             when (val part = response.read(BODY_IDLE_TIMEOUT_MILLIS)) {
                 is ReadResult.Data -> {
                     val events = framer.feed(part.bytes)
+                    violation(framer, events, resumedAfter)?.let { return SendOutcome.Broken(it) }
                     if (events.isEmpty()) continue
                     tracking.onEvent()
-                    if (!startsAfter(resumedAfter, framer.firstId)) {
-                        return SendOutcome.Broken("resumed stream repeats event ${framer.firstId}")
-                    }
                     progress.forward(head, events, framer.lastId)
                 }
                 ReadResult.End -> {
@@ -175,6 +176,19 @@
         }
     }
 
+    /** Returns why the stream is not a valid answer, or null if it may be one. */
+    private fun violation(
+        framer: SseFramer,
+        events: ByteArray,
+        resumedAfter: String?,
+    ): String? =
+        when {
+            framer.exceedsLimit -> "stream goes on without an event id"
+            events.isNotEmpty() && !startsAfter(resumedAfter, framer.firstId) ->
+                "resumed stream repeats event ${framer.firstId}"
+            else -> null
+        }
+
     private fun startsAfter(
         resumedAfter: String?,
         firstId: String?,
@@ -189,6 +203,9 @@
         const val MAX_REFUSAL_BYTES: Int = 64 * 1024
         const val MAX_RESPONSE_BYTES: Int = 8 * 1024 * 1024
 
+        /** Bytes of all responses that are buffered at the same time; a sixth of the heap of an instance. */
+        const val MAX_BUFFERED_BYTES: Long = 16L * 1024 * 1024
+
         /** Longest time without new data. A stalled response normally ends earlier, at the deadline of the call. */
         const val BODY_IDLE_TIMEOUT_MILLIS: Long = 60_000
     }
--- a/src/main/kotlin/lacewingweir/transport/relay/SseFramer.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/SseFramer.kt
@@ -3,10 +3,16 @@
 /**
  * Splits the bytes of a stream of server-sent events after complete events, without changing the bytes.
  *
+ * Events of an answer have ids. A stream that goes on for more than [maxBytesWithoutId] without one [exceedsLimit], and
+ * must not be fed any further.
+ *
  * Not thread-safe.
  */
-internal class SseFramer {
+internal class SseFramer(
+    private val maxBytesWithoutId: Int = MAX_BYTES_WITHOUT_ID,
+) {
     private var pending = ByteArray(0)
+    private var bytesWithoutId = 0
 
     /** Id of the last complete event that had an id. */
     var lastId: String? = null
@@ -20,8 +26,12 @@
     val hasPartialEvent: Boolean
         get() = pending.isNotEmpty()
 
+    val exceedsLimit: Boolean
+        get() = bytesWithoutId > maxBytesWithoutId
+
     /** Appends [bytes], and returns all pending bytes up to the end of the last complete event, possibly none. */
     fun feed(bytes: ByteArray): ByteArray {
+        bytesWithoutId += bytes.size
         val all = if (pending.isEmpty()) bytes else pending + bytes
         val end = endOfLastEvent(all)
         pending = all.copyOfRange(end, all.size)
@@ -46,10 +56,13 @@
             val id = line.removePrefix(ID_FIELD).trim()
             if (firstId == null) firstId = id
             lastId = id
+            bytesWithoutId = pending.size
         }
     }
 
     private companion object {
+        /** An event is a few hundred bytes. */
+        const val MAX_BYTES_WITHOUT_ID: Int = 256 * 1024
         const val LINE_FEED: Byte = 10
         const val CARRIAGE_RETURN: Byte = 13
         const val ID_FIELD: String = "id:"
--- a/src/test/kotlin/lacewingweir/platform/PlatformRelayTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/PlatformRelayTest.kt
@@ -14,6 +14,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isLessThan
+import strikt.assertions.isNotEmpty
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
 import strikt.assertions.isTrue
@@ -206,6 +207,21 @@
             expectThat(duration.inWholeMilliseconds).isLessThan(700)
         }
 
+    /** Guards against responses without end that use up the memory of the instance. */
+    @Test
+    fun `a response without end is given up and another endpoint answers`(): Unit =
+        runBlocking {
+            val endlessEndpoint =
+                relay.endpoint("i-1") {
+                    it.startStream(200, responseHeaders)
+                    while (true) it.write(ByteArray(64 * 1024))
+                }
+            val endpoint = relay.endpoint("i-2", handler = respondOk)
+            repeat(4) { expectThat(relay.call("idempotent").status).isEqualTo(200) }
+            expectThat(endpoint.receivedRequests).hasSize(4)
+            expectThat(endlessEndpoint.receivedRequests).isNotEmpty()
+        }
+
     private val prompt = listOf("Model" to "m", "Token-Counts" to "300,20", "Prompt-Prefix" to "a1:100,b2:200")
     private val eventStream = responseHeaders + ("Content-Type" to "text/event-stream")
 
--- a/src/test/kotlin/lacewingweir/transport/relay/SseFramerTest.kt
+++ b/src/test/kotlin/lacewingweir/transport/relay/SseFramerTest.kt
@@ -24,6 +24,29 @@
         expectThat(framer.hasPartialEvent).isFalse()
     }
 
+    /** Guards against engines that send bytes without end. Both an endless event and endless other lines count. */
+    @Test
+    fun `a stream that goes on without an event id exceeds the limit`() {
+        for (endless in listOf("data: x", ": comment\n\n", "\n")) {
+            val limited = SseFramer(maxBytesWithoutId = 1_000)
+            limited.feed("id: 1\ndata: a\n\n".encodeToByteArray())
+            val parts = endless.repeat(200 / endless.length).encodeToByteArray()
+            repeat(5) {
+                expectThat(limited.exceedsLimit).isFalse()
+                limited.feed(parts)
+            }
+            limited.feed(parts)
+            expectThat(limited.exceedsLimit).isTrue()
+        }
+    }
+
+    @Test
+    fun `a long stream of events with ids does not exceed the limit`() {
+        val limited = SseFramer(maxBytesWithoutId = 1_000)
+        repeat(100) { limited.feed("id: $it\ndata: ${"x".repeat(100)}\n\n".encodeToByteArray()) }
+        expectThat(limited.exceedsLimit).isFalse()
+    }
+
     @Test
     fun `several events of one read are returned together with their carriage returns`() {
         expectThat(
