Refuse a configuration with a part that can't be read

Cause: found by reading. Arrays of the configuration that had another type, and their elements that could not be read, were dropped without a word, and the rest was applied: without customers, every route would have been open to all. Why this works: an array must be an array, and each element of the expected type; otherwise the item is unreadable, which is logged, and the configuration in force stays. serve checks its bundles as a whole (BundleReader), nothing to change.

--- a/src/main/kotlin/lacewingweir/platform/JsonFields.kt
+++ b/src/main/kotlin/lacewingweir/platform/JsonFields.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.booleanOrNull
@@ -44,8 +45,15 @@
 
 /** Returns the objects of an array. The result is empty if the array is missing. */
 internal fun JsonObject.objects(name: String): List<JsonObject> =
-    (this[name] as? JsonArray).orEmpty().filterIsInstance<JsonObject>()
+    elements(name).map { it as? JsonObject ?: throw JsonFieldException("$name has an element that is not an object") }
 
 /** Returns the strings of an array. The result is empty if the array is missing. */
 internal fun JsonObject.strings(name: String): List<String> =
-    (this[name] as? JsonArray).orEmpty().mapNotNull { it.stringOrNull() }
+    elements(name).map { it.stringOrNull() ?: throw JsonFieldException("$name has an element that is not a string") }
+
+private fun JsonObject.elements(name: String): List<JsonElement> =
+    when (val value = this[name]) {
+        null, JsonNull -> emptyList()
+        is JsonArray -> value
+        else -> throw JsonFieldException("$name is not an array")
+    }
--- a/src/main/kotlin/lacewingweir/platform/PlatformItemCodec.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformItemCodec.kt
@@ -128,8 +128,9 @@
     fun weights(item: JsonObject): Map<ModelName, WeightsNumber> =
         item.objects("models").associate { ModelName(it.string("name")) to WeightsNumber(it.integer("version")) }
 
-    private fun config(item: JsonObject): FleetConfig =
-        FleetConfig(
+    private fun config(item: JsonObject): FleetConfig {
+        if ("routes" !in item) throw JsonFieldException("routes is missing")
+        return FleetConfig(
             number = item.integer("version"),
             routes = item.objects("routes").map(::route),
             // Entries with `kvStoreAddr` are not services that requests are sent to.
@@ -138,6 +139,7 @@
             customers = item.objects("tenants").map(::customer),
             limits = limits(item["limits"] as? JsonObject),
         )
+    }
 
     private fun route(item: JsonObject): RoutePolicy {
         // `split` is empty or missing if the route has a single service, which `service` names.
--- a/src/test/kotlin/lacewingweir/platform/PlatformItemCodecTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/PlatformItemCodecTest.kt
@@ -47,6 +47,22 @@
             }.isTrue()
     }
 
+    /** Guards against a configuration that is applied without the routes or customers that couldn't be read. */
+    @ParameterizedTest
+    @ValueSource(
+        strings = [
+            """{"version":3,"routes":[],"services":[],"tenants":"none"}""",
+            """{"version":3,"routes":[],"services":[],"tenants":{"name":"acme","apiKeys":["k"]}}""",
+            """{"version":3,"routes":[],"services":[],"tenants":["acme"]}""",
+            """{"version":3,"routes":[],"services":[],"tenants":[{"name":"acme","apiKeys":[7]}]}""",
+            """{"version":3,"routes":["r"],"services":[],"tenants":[]}""",
+            """{"version":3,"services":[],"tenants":[]}""",
+        ],
+    )
+    fun `a configuration with an unreadable part is unreadable as a whole`(json: String) {
+        expectThat(decode("op/config", json)).isA<FleetUpdate.Unreadable>()
+    }
+
     @ParameterizedTest
     @ValueSource(
         strings = [
