Send and receive digests without handing each datagram to another thread

Cause: the socket's send and receive switch to another thread for each datagram; an instance of 63 sends and receives some 250 a second together. Change: datagrams are sent on the caller's thread and consumed on the threads of the selector; the trackers that take them are synchronized already. Digests are also paced by their number, 120 a second, which only slows idle fleets of 31 and more. Timer lateness is probed once a second.

--- a/src/main/kotlin/lacewingweir/cli/router/TrafficReporter.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/TrafficReporter.kt
@@ -62,7 +62,7 @@
     }
 
     private companion object {
-        const val PROBE_PERIOD_MILLIS: Long = 200
+        const val PROBE_PERIOD_MILLIS: Long = 1_000
         const val REPORT_PERIOD_MILLIS: Long = 5_000
     }
 }
--- a/src/main/kotlin/lacewingweir/coordination/gossip/DigestSender.kt
+++ b/src/main/kotlin/lacewingweir/coordination/gossip/DigestSender.kt
@@ -61,7 +61,9 @@
         lastDigest = digest
         // Also sent without changes, because peers consider an instance silent once its latest digest expires.
         if (unchangedIntervals % UNCHANGED_SEND_INTERVALS != 0) return
-        intervalMillis = send(PeerDatagram(digest = digest.copy(number = ++number))).coerceAtLeast(MIN_INTERVAL_MILLIS)
+        val budgetMillis = send(PeerDatagram(digest = digest.copy(number = ++number)))
+        val datagramsMillis = peers().size * MILLIS_PER_SECOND / DATAGRAMS_PER_SECOND
+        intervalMillis = maxOf(MIN_INTERVAL_MILLIS, budgetMillis, datagramsMillis)
     }
 
     private suspend fun sendReport() {
@@ -75,16 +77,17 @@
         }
     }
 
-    /** Sends [datagram] to all peers. Returns the time that its bytes take up of the budget, in milliseconds. */
+    /** Sends [datagram] to all peers. Returns for how many milliseconds its bytes use up the budget. */
     private suspend fun send(datagram: PeerDatagram): Long {
-        val targets =
-            directory.snapshot.peers.values
-                .filter { it.name != self }
-                .map { it.host to it.port }
+        val targets = peers().map { it.host to it.port }
         if (targets.isEmpty()) return 0
         return network.send(datagram, targets).toLong() * targets.size * MILLIS_PER_SECOND / BYTES_PER_SECOND
     }
 
+    private fun peers() =
+        directory.snapshot.peers.values
+            .filter { it.name != self }
+
     companion object {
         /**
          * Instances don't know each other's admissions before the next digest arrives, so a burst can exceed a rate by
@@ -94,6 +97,9 @@
 
         /** Bytes that digests may take up on the link of an instance: an eighth of the smallest one, 7 Mbit/s. */
         const val BYTES_PER_SECOND: Long = 109_000
+
+        /** A datagram costs its receiver processor time whatever its size. */
+        const val DATAGRAMS_PER_SECOND: Long = 120
         private const val MILLIS_PER_SECOND: Long = 1_000
 
         /** Greatest share added to an interval, so that instances that started together don't send together. */
--- a/src/main/kotlin/lacewingweir/transport/digest/DatagramDigestNetwork.kt
+++ b/src/main/kotlin/lacewingweir/transport/digest/DatagramDigestNetwork.kt
@@ -6,11 +6,11 @@
 import io.ktor.network.sockets.Datagram
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.aSocket
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.launch
 import kotlinx.io.Buffer
+import kotlinx.io.IOException
 import kotlinx.io.readByteArray
 import kotlinx.serialization.SerializationException
 import lacewingweir.coordination.gossip.DigestNetwork
@@ -20,9 +20,11 @@
 private val logger = KotlinLogging.logger {}
 
 /**
- * A [DigestNetwork] on UDP. [onDatagram] is called for each readable datagram that arrives at [host] and [port].
+ * A [DigestNetwork] on UDP. [onDatagram] is called on a thread of [Dispatchers.IO] for each readable datagram that
+ * arrives at [host] and [port].
  *
- * Failures to send are logged and otherwise ignored.
+ * Failures to send are logged and otherwise ignored. Datagrams are sent on the thread of the caller and received on the
+ * threads of the selector, because handing each one over to another thread costs more than processing it.
  */
 internal class DatagramDigestNetwork(
     private val host: String,
@@ -42,7 +44,7 @@
     suspend fun start() {
         val boundSocket = aSocket(selector).udp().bind(InetSocketAddress(host, port))
         socket = boundSocket
-        scope.launch {
+        scope.launch(Dispatchers.IO) {
             while (true) {
                 val bytes = boundSocket.receive().packet.readByteArray()
                 received.add(bytes.size + DATAGRAM_HEADER_BYTES)
@@ -59,11 +61,9 @@
         val bytes = DigestCodec.encode(datagram)
         for ((targetHost, targetPort) in targets) {
             try {
-                boundSocket.send(Datagram(Buffer().apply { write(bytes) }, InetSocketAddress(targetHost, targetPort)))
-                sent.add(bytes.size + DATAGRAM_HEADER_BYTES)
-            } catch (e: CancellationException) {
-                throw e
-            } catch (e: Exception) {
+                val packet = Datagram(Buffer().apply { write(bytes) }, InetSocketAddress(targetHost, targetPort))
+                if (boundSocket.outgoing.trySend(packet).isSuccess) sent.add(bytes.size + DATAGRAM_HEADER_BYTES)
+            } catch (e: IOException) {
                 logger.debug { "digest: failed to send to $targetHost:$targetPort: ${e.message}" }
             }
         }
