--- a/src/main/kotlin/lacewingweir/transport/digest/DatagramDigestNetwork.kt
+++ b/src/main/kotlin/lacewingweir/transport/digest/DatagramDigestNetwork.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
 import kotlinx.io.Buffer
 import kotlinx.io.IOException
 import kotlinx.io.readByteArray
@@ -20,11 +21,10 @@
 private val logger = KotlinLogging.logger {}
 
 /**
- * A [DigestNetwork] on UDP. [onDatagram] is called on a thread of [Dispatchers.IO] for each readable datagram that
- * arrives at [host] and [port].
+ * A [DigestNetwork] on UDP. [onDatagram] is called for each readable datagram that arrives at [host] and [port].
  *
- * Failures to send are logged and otherwise ignored. Datagrams are sent on the thread of the caller and received on the
- * threads of the selector, because handing each one over to another thread costs more than processing it.
+ * Failures to send are logged and otherwise ignored. All datagrams of a message are sent on one thread, because handing
+ * each one over to another thread costs more than sending it.
  */
 internal class DatagramDigestNetwork(
     private val host: String,
@@ -44,7 +44,7 @@
     suspend fun start() {
         val boundSocket = aSocket(selector).udp().bind(InetSocketAddress(host, port))
         socket = boundSocket
-        scope.launch(Dispatchers.IO) {
+        scope.launch {
             while (true) {
                 val bytes = boundSocket.receive().packet.readByteArray()
                 received.add(bytes.size + DATAGRAM_HEADER_BYTES)
@@ -59,17 +59,26 @@
     ): Int {
         val boundSocket = socket ?: return 0
         val bytes = DigestCodec.encode(datagram)
-        for ((targetHost, targetPort) in targets) {
-            try {
-                val packet = Datagram(Buffer().apply { write(bytes) }, InetSocketAddress(targetHost, targetPort))
-                if (boundSocket.outgoing.trySend(packet).isSuccess) sent.add(bytes.size + DATAGRAM_HEADER_BYTES)
-            } catch (e: IOException) {
-                logger.debug { "digest: failed to send to $targetHost:$targetPort: ${e.message}" }
-            }
+        withContext(Dispatchers.IO) {
+            for ((targetHost, targetPort) in targets) sendTo(boundSocket, bytes, targetHost, targetPort)
         }
         return bytes.size + DATAGRAM_HEADER_BYTES
     }
 
+    private fun sendTo(
+        boundSocket: BoundDatagramSocket,
+        bytes: ByteArray,
+        targetHost: String,
+        targetPort: Int,
+    ) {
+        try {
+            val packet = Datagram(Buffer().apply { write(bytes) }, InetSocketAddress(targetHost, targetPort))
+            if (boundSocket.outgoing.trySend(packet).isSuccess) sent.add(bytes.size + DATAGRAM_HEADER_BYTES)
+        } catch (e: IOException) {
+            logger.debug { "digest: failed to send to $targetHost:$targetPort: ${e.message}" }
+        }
+    }
+
     private fun decode(bytes: ByteArray): PeerDatagram? =
         try {
             DigestCodec.decode(bytes)
