Keep digests going when a peer can't be sent to

Found by reading the change: an error other than one of I/O while sending to one peer ended the round for the others, and an error while sending a report of engines would have stopped all later reports. Each peer's error is logged again by itself, as before, and reports go on after an error.

--- a/src/main/kotlin/lacewingweir/coordination/gossip/DigestSender.kt
+++ b/src/main/kotlin/lacewingweir/coordination/gossip/DigestSender.kt
@@ -3,7 +3,8 @@
  *
  * The traffic between instances grows with the square of their number, and instances share small links with their
  * callers. Digests are therefore paced by their size: a larger fleet sends them less often, and its instances know each
- * other's state later, instead of delaying the callers' requests.
+ * other's state later, instead of delaying the callers' requests. The same holds for reports of engines, which have the
+ * budget once more.
  */
 package lacewingweir.coordination.gossip
 
@@ -70,10 +71,14 @@
         reportPaused = true
         val report = createReport(pendingEngines.toSet())
         pendingEngines.clear()
-        val pauseMillis = send(PeerDatagram(engineReport = report)).coerceAtLeast(MIN_REPORT_PAUSE_MILLIS)
-        timers.after("engine report", pauseMillis) {
-            reportPaused = false
-            if (pendingEngines.isNotEmpty()) sendReport()
+        var pauseMillis = MIN_REPORT_PAUSE_MILLIS
+        try {
+            pauseMillis = maxOf(pauseMillis, send(PeerDatagram(engineReport = report)))
+        } finally {
+            timers.after("engine report", pauseMillis) {
+                reportPaused = false
+                if (pendingEngines.isNotEmpty()) sendReport()
+            }
         }
     }
 
--- a/src/main/kotlin/lacewingweir/transport/digest/DatagramDigestNetwork.kt
+++ b/src/main/kotlin/lacewingweir/transport/digest/DatagramDigestNetwork.kt
@@ -11,7 +11,6 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import kotlinx.io.Buffer
-import kotlinx.io.IOException
 import kotlinx.io.readByteArray
 import kotlinx.serialization.SerializationException
 import lacewingweir.coordination.gossip.DigestNetwork
@@ -74,7 +73,7 @@
         try {
             val packet = Datagram(Buffer().apply { write(bytes) }, InetSocketAddress(targetHost, targetPort))
             if (boundSocket.outgoing.trySend(packet).isSuccess) sent.add(bytes.size + DATAGRAM_HEADER_BYTES)
-        } catch (e: IOException) {
+        } catch (e: Exception) {
             logger.debug { "digest: failed to send to $targetHost:$targetPort: ${e.message}" }
         }
     }
