Send digests with the socket's suspending call again

Not traced, and not shown to end with this change: it only goes back to the call that was used all the time, inside one hand-over to the dispatcher for each digest.

--- a/src/main/kotlin/lacewingweir/transport/digest/DatagramDigestNetwork.kt
+++ b/src/main/kotlin/lacewingweir/transport/digest/DatagramDigestNetwork.kt
@@ -6,6 +6,7 @@
 import io.ktor.network.sockets.Datagram
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.aSocket
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.launch
@@ -64,15 +65,17 @@
         return bytes.size + DATAGRAM_HEADER_BYTES
     }
 
-    private fun sendTo(
+    private suspend fun sendTo(
         boundSocket: BoundDatagramSocket,
         bytes: ByteArray,
         targetHost: String,
         targetPort: Int,
     ) {
         try {
-            val packet = Datagram(Buffer().apply { write(bytes) }, InetSocketAddress(targetHost, targetPort))
-            if (boundSocket.outgoing.trySend(packet).isSuccess) sent.add(bytes.size + DATAGRAM_HEADER_BYTES)
+            boundSocket.send(Datagram(Buffer().apply { write(bytes) }, InetSocketAddress(targetHost, targetPort)))
+            sent.add(bytes.size + DATAGRAM_HEADER_BYTES)
+        } catch (e: CancellationException) {
+            throw e
         } catch (e: Exception) {
             logger.debug { "digest: failed to send to $targetHost:$targetPort: ${e.message}" }
         }
