Wait for the reported outcomes in the tests of chat streams

The caller receives the end of its stream before the relay reports the outcome, on another thread, so the check right after the stream can come too early.

--- a/src/test/kotlin/lacewingweir/transport/gateway/ChatStreamTest.kt
+++ b/src/test/kotlin/lacewingweir/transport/gateway/ChatStreamTest.kt
@@ -33,6 +33,12 @@
     @AfterEach
     fun tearDown() = fixture.close()
 
+    /** The caller receives the end of its stream before the relay reports the outcome to the scheduler. */
+    private suspend fun expectOutcomes(vararg expected: AttemptOutcome) {
+        fixture.eventually { fixture.scheduler.outcomes.size >= expected.size }
+        expectThat(fixture.scheduler.outcomes).containsExactly(*expected)
+    }
+
     private fun completeStream(id: String): List<String> =
         (0 until 20).map { firstEngine.chunk(id, it) } + firstEngine.usage(id) + "[DONE]"
 
@@ -48,7 +54,7 @@
             // The usage chunk and the end share a position, because only the end remains after either of them.
             expectThat(events.list.mapNotNull { it.id }.distinct()).hasSize(21)
             expectThat(events.complete).isTrue()
-            expectThat(fixture.scheduler.outcomes).containsExactly(AttemptOutcome.COMPLETED)
+            expectOutcomes(AttemptOutcome.COMPLETED)
             // The 12 bytes of prompt text are charged as ceil(12 / 4) tokens; the usage report raises the charge to 9.
             expectThat(fixture.rates.consumedTokens.get()).isEqualTo(9 + 20)
             fixture.eventually { fixture.rates.open.get() == 0L }
@@ -65,7 +71,7 @@
             expectThat(events.list.map { it.data }).isEqualTo(completeStream(id))
             expectThat(secondEngine.receivedRequests.single().body).contains(""""resume_at":7""")
             expectThat(fixture.rates.consumedTokens.get()).isEqualTo(9 + 20)
-            expectThat(fixture.scheduler.outcomes).containsExactly(AttemptOutcome.FAILED, AttemptOutcome.COMPLETED)
+            expectOutcomes(AttemptOutcome.FAILED, AttemptOutcome.COMPLETED)
         }
 
     // Guards against an incomplete response that appears to be complete.
@@ -206,7 +212,7 @@
             expectThat(events.complete).isFalse()
             fixture.eventually { firstEngine.cancelRequests.any { response.headers.get("X-Request-Id") in it } }
             fixture.eventually { fixture.rates.open.get() == 0L }
-            expectThat(fixture.scheduler.outcomes).containsExactly(AttemptOutcome.CANCELLED)
+            expectOutcomes(AttemptOutcome.CANCELLED)
             expectThat(fixture.chat().status).isEqualTo(401)
         }
 
