Return the event itself from the wait of an engine's stream

Found in the last reading of the change: next wrapped the absence of a violation in a class of its own, in a variable named failure, only to tell it from a timeout. The wait now returns the event, so the class goes. Behaviour is the same.

--- a/src/main/kotlin/lacewingweir/transport/gateway/HttpEngineStream.kt
+++ b/src/main/kotlin/lacewingweir/transport/gateway/HttpEngineStream.kt
@@ -19,22 +19,16 @@
 
     override suspend fun next(timeoutMillis: Long): EngineEvent {
         // The timeout applies to the event, because an engine may send bytes all the time without ever completing one.
-        val failure =
-            withTimeoutOrNull(timeoutMillis) { NextRead(awaitEvent(timeoutMillis)) }
-                ?: NextRead(EngineEvent.Violation(DropReason.CUT, "no event within $timeoutMillis ms"))
-        val event = failure.violation ?: validator.next(pendingEvents.removeFirst())
+        val event =
+            withTimeoutOrNull(timeoutMillis) { awaitEvent(timeoutMillis) }
+                ?: EngineEvent.Violation(DropReason.CUT, "no event within $timeoutMillis ms")
         if (event is EngineEvent.Violation) response.close()
         return event
     }
 
-    /** The outcome of waiting for an event: null if there is one. */
-    private class NextRead(
-        val violation: EngineEvent.Violation?,
-    )
-
-    private suspend fun awaitEvent(timeoutMillis: Long): EngineEvent.Violation? {
+    private suspend fun awaitEvent(timeoutMillis: Long): EngineEvent {
         while (pendingEvents.isEmpty()) readEvents(timeoutMillis)?.let { return it }
-        return null
+        return validator.next(pendingEvents.removeFirst())
     }
 
     private suspend fun readEvents(timeoutMillis: Long): EngineEvent.Violation? =
