Log how far a response had come when it broke, and the shared parts of its prompt

The logs of the incident of the crashing prompt part can't tell its hypotheses apart: no line has the parts of a prompt, and whether a response had begun follows only from the last line of a call that isn't sent again.

--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -325,7 +325,10 @@
             is SendOutcome.Broken -> {
                 state.receivedSends++
                 state.possibleRuns++
-                logger.info { "relay: id=${state.call.id} broken at ${state.lastEndpoint}: ${outcome.reason}" }
+                logger.info {
+                    "relay: id=${state.call.id} broken at ${state.lastEndpoint}: ${outcome.reason} " +
+                        "received=${outcome.received} shared=${sharedParts(state.call)}"
+                }
                 if (outcome.timedOut) {
                     state.failOnTimeout()
                     return true
@@ -335,6 +338,13 @@
         return false
     }
 
+    private fun sharedParts(call: InboundCall): String =
+        call.prompt
+            ?.parts
+            ?.dropLast(1)
+            ?.joinToString(",") { it.id }
+            .orEmpty()
+
     private sealed interface Check {
         class Passed(
             val admitted: Admitted,
--- a/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
@@ -71,7 +71,7 @@
             response.readAll(MAX_REFUSAL_BYTES)
             return SendOutcome.NotRun("status ${head.status}", refused = true)
         }
-        if (!isEndpointResponse(head)) return SendOutcome.Broken("response is not the endpoint's own")
+        if (!isEndpointResponse(head)) return brokenAfterHead("response is not the endpoint's own")
         return if (head.success && head.eventStream) {
             relayEvents(outbound, response, head, reservation, exchange, progress)
         } else {
@@ -79,6 +79,8 @@
         }
     }
 
+    private fun brokenAfterHead(reason: String) = SendOutcome.Broken(reason, ReceivedPart.HEAD)
+
     /**
      * Returns whether the response may be passed on to the caller.
      *
@@ -99,7 +101,7 @@
         bufferedBodies.reserve().use { buffered ->
             val body =
                 response.readAll(MAX_RESPONSE_BYTES, BODY_IDLE_TIMEOUT_MILLIS, buffered::tryAdd)
-                    ?: return SendOutcome.Broken("incomplete or too large response")
+                    ?: return brokenAfterHead("incomplete or too large response")
             if (!head.success) return SendOutcome.ErrorResponse(head, body)
             reservation.onFirstEvent()
             exchange.respond(head.status, head.headers, body)
@@ -154,12 +156,14 @@
     ): SendOutcome {
         val framer = SseFramer()
         val resumedAfter = progress.lastId
+        var received = ReceivedPart.HEAD
         while (true) {
             when (val part = response.read(BODY_IDLE_TIMEOUT_MILLIS)) {
                 is ReadResult.Data -> {
                     val events = framer.feed(part.bytes)
-                    violation(framer, events, resumedAfter)?.let { return SendOutcome.Broken(it) }
+                    violation(framer, events, resumedAfter)?.let { return SendOutcome.Broken(it, received) }
                     if (events.isEmpty()) continue
+                    received = ReceivedPart.EVENTS
                     tracking.onEvent()
                     progress.forward(head, events, framer.lastId)
                 }
@@ -167,11 +171,11 @@
                     if (framer.hasPartialEvent ||
                         !progress.started
                     ) {
-                        return SendOutcome.Broken("stream ended within an event")
+                        return SendOutcome.Broken("stream ended within an event", received)
                     }
                     return SendOutcome.Delivered(head.status)
                 }
-                is ReadResult.Broken -> return SendOutcome.Broken("stream broken: ${part.reason}")
+                is ReadResult.Broken -> return SendOutcome.Broken("stream broken: ${part.reason}", received)
             }
         }
     }
--- a/src/main/kotlin/lacewingweir/transport/relay/SendOutcome.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/SendOutcome.kt
@@ -27,6 +27,16 @@
     /** No usable response was received, and the call may have run. The caller received part of a stream or nothing. */
     data class Broken(
         val reason: String,
+        val received: ReceivedPart = ReceivedPart.NOTHING,
         val timedOut: Boolean = false,
     ) : SendOutcome
 }
+
+/** How much of a response had been received when it broke off. */
+internal enum class ReceivedPart {
+    NOTHING,
+
+    /** The head of the response, but no complete event of its stream. */
+    HEAD,
+    EVENTS,
+}
