--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import lacewingweir.coordination.fleet.FleetDirectory
@@ -51,12 +52,13 @@
 import lacewingweir.transport.relay.RelayRefusal
 import lacewingweir.transport.relay.RepeatBudgets
 import lacewingweir.transport.relay.RunHandovers
+import java.util.concurrent.TimeUnit
 
 private val logger = KotlinLogging.logger {}
 
 internal class RouterInstance(
     private val settings: RouterSettings,
-) {
+) : AutoCloseable {
     private val group = MultiThreadIoEventLoopGroup(settings.cores, NioIoHandler.newFactory())
     private val scope = CoroutineScope(SupervisorJob() + group.next().asCoroutineDispatcher())
     private val timers = CoroutineTimerService(scope)
@@ -198,6 +200,15 @@
         logger.info { "router: stopped, requests in flight=${callerServer.requestsInFlight}" }
     }
 
+    /** Ends the instance immediately, as in a crash. */
+    override fun close() {
+        scope.cancel()
+        callerServer.close()
+        readinessServer.close()
+        digestNetwork.close()
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
+    }
+
     private fun createServer(
         address: String,
         handler: suspend (ServerExchange) -> Unit,
--- a/src/main/kotlin/lacewingweir/transport/digest/DatagramDigestNetwork.kt
+++ b/src/main/kotlin/lacewingweir/transport/digest/DatagramDigestNetwork.kt
@@ -31,7 +31,8 @@
     private val port: Int,
     private val scope: CoroutineScope,
     private val onDatagram: (PeerDatagram) -> Unit,
-) : DigestNetwork {
+) : DigestNetwork,
+    AutoCloseable {
     private val selector = SelectorManager(Dispatchers.IO)
     private var socket: BoundDatagramSocket? = null
 
@@ -65,6 +66,11 @@
         return bytes.size + DATAGRAM_HEADER_BYTES
     }
 
+    override fun close() {
+        socket?.close()
+        selector.close()
+    }
+
     private suspend fun sendTo(
         boundSocket: BoundDatagramSocket,
         bytes: ByteArray,
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
@@ -0,0 +1,139 @@
+package lacewingweir.platform
+
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import lacewingweir.cli.router.RouterInstance
+import lacewingweir.protocol.settings.RouterSettings
+import lacewingweir.testing.eventually
+import lacewingweir.transport.http.ClientRequest
+import lacewingweir.transport.http.ClientResult
+import lacewingweir.transport.http.HttpClient
+import lacewingweir.transport.http.readAll
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+
+/** Whole router instances on loopback that share a stand-in store and stand-in engines of one service. */
+internal class RouterFleet(
+    private val size: Int,
+    engines: Int,
+) : AutoCloseable {
+    class CallerResponse(
+        val status: Int,
+        val body: String,
+        val complete: Boolean,
+        val retryAfter: String?,
+    )
+
+    private val group = MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory())
+    val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val http = HttpClient(group)
+    val store = StandinKeyValueStore(group, scope)
+    val engines = List(engines) { StandinPromptEngine("e$it", group, scope, store) }
+    private val subnet = nextSubnet.incrementAndGet()
+    private val requestNumbers = AtomicLong()
+    private val instances = ArrayList<RouterInstance>()
+
+    suspend fun start() {
+        store.write("op/config", CONFIG)
+        engines.forEach { it.start() }
+        startInstances()
+    }
+
+    /** Starts all instances and waits until each serves a call. */
+    suspend fun startInstances() {
+        repeat(size) { instances += RouterInstance(settings(it)).also { instance -> instance.start() } }
+        repeat(size) { index ->
+            eventually("instance $index serves", timeoutMillis = 20_000) {
+                call(index, "sys:100,ready:100").status == 200
+            }
+        }
+    }
+
+    /** Ends all instances at once, without a shutdown. */
+    fun killInstances() {
+        instances.forEach { it.close() }
+        instances.clear()
+    }
+
+    private fun host(index: Int) = "127.$subnet.1.${index + 1}"
+
+    private fun settings(index: Int) =
+        RouterSettings(
+            name = "instance-$index",
+            failureDomain = "z1",
+            host = host(index),
+            callerListen = "${host(index)}:$CALLER_PORT",
+            readinessListen = "${host(index)}:$READINESS_PORT",
+            internalPorts = listOf(DIGEST_PORT),
+            storeAddress = store.address,
+        )
+
+    /** Sends a prompt with the shared [parts] and a last part of its own to the instance at [index]. */
+    suspend fun call(
+        index: Int,
+        parts: String,
+    ): CallerResponse {
+        val number = requestNumbers.incrementAndGet()
+        val request =
+            ClientRequest(
+                host = host(index),
+                port = CALLER_PORT,
+                method = "POST",
+                path = "/tag/x",
+                headers =
+                    listOf(
+                        "Host" to "h.example",
+                        "Attempt-Id" to "%016x".format(number),
+                        "X-Api-Key" to "k1",
+                        "Deadline-Ms" to "3000",
+                        "Model" to "m",
+                        "Token-Counts" to "300,20",
+                        "Prompt-Prefix" to "$parts,last$number:100",
+                    ),
+                body = "body".encodeToByteArray(),
+                preserveHostHeader = true,
+            )
+        return when (val result = http.open(request)) {
+            is ClientResult.Answered -> {
+                val body = result.response.readAll(1_000_000)
+                CallerResponse(
+                    result.response.status,
+                    body?.decodeToString().orEmpty(),
+                    complete = body != null,
+                    retryAfter = result.response.headers.get("Retry-After"),
+                )
+            }
+            is ClientResult.NotSent, is ClientResult.Unknown -> CallerResponse(0, "", complete = false, null)
+        }
+    }
+
+    override fun close() {
+        killInstances()
+        engines.forEach { it.close() }
+        store.close()
+        http.close()
+        scope.cancel()
+        group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS)
+    }
+
+    private companion object {
+        const val CALLER_PORT = 8_606
+        const val READINESS_PORT = 8_605
+        const val DIGEST_PORT = 7_600
+
+        /** Fleets of parallel tests use different loopback addresses. */
+        val nextSubnet = AtomicInteger(10)
+
+        val CONFIG =
+            """{"version":1,"routes":[{"name":"tag","host":"h.example","prefix":"/tag/","kind":"stream",
+            "timeoutMs":3000,"latencyTargetMs":500,"priority":0,"service":"engine","maxAttempts":2,
+            "public":false,"resumable":true}],"services":[{"name":"engine","maxConns":300,
+            "engine":{"slots":48,"kvCapTokens":200000,"moves":true,"models":[{"name":"m"}]}}],
+            "tenants":[{"name":"acme","apiKeys":["k1"]}]}"""
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/platform/StandinKeyValueStore.kt
@@ -0,0 +1,197 @@
+package lacewingweir.platform
+
+import io.netty.channel.EventLoopGroup
+import io.netty.handler.codec.http.QueryStringDecoder
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonArray
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import lacewingweir.transport.http.HttpServer
+import lacewingweir.transport.http.ServerExchange
+import java.util.Base64
+import java.util.TreeMap
+
+/**
+ * A stand-in of the platform's store with ranges, watches, transactions and leases, for tests of whole instances.
+ *
+ * Leases end only by call. [copy] and [restore] replace its contents by those of an earlier moment.
+ */
+internal class StandinKeyValueStore(
+    group: EventLoopGroup,
+    scope: CoroutineScope,
+) : AutoCloseable {
+    class Item(
+        val key: String,
+        val value: ByteArray,
+        val revision: Long,
+        val lease: Long,
+    )
+
+    private class Change(
+        val key: String,
+        val revision: Long,
+        val item: Item?,
+    )
+
+    private val items = TreeMap<String, Item>()
+    private val history = ArrayList<Change>()
+    private val revision = MutableStateFlow(1L)
+    private var lastLease = 0L
+    private val server = HttpServer(group, scope, "127.0.0.1", 0) { handle(it) }.start()
+
+    /** Whether calls are refused. */
+    @Volatile
+    var down = false
+
+    val address: String
+        get() = "127.0.0.1:${server.port}"
+
+    /** Number of transactions that wrote each key. */
+    val writeCounts = HashMap<String, Int>()
+
+    @Synchronized
+    fun value(key: String): String? = items[key]?.value?.decodeToString()
+
+    fun write(
+        key: String,
+        json: String,
+    ) = commit(listOf(Triple(key, json.encodeToByteArray(), 0L)), emptyList())
+
+    fun remove(key: String) = commit(emptyList(), listOf(key))
+
+    /** Returns the current items, for [restore]. */
+    @Synchronized
+    fun copy(): List<Item> = items.values.toList()
+
+    /** Replaces all items by those of a [copy], under new revisions. */
+    @Synchronized
+    fun restore(copy: List<Item>) {
+        val lost = items.keys - copy.map { it.key }.toSet()
+        commit(copy.map { Triple(it.key, it.value, it.lease) }, lost.toList())
+    }
+
+    @Synchronized
+    private fun commit(
+        writes: List<Triple<String, ByteArray, Long>>,
+        removals: List<String>,
+    ): Long {
+        val next = revision.value + 1
+        for ((key, value, lease) in writes) {
+            val item = Item(key, value, next, lease)
+            items[key] = item
+            history += Change(key, next, item)
+            writeCounts.merge(key, 1, Int::plus)
+        }
+        for (key in removals) if (items.remove(key) != null) history += Change(key, next, null)
+        revision.value = next
+        return next
+    }
+
+    private suspend fun handle(exchange: ServerExchange) {
+        if (down) {
+            exchange.respond(503)
+            return
+        }
+        val query = QueryStringDecoder("?" + exchange.query).parameters()
+
+        fun parameter(name: String) = query[name]?.firstOrNull().orEmpty()
+        when (exchange.path) {
+            PlatformPaths.KEY_RANGE -> exchange.respondJson(range(parameter("prefix")))
+            PlatformPaths.KEY_WATCH -> {
+                val after = parameter("after").toLong()
+                withTimeoutOrNull(parameter("waitMs").toLong()) { revision.first { it > after } }
+                exchange.respondJson(changes(parameter("prefix"), after))
+            }
+            PlatformPaths.TRANSACTION -> transact(exchange)
+            PlatformPaths.LEASE_GRANT -> exchange.respondJson(buildJsonObject { put("lease", nextLease()) })
+            else -> respondToLeaseCall(exchange)
+        }
+    }
+
+    private suspend fun respondToLeaseCall(exchange: ServerExchange) {
+        if (exchange.path.startsWith(PlatformPaths.LEASE_END)) {
+            val lease = exchange.path.removePrefix(PlatformPaths.LEASE_END).toLong()
+            endLease(lease)
+        }
+        exchange.respondJson(buildJsonObject { })
+    }
+
+    @Synchronized
+    private fun nextLease() = ++lastLease
+
+    @Synchronized
+    private fun endLease(lease: Long) {
+        val keys = items.values.filter { it.lease == lease }.map { it.key }
+        if (keys.isNotEmpty()) commit(emptyList(), keys)
+    }
+
+    @Synchronized
+    private fun range(prefix: String) =
+        buildJsonObject {
+            put("items", JsonArray(items.values.filter { it.key.startsWith(prefix) }.map(::encode)))
+            put("truncated", false)
+            put("storeRevision", revision.value)
+        }
+
+    @Synchronized
+    private fun changes(
+        prefix: String,
+        after: Long,
+    ) = buildJsonObject {
+        val changes = history.filter { it.revision > after && it.key.startsWith(prefix) }
+        put("events", JsonArray(changes.map(::encode)))
+        put("storeRevision", revision.value)
+    }
+
+    private fun encode(item: Item) =
+        buildJsonObject {
+            put("key", item.key)
+            put("value", Base64.getEncoder().encodeToString(item.value))
+            put("revision", item.revision)
+            put("lease", item.lease)
+        }
+
+    private fun encode(change: Change): JsonObject =
+        change.item?.let(::encode) ?: buildJsonObject {
+            put("key", change.key)
+            put("revision", change.revision)
+            put("deleted", true)
+        }
+
+    private suspend fun transact(exchange: ServerExchange) {
+        val body = parseObject(exchange.body)
+        val committed =
+            synchronized(this) {
+                val holds =
+                    body.objects("expect").all {
+                        (items[it.string("key")]?.revision ?: 0) == it.integer("revision")
+                    }
+                if (!holds) return@synchronized null
+                val writes =
+                    body.objects("writes").map {
+                        Triple(it.string("key"), Base64.getDecoder().decode(it.string("value")), it.integer("lease"))
+                    }
+                commit(writes, body.strings("remove"))
+            }
+        if (committed == null) {
+            exchange.respond(412, JSON, buildJsonArray { add(JsonPrimitive(0)) }.toString().encodeToByteArray())
+        } else {
+            exchange.respondJson(buildJsonObject { put("revision", committed) })
+        }
+    }
+
+    private suspend fun ServerExchange.respondJson(body: JsonObject) =
+        respond(200, JSON, body.toString().encodeToByteArray())
+
+    override fun close() = server.close()
+
+    private companion object {
+        val JSON = listOf("Content-Type" to "application/json")
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
@@ -0,0 +1,114 @@
+package lacewingweir.platform
+
+import io.netty.channel.EventLoopGroup
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import lacewingweir.transport.http.HttpServer
+import lacewingweir.transport.http.ServerExchange
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicBoolean
+
+/**
+ * A stand-in of an engine on the platform that ends when it begins an answer on one of [crashingParts], and starts again
+ * at the same address under a new id after [RESTART_MILLIS].
+ */
+internal class StandinPromptEngine(
+    private val name: String,
+    private val group: EventLoopGroup,
+    private val scope: CoroutineScope,
+    private val store: StandinKeyValueStore,
+) : AutoCloseable {
+    class Arrival(
+        val atMillis: Long,
+        val parts: List<String>,
+    )
+
+    private var server: HttpServer? = null
+    private var port = 0
+    private var runs = 0
+
+    @Volatile
+    private var closed = false
+
+    @Volatile
+    var crashingParts: Set<String> = emptySet()
+
+    /** Time from the arrival of a request to the head of its response. */
+    @Volatile
+    var prefillMillis = 10L
+
+    /** Requests that have arrived, without control requests. */
+    val arrivals = CopyOnWriteArrayList<Arrival>()
+
+    /** Times at which the engine ended, in milliseconds of the monotonic clock. */
+    val crashes = CopyOnWriteArrayList<Long>()
+
+    val id: String
+        get() = "$name-$runs"
+
+    fun start() {
+        runs++
+        val ended = AtomicBoolean()
+        val listener = HttpServer(group, scope, "127.0.0.1", port) { handle(it, ended) }.start()
+        server = listener
+        port = listener.port
+        store.write(
+            "servers/$id",
+            """{"service":"engine","address":"127.0.0.1:$port","zone":"z1","version":"v1","slots":48,"state":"ready",
+            "coldLeftMs":0,"sequence":1,"born":${1_000 + runs},
+            "models":[{"name":"m","version":1,"adapters":[]}]}""",
+        )
+    }
+
+    private suspend fun handle(
+        exchange: ServerExchange,
+        ended: AtomicBoolean,
+    ) {
+        if (exchange.path.startsWith("/lacewingweir/")) {
+            exchange.respond(404)
+            return
+        }
+        val parts =
+            exchange.headers
+                .get("Prompt-Prefix")
+                .split(',')
+                .map { it.substringBefore(':') }
+        arrivals += Arrival(nowMillis(), parts)
+        delay(prefillMillis)
+        val id = exchange.headers.get("Attempt-Id")
+        exchange.startStream(
+            200,
+            listOf("Content-Type" to "text/event-stream", "Attempt-Id" to id, "Server-Stamp" to "stamp"),
+        )
+        if (parts.dropLast(1).any { it in crashingParts }) {
+            if (ended.compareAndSet(false, true)) crash()
+            return
+        }
+        for (n in 1..3) exchange.write("id: $n\ndata: piece$n\n\n".encodeToByteArray())
+        exchange.finish()
+    }
+
+    private fun crash() {
+        crashes += nowMillis()
+        val endedId = id
+        val endedServer = server
+        scope.launch {
+            endedServer?.close()
+            delay(RESTART_MILLIS)
+            store.remove("servers/$endedId")
+            if (!closed) start()
+        }
+    }
+
+    override fun close() {
+        closed = true
+        server?.close()
+    }
+
+    companion object {
+        const val RESTART_MILLIS: Long = 1_500
+
+        fun nowMillis(): Long = System.nanoTime() / 1_000_000
+    }
+}
