Block prompt parts that crash engines, on the evidence of the whole fleet

Cause: nothing remembered which prompt an engine had ended under. Each call with the part was placed like any other, at every instance, and sent once more after it had ended an engine.

Why this works: a call that breaks off between head and first event, at an engine that refuses connections then, is a fact that all instances get at once: run of the engine and shared parts. A part that was never answered and recurs under two ends is blocked (three if several parts recur together, four for parts answered before). Sound prompts, resets, cuts, garbled answers and restarts give no such facts, and answers clear their parts. The call that ended an engine isn't sent again. Blocked parts are kept in the store by the instance that decided, and written back if the store has lost them.

--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -10,6 +10,8 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import lacewingweir.coordination.crash.BlockedPartsWriter
+import lacewingweir.coordination.crash.PromptQuarantine
 import lacewingweir.coordination.fleet.FleetDirectory
 import lacewingweir.coordination.fleet.LeasedInstanceRegistration
 import lacewingweir.coordination.fleet.StoreContactProof
@@ -94,6 +96,24 @@
         }
     private val engineCalls = PlatformEngineClient(endpointClient)
     private val handovers = RunHandovers(tracker, PlatformKvCacheCopier(engineCalls), repeatBudgets, scope, clock)
+    private val quarantine: PromptQuarantine =
+        PromptQuarantine(
+            clock,
+            refusesConnections = {
+                endpointClient.isRefused(it.host, it.port, PlatformEndpointProtocol.CONNECT_TIMEOUT_MILLIS)
+            },
+            onNews = { digestSender.reportPromptNews() },
+            onDecision = { blockedPartsWriter.write() },
+        )
+    private val blockedPartsWriter =
+        BlockedPartsWriter(
+            store,
+            directory,
+            timers,
+            PlatformKeys.BLOCKED_PARTS,
+            PlatformItemCodec::encodeBlockedParts,
+            { quarantine.blockedParts },
+        )
     private val relay =
         CallRelay(
             directory,
@@ -102,6 +122,7 @@
             repeatBudgets,
             tracker,
             EndpointSender(endpointClient, PlatformEndpointProtocol, handovers),
+            quarantine,
             clock,
             { relayLimits },
         )
@@ -136,6 +157,7 @@
                     validityMillis = InstanceDigest.MIN_VALIDITY_MILLIS,
                 )
             },
+            createPromptNews = quarantine::news,
         )
     private val registration =
         LeasedInstanceRegistration(
@@ -164,6 +186,7 @@
         directory.observe { snapshot ->
             snapshot.config?.let { rateLimiter.configure(it, snapshot.hotCustomers) }
             tracker.onFleet(snapshot)
+            quarantine.onFleet(snapshot)
         }
         digestNetwork.start()
         readinessServer.start()
@@ -171,6 +194,7 @@
         scope.launch { mirror.run() }
         scope.launch { registration.start() }
         digestSender.start()
+        blockedPartsWriter.start()
         timers.every("hot customers", HOT_CUSTOMERS_PERIOD_MILLIS) { storeHotCustomers() }
         rollout.start()
         trafficReporter.start()
@@ -206,7 +230,7 @@
         callerServer.close()
         readinessServer.close()
         digestNetwork.close()
-        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
+        group.shutdownGracefully(CLOSE_QUIET_MILLIS, CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
     }
 
     private fun createServer(
@@ -276,11 +300,13 @@
         weights = tracker.engineNews(rollout.loading),
         prefills = tracker.takePrefills(),
         windowTotals = if (withWindowTotals && hasRunForRateWindow()) rateLimiter.windowTotals() else null,
+        promptNews = quarantine.news(),
     )
 
     private fun onDatagram(datagram: PeerDatagram) {
         datagram.digest?.let(::onDigest)
         datagram.engineReport?.let(tracker::onEngineReport)
+        datagram.promptNews?.let(quarantine::onNews)
     }
 
     private fun onDigest(digest: InstanceDigest) {
@@ -288,6 +314,7 @@
         if (result !is PeerDigests.AcceptResult.Updated) return
         rateLimiter.onDigest(digest, result.previous)
         tracker.onDigest(digest)
+        digest.promptNews?.let(quarantine::onNews)
     }
 
     private companion object {
@@ -328,6 +355,10 @@
         const val SHUTDOWN_MARGIN_MILLIS: Long = 400
         const val DRAIN_POLL_MILLIS: Long = 50
 
+        /** Time without tasks after which the event loops end, so that cancelled coroutines can complete on them. */
+        const val CLOSE_QUIET_MILLIS: Long = 100
+        const val CLOSE_TIMEOUT_MILLIS: Long = 1_000
+
         /** A flood of requests uses up the rate window of a customer within one or two seconds. */
         const val HOT_CUSTOMERS_PERIOD_MILLIS: Long = 1_000
     }
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/coordination/crash/PromptQuarantine.kt
@@ -0,0 +1,191 @@
+/**
+ * Keeps prompts away from endpoints that they would crash.
+ *
+ * The instance whose call was broken off by the end of an endpoint reports the crash to all peers, and every instance
+ * draws the same conclusions from the crashes of the whole fleet. Blocked parts are also kept in the store, because
+ * nothing else outlasts the end of all instances. They don't expire: a part that crashes endpoints can only be tried
+ * out on endpoints.
+ */
+package lacewingweir.coordination.crash
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.delay
+import lacewingweir.coordination.fleet.FleetSnapshot
+import lacewingweir.coordination.fleet.StoredBlockedParts
+import lacewingweir.coordination.gossip.PromptNews
+import lacewingweir.state.crash.CrashEvidence
+import lacewingweir.state.crash.EndpointCrash
+import lacewingweir.state.fleet.EndpointEntry
+import lacewingweir.state.fleet.Prompt
+import lacewingweir.state.id.PartId
+import lacewingweir.state.time.MonotonicClock
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * @property refusesConnections returns whether nothing listens at the address of an endpoint any more
+ * @property onNews called when there are news for the peers
+ * @property onDecision called when this instance has blocked a part on its own evidence
+ */
+internal class PromptQuarantine(
+    private val clock: MonotonicClock,
+    private val refusesConnections: suspend (EndpointEntry) -> Boolean,
+    private val onNews: suspend () -> Unit,
+    private val onDecision: suspend () -> Unit,
+) {
+    private class Dated<T>(
+        val atMillis: Long,
+        val value: T,
+    )
+
+    private val evidence = CrashEvidence()
+    private val ownCrashes = ArrayDeque<Dated<EndpointCrash>>()
+    private val ownAnswered = ArrayDeque<Dated<PartId>>()
+    private val ownBlocked = ArrayDeque<Dated<PartId>>()
+    private var knownStored = StoredBlockedParts()
+
+    /** A copy that is replaced as a whole, so that calls can check it without a lock. */
+    @Volatile
+    private var blocked: Set<PartId> = emptySet()
+
+    /** The blocked parts, those blocked first at the beginning. */
+    val blockedParts: Set<PartId>
+        get() = blocked
+
+    /** Returns a blocked part of [prompt], or null if it may be sent to endpoints. */
+    fun blockedPart(prompt: Prompt?): PartId? {
+        val current = blocked
+        if (prompt == null || current.isEmpty()) return null
+        return prompt.sharedParts.firstOrNull { it in current }
+    }
+
+    /** Records that [prompt] was answered, which proves that none of its parts crashes endpoints. */
+    suspend fun recordAnswer(prompt: Prompt) {
+        val cleared =
+            synchronized(this) {
+                evidence.recordAnswer(prompt.sharedParts).onEach { ownAnswered.add(it) }
+            }
+        if (cleared.isEmpty()) return
+        logger.info { "quarantine: answered after a crash parts=$cleared" }
+        onNews()
+    }
+
+    /**
+     * Returns whether a call whose response broke off may be sent to another endpoint, which [prompt] could crash, too.
+     *
+     * [answerBegan] tells whether the head of the response had been received, but no part of the answer. The end of an
+     * endpoint at this moment is recorded as a crash. Calls that were only waiting there are sent again unless the
+     * crash makes one of their parts suspect, which is known after a short time.
+     */
+    suspend fun mayRepeat(
+        endpoint: EndpointEntry,
+        prompt: Prompt,
+        answerBegan: Boolean,
+    ): Boolean {
+        if (answerBegan) {
+            val ended = hasEnded(endpoint)
+            if (ended) reportCrash(endpoint, prompt)
+            return !ended
+        }
+        val unknownParts = synchronized(this) { prompt.sharedParts.filterNot(evidence::wasAnswered) }
+        if (unknownParts.isEmpty()) return true
+        delay(REPORT_WAIT_MILLIS)
+        return synchronized(this) { unknownParts.none { it in blocked || evidence.isSuspect(it) } }
+    }
+
+    /** An endpoint that lives goes on listening when a response breaks off. */
+    private suspend fun hasEnded(endpoint: EndpointEntry): Boolean {
+        if (refusesConnections(endpoint)) return true
+        delay(SECOND_CHECK_MILLIS)
+        return refusesConnections(endpoint)
+    }
+
+    private suspend fun reportCrash(
+        endpoint: EndpointEntry,
+        prompt: Prompt,
+    ) {
+        val crash =
+            synchronized(this) {
+                EndpointCrash(endpoint.tag, evidence.suspects(prompt.sharedParts)).also { ownCrashes.add(it) }
+            }
+        logger.warn { "quarantine: endpoint ${endpoint.id} crashed suspects=${describe(crash)}" }
+        val decided = recordCrash(crash)
+        if (decided != null) synchronized(this) { ownBlocked.add(decided) }
+        onNews()
+        if (decided != null) onDecision()
+    }
+
+    /** Returns the news of the last seconds for the peers, or null if there are none. */
+    @Synchronized
+    fun news(): PromptNews? {
+        val oldest = clock.nowMillis() - NEWS_MILLIS
+        listOf(ownCrashes, ownAnswered, ownBlocked).forEach { dated -> dated.removeIf { it.atMillis < oldest } }
+        if (ownCrashes.isEmpty() && ownAnswered.isEmpty() && ownBlocked.isEmpty()) return null
+        return PromptNews(ownCrashes.values(), ownAnswered.values(), ownBlocked.values())
+    }
+
+    /** Applies the news of a peer. */
+    fun onNews(news: PromptNews) {
+        synchronized(this) { evidence.recordAnswer(news.answered) }
+        news.crashes.forEach(::recordCrash)
+        news.blocked.forEach { block(it, "blocked by a peer") }
+    }
+
+    /** Applies the blocked parts in the store. */
+    fun onFleet(snapshot: FleetSnapshot) {
+        val stored = snapshot.blockedParts
+        if (stored === knownStored) return
+        if (stored.removals > knownStored.removals) unblockAll()
+        stored.parts.forEach { block(it, "blocked in the store") }
+        knownStored = stored
+    }
+
+    private fun recordCrash(crash: EndpointCrash): PartId? {
+        val culprit = synchronized(this) { evidence.recordCrash(crash, clock.nowMillis()) }
+        return culprit?.takeIf { block(it, "crashed several endpoints") }
+    }
+
+    @Synchronized
+    private fun block(
+        part: PartId,
+        reason: String,
+    ): Boolean {
+        if (!evidence.block(part)) return false
+        blocked = evidence.blockedParts.toSet()
+        logger.warn { "quarantine: part blocked part=$part reason=$reason count=${blocked.size}" }
+        return true
+    }
+
+    @Synchronized
+    private fun unblockAll() {
+        evidence.unblockAll()
+        blocked = emptySet()
+        ownCrashes.clear()
+        ownBlocked.clear()
+        logger.warn { "quarantine: all parts unblocked" }
+    }
+
+    private fun describe(crash: EndpointCrash) =
+        crash.suspects.joinToString(",") { "${it.part}${if (it.answered) " (answered before)" else ""}" }
+
+    private fun <T> ArrayDeque<Dated<T>>.add(value: T) {
+        if (size == MAX_NEWS) removeFirst()
+        addLast(Dated(clock.nowMillis(), value))
+    }
+
+    private fun <T> ArrayDeque<Dated<T>>.values() = map { it.value }
+
+    private companion object {
+        /** Time within which the crash of an endpoint is confirmed and has become known at all instances. */
+        const val REPORT_WAIT_MILLIS: Long = 60
+
+        /** An endpoint may close its connections slightly before its port. */
+        const val SECOND_CHECK_MILLIS: Long = 30
+
+        /** Allows for several digests, in case some are lost. */
+        const val NEWS_MILLIS: Long = 5_000
+
+        /** Limits the size of a datagram to one or two kilobytes. */
+        const val MAX_NEWS: Int = 16
+    }
+}
--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetDirectory.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetDirectory.kt
@@ -38,6 +38,8 @@
     private var config: FleetConfig? = null
     private var leaderKey: String? = null
     private var hotCustomers: Set<CustomerId> = emptySet()
+    private var blockedPartsKey: String? = null
+    private var blockedParts = StoredBlockedParts()
     private var contactRestoredAt: ClockReading? = null
     private var initialListingApplied = false
 
@@ -53,6 +55,7 @@
         val present = changes.mapTo(HashSet()) { it.key }
         val absent = (endpointsByKey.keys + peersByKey.keys + setOfNotNull(leaderKey)).filter { it !in present }
         absent.forEach(::itemRemoved)
+        if (blockedPartsKey !in present) blockedParts = StoredBlockedParts(removals = blockedParts.removals)
         changes.forEach(::apply)
         if (!initialListingApplied) backdateInitialTargets()
         initialListingApplied = true
@@ -87,7 +90,12 @@
     private fun apply(change: StoreChange) {
         if (change.revision <= (revisions[change.key] ?: 0)) return
         revisions[change.key] = change.revision
-        if (change.value == null) itemRemoved(change.key) else itemWritten(change.key, change.value)
+        if (change.value == null) {
+            if (change.key == blockedPartsKey) blockedParts = StoredBlockedParts(removals = blockedParts.removals + 1)
+            itemRemoved(change.key)
+        } else {
+            itemWritten(change.key, change.value)
+        }
     }
 
     private fun itemWritten(
@@ -105,6 +113,10 @@
             is FleetUpdate.Peer -> peersByKey[key] = update.entry
             FleetUpdate.RolloutLeader -> leaderKey = key
             is FleetUpdate.HotCustomers -> hotCustomers = update.customers
+            is FleetUpdate.BlockedParts -> {
+                blockedPartsKey = key
+                blockedParts = blockedParts.copy(parts = update.parts, revision = revisions.getValue(key))
+            }
             is FleetUpdate.Unreadable -> {
                 logger.warn { "directory: unreadable item key=$key reason=${update.reason}" }
                 endpointsByKey.remove(key)
@@ -162,7 +174,16 @@
     private fun publish() {
         val endpoints = endpointsByKey.values.associateBy { it.id }
         val peers = peersByKey.values.associateBy { it.name }
-        val next = FleetSnapshot(config, weights.toMap(), endpoints, peers, leaderKey != null, hotCustomers)
+        val next =
+            FleetSnapshot(
+                config,
+                weights.toMap(),
+                endpoints,
+                peers,
+                leaderKey != null,
+                hotCustomers,
+                blockedParts,
+            )
         current.set(next)
         observers.forEach { it(next) }
     }
--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetSnapshot.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetSnapshot.kt
@@ -7,6 +7,7 @@
 import lacewingweir.state.id.CustomerId
 import lacewingweir.state.id.EndpointId
 import lacewingweir.state.id.ModelName
+import lacewingweir.state.id.PartId
 import lacewingweir.state.id.ServiceName
 import lacewingweir.state.id.WeightsNumber
 import lacewingweir.state.time.ClockReading
@@ -43,6 +44,19 @@
     }
 }
 
+/**
+ * The blocked prompt parts in the store.
+ *
+ * [revision] is that of their item, or zero if there is none. [removals] counts how often the item was removed, which
+ * operators do to unblock the parts. An item that is missing from a listing doesn't count, since the store may have
+ * lost it.
+ */
+internal data class StoredBlockedParts(
+    val parts: Set<PartId> = emptySet(),
+    val revision: Long = 0,
+    val removals: Int = 0,
+)
+
 /** An immutable snapshot of the state of the fleet. [config] is null until the first configuration was read. */
 internal class FleetSnapshot(
     val config: FleetConfig?,
@@ -51,6 +65,7 @@
     val peers: Map<String, PeerEntry>,
     val rolloutLeaderPresent: Boolean,
     val hotCustomers: Set<CustomerId>,
+    val blockedParts: StoredBlockedParts = StoredBlockedParts(),
 ) {
     private val byService: Map<ServiceName, List<EndpointEntry>> = endpoints.values.groupBy { it.service }
 
--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetUpdate.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetUpdate.kt
@@ -6,6 +6,7 @@
 import lacewingweir.state.fleet.PeerEntry
 import lacewingweir.state.id.CustomerId
 import lacewingweir.state.id.ModelName
+import lacewingweir.state.id.PartId
 import lacewingweir.state.id.WeightsNumber
 
 internal sealed interface FleetUpdate {
@@ -32,6 +33,11 @@
         val customers: Set<CustomerId>,
     ) : FleetUpdate
 
+    /** Prompt parts that instances have blocked because they crash endpoints. */
+    data class BlockedParts(
+        val parts: Set<PartId>,
+    ) : FleetUpdate
+
     /** An instance holds the lease for coordinating the loading of weights. */
     data object RolloutLeader : FleetUpdate
 
--- a/src/main/kotlin/lacewingweir/coordination/gossip/DigestSender.kt
+++ b/src/main/kotlin/lacewingweir/coordination/gossip/DigestSender.kt
@@ -3,8 +3,8 @@
  *
  * The traffic between instances grows with the square of their number, and instances share small links with their
  * callers. Digests are therefore paced by their size: a larger fleet sends them less often, and its instances know each
- * other's state later, instead of delaying the callers' requests. The same holds for reports of engines, which have the
- * budget once more.
+ * other's state later, instead of delaying the callers' requests. The same holds for reports, each kind of which has
+ * the budget once more.
  */
 package lacewingweir.coordination.gossip
 
@@ -18,7 +18,8 @@
  *
  * [self] is the name of this instance. [createDigest] returns the current digest for the given interval, with the
  * totals of the rate windows if asked for. The sender assigns its number. [createReport] returns the report of the
- * given engines. All functions must be called on the thread of [timers].
+ * given engines, and [createPromptNews] the news of prompt parts, or null if there are none. All functions must be
+ * called on the thread of [timers].
  */
 internal class DigestSender(
     private val self: String,
@@ -28,22 +29,31 @@
     private val random: Random = Random.Default,
     private val createDigest: (intervalMillis: Long, withWindowTotals: Boolean) -> InstanceDigest,
     private val createReport: (engines: Set<EndpointId>) -> EngineReport,
+    private val createPromptNews: () -> PromptNews?,
 ) {
     private var number = 0L
     private var intervalMillis = MIN_INTERVAL_MILLIS
     private var lastDigest: InstanceDigest? = null
     private var unchangedIntervals = 0
     private val pendingEngines = LinkedHashSet<EndpointId>()
-    private var reportPaused = false
+    private val engineReports =
+        PacedReports("engine report") {
+            PeerDatagram(engineReport = createReport(pendingEngines.toSet())).also { pendingEngines.clear() }
+        }
+    private val promptReports =
+        PacedReports("prompt news") { createPromptNews()?.let { PeerDatagram(promptNews = it) } }
 
     fun start() = scheduleDigest()
 
     /** Reports to all peers that the loading of [engines] has begun or ended. */
     suspend fun reportEngines(engines: Collection<EndpointId>) {
         pendingEngines += engines
-        if (!reportPaused) sendReport()
+        engineReports.request()
     }
 
+    /** Sends the current news of prompt parts to all peers. */
+    suspend fun reportPromptNews() = promptReports.request()
+
     private fun scheduleDigest() {
         val delayMillis = (intervalMillis * (1 + random.nextDouble(JITTER))).toLong()
         timers.after("digest", delayMillis) {
@@ -67,17 +77,30 @@
         intervalMillis = maxOf(MIN_INTERVAL_MILLIS, budgetMillis, datagramsMillis)
     }
 
-    private suspend fun sendReport() {
-        reportPaused = true
-        val report = createReport(pendingEngines.toSet())
-        pendingEngines.clear()
-        var pauseMillis = MIN_REPORT_PAUSE_MILLIS
-        try {
-            pauseMillis = maxOf(pauseMillis, send(PeerDatagram(engineReport = report)))
-        } finally {
-            timers.after("engine report", pauseMillis) {
-                reportPaused = false
-                if (pendingEngines.isNotEmpty()) sendReport()
+    /** Sends a datagram from [create] on each request, or once after a pause if the previous one used up the budget. */
+    private inner class PacedReports(
+        private val name: String,
+        private val create: () -> PeerDatagram?,
+    ) {
+        private var paused = false
+        private var requested = false
+
+        suspend fun request() {
+            requested = true
+            if (!paused) sendRequested()
+        }
+
+        private suspend fun sendRequested() {
+            paused = true
+            requested = false
+            var pauseMillis = MIN_REPORT_PAUSE_MILLIS
+            try {
+                create()?.let { pauseMillis = maxOf(pauseMillis, send(it)) }
+            } finally {
+                timers.after(name, pauseMillis) {
+                    paused = false
+                    if (requested) sendRequested()
+                }
             }
         }
     }
--- a/src/main/kotlin/lacewingweir/coordination/gossip/InstanceDigest.kt
+++ b/src/main/kotlin/lacewingweir/coordination/gossip/InstanceDigest.kt
@@ -3,7 +3,9 @@
 
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborLabel
+import lacewingweir.state.crash.EndpointCrash
 import lacewingweir.state.id.EndpointTag
+import lacewingweir.state.id.PartId
 
 /**
  * The load that one instance has on one endpoint: running requests, prompt tokens that wait for prefill, and tokens in
@@ -45,6 +47,8 @@
  * @property prefills prefixes that engines have prefilled since the previous digest
  * @property windowTotals tokens admitted by the whole fleet within each customer's rate window, for peers that have
  *   just started; null in most digests, and if the instance has not run for a whole window
+ * @property promptNews what the instance has recently learned of prompt parts that crash endpoints, in case the
+ *   datagram that reported it at once was lost; null if there is nothing
  */
 @Serializable
 internal data class InstanceDigest(
@@ -57,6 +61,7 @@
     @CborLabel(7) val weights: List<EngineWeights>,
     @CborLabel(8) val prefills: List<PrefilledPrefix> = emptyList(),
     @CborLabel(9) val windowTotals: Map<String, Long>? = null,
+    @CborLabel(10) val promptNews: PromptNews? = null,
 ) {
     /** How long the digest describes its instance if no later one arrives. */
     val validityMillis: Long
@@ -78,11 +83,26 @@
     @CborLabel(3) val validityMillis: Long,
 )
 
+/**
+ * What an instance has learned of prompt parts that crash endpoints. Repeated and reordered news do no harm.
+ *
+ * @property crashes crashes that the instance has observed
+ * @property answered suspected parts that were answered after all
+ * @property blocked parts that the instance has decided to block
+ */
+@Serializable
+internal data class PromptNews(
+    @CborLabel(1) val crashes: List<EndpointCrash> = emptyList(),
+    @CborLabel(2) val answered: List<PartId> = emptyList(),
+    @CborLabel(3) val blocked: List<PartId> = emptyList(),
+)
+
 /** A datagram between instances. It contains one of its properties. */
 @Serializable
 internal data class PeerDatagram(
     @CborLabel(1) val digest: InstanceDigest? = null,
     @CborLabel(2) val engineReport: EngineReport? = null,
+    @CborLabel(3) val promptNews: PromptNews? = null,
 )
 
 /** Sends datagrams to peers without guarantee of delivery. */
--- a/src/main/kotlin/lacewingweir/platform/PlatformItemCodec.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformItemCodec.kt
@@ -24,6 +24,7 @@
 import lacewingweir.state.id.FailureDomain
 import lacewingweir.state.id.KeyDigest
 import lacewingweir.state.id.ModelName
+import lacewingweir.state.id.PartId
 import lacewingweir.state.id.RouteId
 import lacewingweir.state.id.ServiceName
 import lacewingweir.state.id.WeightsNumber
@@ -60,6 +61,10 @@
                     FleetUpdate.HotCustomers(
                         parseObject(value).strings("customers").mapTo(HashSet()) { CustomerId(it) },
                     )
+                key == PlatformKeys.BLOCKED_PARTS ->
+                    FleetUpdate.BlockedParts(
+                        parseObject(value).strings("parts").mapTo(LinkedHashSet()) { PartId(it) },
+                    )
                 key == PlatformKeys.ROLLOUT_LEASE -> FleetUpdate.RolloutLeader
                 else -> null
             }
@@ -88,6 +93,12 @@
             putJsonArray("customers") { customers.forEach { add(it.value) } }
         }.toString().encodeToByteArray()
 
+    /** Encodes the item that lists the blocked prompt parts. */
+    fun encodeBlockedParts(parts: Set<PartId>): ByteArray =
+        buildJsonObject {
+            putJsonArray("parts") { parts.forEach { add(it.value) } }
+        }.toString().encodeToByteArray()
+
     private fun peer(
         name: String,
         item: JsonObject,
--- a/src/main/kotlin/lacewingweir/state/fleet/Prompt.kt
+++ b/src/main/kotlin/lacewingweir/state/fleet/Prompt.kt
@@ -1,6 +1,7 @@
 package lacewingweir.state.fleet
 
 import lacewingweir.state.id.ModelName
+import lacewingweir.state.id.PartId
 
 /** A part of a prompt that other requests may share. */
 internal data class PromptPart(
@@ -23,6 +24,9 @@
     val longAnswer: Boolean
         get() = maxOutputTokens >= LONG_ANSWER_TOKENS
 
+    /** The ids of the parts that other prompts may share: all but the last. */
+    val sharedParts: List<PartId> = parts.dropLast(1).map { PartId(it.id) }
+
     /**
      * Returns the hashes of the prompt's prefixes, one for each part, shortest prefix first.
      *
--- a/src/main/kotlin/lacewingweir/transport/http/HttpClient.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/HttpClient.kt
@@ -4,8 +4,11 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelHandler
+import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.group.DefaultChannelGroup
 import io.netty.channel.socket.SocketChannel
@@ -19,6 +22,7 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlinx.coroutines.withTimeoutOrNull
+import java.net.ConnectException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedDeque
 import kotlin.coroutines.resume
@@ -105,21 +109,7 @@
 
     private suspend fun connect(request: ClientRequest): ConnectResult {
         val connection = ClientConnection(defaultIdleTimeoutMillis)
-        val bootstrap =
-            Bootstrap()
-                .group(group)
-                .channel(NioSocketChannel::class.java)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, request.connectTimeoutMillis.toInt())
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.AUTO_READ, false)
-                .handler(
-                    object : ChannelInitializer<SocketChannel>() {
-                        override fun initChannel(channel: SocketChannel) {
-                            channel.pipeline().addLast(HttpClientCodec()).addLast(connection)
-                        }
-                    },
-                )
-        val future = bootstrap.connect(request.host, request.port)
+        val future = connect(request.host, request.port, request.connectTimeoutMillis, connection)
         return if (future.awaitSuccess()) {
             connections.add(future.channel())
             ConnectResult.Open(connection)
@@ -128,6 +118,41 @@
         }
     }
 
+    private fun connect(
+        host: String,
+        port: Int,
+        timeoutMillis: Long,
+        handler: ChannelHandler,
+    ): ChannelFuture =
+        Bootstrap()
+            .group(group)
+            .channel(NioSocketChannel::class.java)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis.toInt())
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.AUTO_READ, false)
+            .handler(
+                object : ChannelInitializer<SocketChannel>() {
+                    override fun initChannel(channel: SocketChannel) {
+                        channel.pipeline().addLast(HttpClientCodec()).addLast(handler)
+                    }
+                },
+            ).connect(host, port)
+
+    /**
+     * Returns whether a connection is refused because nothing listens at the address. Returns false if a connection
+     * could be established, or if there was no response within [timeoutMillis].
+     */
+    public suspend fun isRefused(
+        host: String,
+        port: Int,
+        timeoutMillis: Long,
+    ): Boolean {
+        val future = connect(host, port, timeoutMillis, ChannelInboundHandlerAdapter())
+        val connected = future.awaitSuccess()
+        future.channel().close()
+        return !connected && future.cause() is ConnectException && future.cause() !is ConnectTimeoutException
+    }
+
     private fun release(
         request: ClientRequest,
         connection: ClientConnection,
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.job
 import kotlinx.coroutines.withTimeoutOrNull
+import lacewingweir.coordination.crash.PromptQuarantine
 import lacewingweir.coordination.fleet.FleetDirectory
 import lacewingweir.coordination.fleet.StoreContactProof
 import lacewingweir.coordination.gossip.FleetRateLimiter
@@ -15,6 +16,7 @@
 import lacewingweir.coordination.placement.PlacementRequest
 import lacewingweir.coordination.placement.ReservationOutcome
 import lacewingweir.state.fleet.CustomerSpec
+import lacewingweir.state.fleet.EndpointEntry
 import lacewingweir.state.fleet.FleetConfig
 import lacewingweir.state.fleet.RequestKind
 import lacewingweir.state.fleet.RoutePolicy
@@ -39,6 +41,7 @@
     private val repeatBudgets: RepeatBudgets,
     private val tracker: EndpointTracker,
     private val sender: EndpointSender,
+    private val quarantine: PromptQuarantine,
     private val clock: MonotonicClock,
     private val limits: () -> RelayLimits,
     private val random: Random = Random.Default,
@@ -76,12 +79,22 @@
         sendUntilAnswered(state, admitted, service)
     }
 
-    /** Checks route, key and rate. Refuses the call and returns null if a check fails. */
-    private suspend fun admit(state: CallState): Admitted? =
-        when (val checked = checkRouteAndKey(state.call)) {
-            is Check.Refused -> state.refuse(checked.refusal, limits().noCurrentConfigRetryMillis)
-            is Check.Passed -> checkRate(state, checked.admitted)
+    /** Checks route, key, prompt and rate. Refuses the call and returns null if a check fails. */
+    private suspend fun admit(state: CallState): Admitted? {
+        val checked = checkRouteAndKey(state.call)
+        return when {
+            checked is Check.Refused -> state.refuse(checked.refusal, limits().noCurrentConfigRetryMillis)
+            isBlocked(state) -> state.refuse(RelayRefusal.BLOCKED_PROMPT, limits().blockedPromptRetryMillis)
+            checked is Check.Passed -> checkRate(state, checked.admitted)
+            else -> null
         }
+    }
+
+    private fun isBlocked(state: CallState): Boolean {
+        val part = quarantine.blockedPart(state.call.prompt) ?: return false
+        logger.info { "relay: id=${state.call.id} has the blocked part $part" }
+        return true
+    }
 
     private suspend fun checkRate(
         state: CallState,
@@ -156,7 +169,7 @@
                 state.possibleRuns++
                 outcome = sendOnce(state, admitted, service, outcome.run.reservation, outcome.run.copy)
             }
-            if (recordOutcome(state, outcome)) return
+            if (recordOutcome(state, outcome, reservation.endpoint)) return
         }
     }
 
@@ -235,15 +248,19 @@
         reservation: EndpointReservation,
     ): EndpointReservation? {
         val usableMillis = state.remainingMillis * limits().usableShareOfRemainingTime
-        // While the call waited, the key may have been withdrawn, or the contact proof may have become too old.
+        // While the call waited, the key may have been withdrawn, the contact proof may have become too old, or the
+        // prompt may have been blocked.
         val recheck = checkRouteAndKey(state.call)
-        if (recheck is Check.Passed && reservation.expectedMillis <= usableMillis) return reservation
+        val blocked = isBlocked(state)
+        if (recheck is Check.Passed && !blocked && reservation.expectedMillis <= usableMillis) return reservation
         reservation.end(ReservationOutcome.NOT_COUNTED)
-        if (recheck is Check.Refused) {
-            state.refuseOrFail(recheck.refusal, limits().noCurrentConfigRetryMillis)
-        } else {
-            val excessMillis = (reservation.expectedMillis - usableMillis).toLong()
-            state.refuseOrFail(RelayRefusal.OVERLOADED, maxOf(excessMillis, limits().overloadRetryMillis))
+        when {
+            recheck is Check.Refused -> state.refuseOrFail(recheck.refusal, limits().noCurrentConfigRetryMillis)
+            blocked -> state.refuseOrFail(RelayRefusal.BLOCKED_PROMPT, limits().blockedPromptRetryMillis)
+            else -> {
+                val excessMillis = (reservation.expectedMillis - usableMillis).toLong()
+                state.refuseOrFail(RelayRefusal.OVERLOADED, maxOf(excessMillis, limits().overloadRetryMillis))
+            }
         }
         return null
     }
@@ -300,9 +317,11 @@
     private suspend fun recordOutcome(
         state: CallState,
         outcome: SendOutcome,
+        endpoint: EndpointEntry,
     ): Boolean {
         when (outcome) {
             is SendOutcome.Delivered -> {
+                state.call.prompt?.let { quarantine.recordAnswer(it) }
                 state.log("answered status=${outcome.status}")
                 return true
             }
@@ -333,16 +352,30 @@
                     state.failOnTimeout()
                     return true
                 }
+                if (mayCrashAnother(state, outcome, endpoint)) {
+                    state.fail()
+                    return true
+                }
             }
         }
         return false
     }
 
+    /** Returns whether the call may have ended its endpoint, so that sending it again may end another one. */
+    private suspend fun mayCrashAnother(
+        state: CallState,
+        outcome: SendOutcome.Broken,
+        endpoint: EndpointEntry,
+    ): Boolean {
+        val prompt = state.call.prompt
+        if (prompt == null || outcome.received == ReceivedPart.EVENTS) return false
+        return !quarantine.mayRepeat(endpoint, prompt, answerBegan = outcome.received == ReceivedPart.HEAD)
+    }
+
     private fun sharedParts(call: InboundCall): String =
         call.prompt
-            ?.parts
-            ?.dropLast(1)
-            ?.joinToString(",") { it.id }
+            ?.sharedParts
+            ?.joinToString(",")
             .orEmpty()
 
     private sealed interface Check {
--- a/src/main/kotlin/lacewingweir/transport/relay/RelayLimits.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/RelayLimits.kt
@@ -22,4 +22,5 @@
     val noEndpointRetryMillis: Long = 300,
     val overloadRetryMillis: Long = 300,
     val notRunRetryMillis: Long = 150,
+    val blockedPromptRetryMillis: Long = 600_000,
 )
--- a/src/main/kotlin/lacewingweir/transport/relay/RelayRefusal.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/RelayRefusal.kt
@@ -20,6 +20,9 @@
     /** No endpoint accepts requests now. */
     NO_ENDPOINT(503),
 
+    /** The prompt has a part that crashes endpoints, so no endpoint will ever answer it. */
+    BLOCKED_PROMPT(503),
+
     /** The expected wait exceeds the usable share of the remaining time. */
     OVERLOADED(503),
 
--- a/src/test/kotlin/lacewingweir/coordination/fleet/FleetDirectoryTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/fleet/FleetDirectoryTest.kt
@@ -7,6 +7,7 @@
 import lacewingweir.state.id.EndpointId
 import lacewingweir.state.id.FailureDomain
 import lacewingweir.state.id.ModelName
+import lacewingweir.state.id.PartId
 import lacewingweir.state.id.ServiceName
 import lacewingweir.state.id.WeightsNumber
 import lacewingweir.state.time.SuspendAwareClock
@@ -36,6 +37,7 @@
                 FleetUpdate.Config(
                     FleetConfig(text.toLong(), emptyList(), emptyList(), emptyList(), CallerLimits()),
                 )
+            key == "blocked" -> FleetUpdate.BlockedParts(setOf(PartId(text)))
             key == "weights" -> FleetUpdate.TargetWeights(ModelName("m"), WeightsNumber(text.toLong()))
             else -> FleetUpdate.Endpoint(endpoint(key, leaving = text == "leaving", weights = text.toLongOrNull() ?: 1))
         }
@@ -169,4 +171,16 @@
         expectThat(target.outdatedSince(WeightsNumber(2))?.monotonicMillis).isEqualTo(start + 3_000)
         expectThat(target.outdatedSince(WeightsNumber(3))).isEqualTo(null)
     }
+
+    @Test
+    fun `blocked parts keep the revision of their item, and only its removal counts as one`() {
+        write("blocked", "bad")
+        expectThat(directory.snapshot.blockedParts)
+            .isEqualTo(StoredBlockedParts(setOf(PartId("bad")), revision, removals = 0))
+        directory.onListed(emptyList())
+        expectThat(directory.snapshot.blockedParts).isEqualTo(StoredBlockedParts())
+        write("blocked", "bad")
+        remove("blocked")
+        expectThat(directory.snapshot.blockedParts).isEqualTo(StoredBlockedParts(removals = 1))
+    }
 }
--- a/src/test/kotlin/lacewingweir/platform/PlatformItemCodecTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/PlatformItemCodecTest.kt
@@ -6,6 +6,7 @@
 import lacewingweir.state.id.FailureDomain
 import lacewingweir.state.id.KeyDigest
 import lacewingweir.state.id.ModelName
+import lacewingweir.state.id.PartId
 import lacewingweir.state.id.ServiceName
 import lacewingweir.state.id.WeightsNumber
 import org.junit.jupiter.api.Test
@@ -125,4 +126,11 @@
             get { customer(KeyDigest.of("other")) }.isNull()
         }
     }
+
+    @Test
+    fun `blocked parts are decoded as they were encoded`() {
+        val parts = linkedSetOf(PartId("5c1e07a2"), PartId("91bd3f06"))
+        val decoded = PlatformItemCodec.decode(PlatformKeys.BLOCKED_PARTS, PlatformItemCodec.encodeBlockedParts(parts))
+        expectThat(decoded).isEqualTo(FleetUpdate.BlockedParts(parts))
+    }
 }
--- a/src/test/kotlin/lacewingweir/platform/RelayFixture.kt
+++ b/src/test/kotlin/lacewingweir/platform/RelayFixture.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
+import lacewingweir.coordination.crash.PromptQuarantine
 import lacewingweir.coordination.fleet.FleetDirectory
 import lacewingweir.coordination.fleet.StoreContactProof
 import lacewingweir.coordination.gossip.FleetRateLimiter
@@ -61,7 +62,15 @@
     private val handovers =
         RunHandovers(tracker, PlatformKvCacheCopier(PlatformEngineClient(http)), repeatBudgets, scope, clock)
     private val sender = EndpointSender(http, PlatformEndpointProtocol, handovers)
-    private val relay = CallRelay(directory, proof, rateLimiter, repeatBudgets, tracker, sender, clock, { limits })
+    private val quarantine =
+        PromptQuarantine(
+            clock,
+            refusesConnections = { http.isRefused(it.host, it.port, timeoutMillis = 400) },
+            onNews = {},
+            onDecision = {},
+        )
+    private val relay =
+        CallRelay(directory, proof, rateLimiter, repeatBudgets, tracker, sender, quarantine, clock, { limits })
     private val callerServer =
         HttpServer(group, scope, "127.0.0.1", 0) { exchange ->
             val call = checkNotNull(PlatformRequestDecoder.decode(exchange, clock.nowMillis()))
--- a/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
+++ b/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
 import lacewingweir.cli.router.RouterInstance
 import lacewingweir.protocol.settings.RouterSettings
 import lacewingweir.testing.eventually
@@ -44,7 +45,7 @@
         startInstances()
     }
 
-    /** Starts all instances and waits until each serves a call. */
+    /** Starts all instances and waits until each serves a call and has had the time to learn of the others. */
     suspend fun startInstances() {
         repeat(size) { instances += RouterInstance(settings(it)).also { instance -> instance.start() } }
         repeat(size) { index ->
@@ -52,6 +53,7 @@
                 call(index, "sys:100,ready:100").status == 200
             }
         }
+        delay(PEER_DISCOVERY_MILLIS)
     }
 
     /** Ends all instances at once, without a shutdown. */
@@ -118,7 +120,7 @@
         store.close()
         http.close()
         scope.cancel()
-        group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS)
+        group.shutdownGracefully(100, 1_000, TimeUnit.MILLISECONDS)
     }
 
     private companion object {
@@ -126,10 +128,13 @@
         const val READINESS_PORT = 8_605
         const val DIGEST_PORT = 7_600
 
+        /** Twice the interval between the watches of the store. */
+        const val PEER_DISCOVERY_MILLIS = 800L
+
         /** Fleets of parallel tests use different loopback addresses. */
         val nextSubnet = AtomicInteger(10)
 
-        val CONFIG =
+        const val CONFIG =
             """{"version":1,"routes":[{"name":"tag","host":"h.example","prefix":"/tag/","kind":"stream",
             "timeoutMs":3000,"latencyTargetMs":500,"priority":0,"service":"engine","maxAttempts":2,
             "public":false,"resumable":true}],"services":[{"name":"engine","maxConns":300,
--- a/src/test/kotlin/lacewingweir/platform/StandinKeyValueStore.kt
+++ b/src/test/kotlin/lacewingweir/platform/StandinKeyValueStore.kt
@@ -20,7 +20,7 @@
 /**
  * A stand-in of the platform's store with ranges, watches, transactions and leases, for tests of whole instances.
  *
- * Leases end only by call. [copy] and [restore] replace its contents by those of an earlier moment.
+ * Leases end only by call.
  */
 internal class StandinKeyValueStore(
     group: EventLoopGroup,
@@ -42,6 +42,7 @@
     private val items = TreeMap<String, Item>()
     private val history = ArrayList<Change>()
     private val revision = MutableStateFlow(1L)
+    private var oldestRevision = 0L
     private var lastLease = 0L
     private val server = HttpServer(group, scope, "127.0.0.1", 0) { handle(it) }.start()
 
@@ -76,6 +77,13 @@
         commit(copy.map { Triple(it.key, it.value, it.lease) }, lost.toList())
     }
 
+    /** Makes watches from earlier revisions fail, so that all items have to be listed again. */
+    @Synchronized
+    fun forgetHistory() {
+        history.clear()
+        oldestRevision = revision.value
+    }
+
     @Synchronized
     private fun commit(
         writes: List<Triple<String, ByteArray, Long>>,
@@ -106,7 +114,11 @@
             PlatformPaths.KEY_WATCH -> {
                 val after = parameter("after").toLong()
                 withTimeoutOrNull(parameter("waitMs").toLong()) { revision.first { it > after } }
-                exchange.respondJson(changes(parameter("prefix"), after))
+                if (after < oldestRevision) {
+                    exchange.respond(410)
+                } else {
+                    exchange.respondJson(changes(parameter("prefix"), after))
+                }
             }
             PlatformPaths.TRANSACTION -> transact(exchange)
             PlatformPaths.LEASE_GRANT -> exchange.respondJson(buildJsonObject { put("lease", nextLease()) })
--- a/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
+++ b/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
@@ -10,8 +10,8 @@
 import java.util.concurrent.atomic.AtomicBoolean
 
 /**
- * A stand-in of an engine on the platform that ends when it begins an answer on one of [crashingParts], and starts again
- * at the same address under a new id after [RESTART_MILLIS].
+ * A stand-in of an engine on the platform that ends when it begins an answer on one of [crashingParts], and starts
+ * again at the same address under a new id after [RESTART_MILLIS].
  */
 internal class StandinPromptEngine(
     private val name: String,
@@ -34,6 +34,10 @@
     @Volatile
     var crashingParts: Set<String> = emptySet()
 
+    /** Parts on which the engine closes the connection after the head of its response, and goes on. */
+    @Volatile
+    var brokenOffParts: Set<String> = emptySet()
+
     /** Time from the arrival of a request to the head of its response. */
     @Volatile
     var prefillMillis = 10L
@@ -85,11 +89,16 @@
             if (ended.compareAndSet(false, true)) crash()
             return
         }
+        if (parts.any { it in brokenOffParts }) {
+            exchange.abort()
+            return
+        }
         for (n in 1..3) exchange.write("id: $n\ndata: piece$n\n\n".encodeToByteArray())
         exchange.finish()
     }
 
-    private fun crash() {
+    /** Ends the engine, with all its connections. */
+    fun crash() {
         crashes += nowMillis()
         val endedId = id
         val endedServer = server
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/state/crash/CrashEvidenceTest.kt
@@ -0,0 +1,147 @@
+package lacewingweir.state.crash
+
+import lacewingweir.state.id.EndpointId
+import lacewingweir.state.id.EndpointTag
+import lacewingweir.state.id.PartId
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+
+internal class CrashEvidenceTest {
+    private val evidence = CrashEvidence()
+
+    private fun endpoint(
+        number: Int,
+        startedAt: Long = 1,
+    ) = EndpointTag.of(EndpointId("i-$number"), startedAt)
+
+    private fun parts(vararg ids: String) = ids.map(::PartId)
+
+    /** Records the crash of an endpoint that began to answer prompts with these shared parts. */
+    private fun crash(
+        number: Int,
+        vararg ids: String,
+        atMillis: Long = 0,
+    ): PartId? = evidence.recordCrash(EndpointCrash(endpoint(number), evidence.suspects(parts(*ids))), atMillis)
+
+    @Test
+    fun `a part that recurs under two crashes is the culprit if nothing else does`() {
+        expectThat(crash(1, "a", "bad")).isNull()
+        expectThat(crash(2, "b", "bad")).isEqualTo(PartId("bad"))
+    }
+
+    @Test
+    fun `a single crash blocks nothing`() {
+        expectThat(crash(1, "bad")).isNull()
+        expectThat(evidence.isSuspect(PartId("bad"))).isTrue()
+    }
+
+    @Test
+    fun `a crash that several instances report counts once`() {
+        repeat(10) { expectThat(crash(1, "sys", "bad")).isNull() }
+    }
+
+    @Test
+    fun `a later run of the same endpoint counts as another crash`() {
+        val suspects = evidence.suspects(parts("bad"))
+        expectThat(evidence.recordCrash(EndpointCrash(endpoint(1, startedAt = 1), suspects), 0)).isNull()
+        expectThat(evidence.recordCrash(EndpointCrash(endpoint(1, startedAt = 2), suspects), 0))
+            .isEqualTo(PartId("bad"))
+    }
+
+    /** Sound prompts share the system prompt with those that crash engines. */
+    @Test
+    fun `a part that was answered before is not blamed beside an unknown one`() {
+        evidence.recordAnswer(parts("sys", "doc"))
+        crash(1, "sys", "bad")
+        expectThat(crash(2, "sys", "bad")).isEqualTo(PartId("bad"))
+        evidence.block(PartId("bad"))
+        repeat(10) { expectThat(crash(3 + it, "sys", "bad")).isNull() }
+    }
+
+    /** An instance that has just started knows no answers. */
+    @Test
+    fun `of two unknown parts that always recur together the later one is the culprit after a third crash`() {
+        crash(1, "sys", "bad")
+        expectThat(crash(2, "sys", "bad")).isNull()
+        expectThat(crash(3, "sys", "bad")).isEqualTo(PartId("bad"))
+    }
+
+    @Test
+    fun `the first part is the culprit if the others differ`() {
+        crash(1, "bad", "a", "b")
+        expectThat(crash(2, "bad", "c", "d")).isEqualTo(PartId("bad"))
+    }
+
+    @Test
+    fun `an answer clears a part that was suspected`() {
+        crash(1, "a", "doc")
+        expectThat(evidence.recordAnswer(parts("doc"))).containsExactly(PartId("doc"))
+        expectThat(evidence.isSuspect(PartId("doc"))).isFalse()
+        expectThat(crash(2, "b", "doc")).isNull()
+    }
+
+    /** Engines that fail one after the other, for example in a failure domain, take sound prompts with them. */
+    @Test
+    fun `parts that were answered are blamed only after four crashes without another suspect`() {
+        evidence.recordAnswer(parts("sys", "doc"))
+        repeat(3) { expectThat(crash(it, "sys", "doc")).isNull() }
+        expectThat(crash(3, "sys", "doc")).isEqualTo(PartId("doc"))
+    }
+
+    @Test
+    fun `an answer between crashes protects parts that were answered before`() {
+        repeat(20) {
+            evidence.recordAnswer(parts("sys", "doc"))
+            expectThat(crash(it, "sys", "doc")).isNull()
+        }
+    }
+
+    @Test
+    fun `crashes explained by a blocked part are no evidence against others`() {
+        crash(1, "x", "bad")
+        crash(2, "y", "bad")
+        evidence.block(PartId("bad"))
+        expectThat(crash(3, "x", "bad")).isNull()
+        expectThat(evidence.isSuspect(PartId("x"))).isFalse()
+    }
+
+    @Test
+    fun `a second culprit is found after the first one`() {
+        crash(1, "sys", "bad")
+        evidence.block(crash(2, "other", "bad")!!)
+        crash(3, "sys", "worse")
+        expectThat(crash(4, "other", "worse")).isEqualTo(PartId("worse"))
+    }
+
+    @Test
+    fun `an instance that knows an answer does not blame the part that a peer suspects`() {
+        evidence.recordAnswer(parts("sys"))
+        val reported = listOf(SuspectPart(PartId("sys"), 0), SuspectPart(PartId("bad"), 1))
+        evidence.recordCrash(EndpointCrash(endpoint(1), reported), 0)
+        expectThat(evidence.recordCrash(EndpointCrash(endpoint(2), reported), 0)).isEqualTo(PartId("bad"))
+    }
+
+    @Test
+    fun `crashes far apart are not related`() {
+        crash(1, "a", "doc", atMillis = 0)
+        expectThat(crash(2, "b", "doc", atMillis = 3_600_001)).isNull()
+    }
+
+    @Test
+    fun `memory is bounded`() {
+        repeat(10_000) {
+            evidence.recordAnswer(parts("answered$it"))
+            evidence.block(PartId("blocked$it"))
+            crash(it, "suspect$it")
+        }
+        expectThat(evidence.blockedParts.size).isEqualTo(CrashEvidence.MAX_BLOCKED_PARTS)
+        expectThat(evidence.wasAnswered(PartId("answered0"))).isFalse()
+        expectThat(evidence.wasAnswered(PartId("answered9999"))).isTrue()
+        expectThat(evidence.isSuspect(PartId("suspect0"))).isFalse()
+    }
+}
