Don't complete a continued stream by a connection that ends before an event

What callers saw: a stream broken off after some events looks complete if the engine that continues it answers with neither a length nor chunks, and its connection ends before the first event. Cause: whether the stream had an event was asked of the whole call instead of its last send.

--- a/src/main/kotlin/lacewingweir/transport/http/ClientConnection.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ClientConnection.kt
@@ -160,8 +160,7 @@
         interimResponses = 0
         keepAlive = HttpUtil.isKeepAlive(response)
         reusableUntilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(maxIdleMillis(response))
-        val hasFraming = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
-        delimitedByClose = !hasFraming && response.status().code() !in BODYLESS_STATUS
+        delimitedByClose = !response.hasFraming() && response.status().code() !in BODYLESS_STATUS
         events.trySend(Event.Start(response))
     }
 
--- a/src/main/kotlin/lacewingweir/transport/http/ClientResponse.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ClientResponse.kt
@@ -11,6 +11,10 @@
     /** The response headers. */
     public val headers: HttpHeaders
 
+    /** Whether the body has neither a length nor chunks, so that the end of the connection is its end. */
+    public val endsWithConnection: Boolean
+        get() = false
+
     /** Waits at most [timeoutMillis] for the next chunk. Closes the response if the result is [ReadResult.Broken]. */
     public suspend fun read(timeoutMillis: Long = DEFAULT_READ_TIMEOUT_MILLIS): ReadResult
 
--- a/src/main/kotlin/lacewingweir/transport/http/NettyClientResponse.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/NettyClientResponse.kt
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpUtil
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.atomic.AtomicBoolean
@@ -16,6 +17,7 @@
 
     override val status: Int = response.status().code()
     override val headers: HttpHeaders = response.headers()
+    override val endsWithConnection: Boolean = !response.hasFraming()
 
     override suspend fun read(timeoutMillis: Long): ReadResult {
         if (ended.get()) return ReadResult.End
@@ -39,3 +41,7 @@
         if (ended.compareAndSet(false, true)) connection.close()
     }
 }
+
+/** Whether the end of the body can be told from the response itself. */
+internal fun HttpResponse.hasFraming(): Boolean =
+    HttpUtil.isContentLengthSet(this) || HttpUtil.isTransferEncodingChunked(this)
--- a/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
@@ -168,12 +168,14 @@
                     progress.forward(head, events, framer.lastId)
                 }
                 ReadResult.End -> {
-                    if (framer.hasPartialEvent ||
-                        !progress.started
-                    ) {
-                        return SendOutcome.Broken("stream ended within an event", received)
+                    // A lost connection also ends a stream without framing, which is noticed only inside an event.
+                    val hasAnswer =
+                        progress.started && (received == ReceivedPart.EVENTS || !response.endsWithConnection)
+                    return if (hasAnswer && !framer.hasPartialEvent) {
+                        SendOutcome.Delivered(head.status)
+                    } else {
+                        SendOutcome.Broken("stream ended before or within an event", received)
                     }
-                    return SendOutcome.Delivered(head.status)
                 }
                 is ReadResult.Broken -> return SendOutcome.Broken("stream broken: ${part.reason}", received)
             }
--- a/src/test/kotlin/lacewingweir/platform/RelayFixture.kt
+++ b/src/test/kotlin/lacewingweir/platform/RelayFixture.kt
@@ -143,6 +143,16 @@
         )
     }
 
+    /** Writes the item of an engine that listens at [port] to the store. */
+    fun registerEngine(
+        id: String,
+        port: Int,
+    ) = write(
+        "servers/$id",
+        """{"service":"engine","address":"127.0.0.1:$port","zone":"z1","version":"v1","slots":4,"state":"ready",
+            "coldLeftMs":0,"sequence":1,"born":1000,"models":[{"name":"m","version":1,"adapters":[]}]}""",
+    )
+
     suspend fun call(
         kind: String,
         key: String = "k1",
