--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointReservation.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointReservation.kt
@@ -63,6 +63,9 @@
 
     fun recordWeights(weights: WeightsNumber) = tracker.recordWeights(state, weights)
 
+    /** Records the requests per second that the endpoint accepts from all instances, or null if it states no limit. */
+    fun recordRequestLimit(perSecond: Double?) = tracker.recordRequestLimit(state, perSecond)
+
     fun end(outcome: ReservationOutcome) {
         val before = phase.getAndSet(ENDED)
         if (before != ENDED) tracker.release(this, inPrefill = before == WAITING, outcome)
--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointState.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointState.kt
@@ -31,6 +31,9 @@
     /** The instance that announced the load. Only its digests can say that the load has ended. */
     var loadingReporter: String? = null
 
+    /** Requests per second that the endpoint accepts from all instances together, or null if it states no limit. */
+    var requestLimit: Double? = null
+
     /** Time until which no request is sent because the endpoint rejected one. */
     var avoidedUntilMillis = 0L
 
--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
@@ -315,6 +315,16 @@
         if (state.weights() != weights) learnWeights(state, weights)
     }
 
+    @Synchronized
+    internal fun recordRequestLimit(
+        state: EndpointState,
+        perSecond: Double?,
+    ) {
+        if (state.requestLimit == perSecond) return
+        logger.info { "board: endpoint ${state.entry.id} limit=$perSecond requests/s before=${state.requestLimit}" }
+        state.requestLimit = perSecond
+    }
+
     private fun learnWeights(
         state: EndpointState,
         weights: WeightsNumber,
--- a/src/main/kotlin/lacewingweir/platform/PlatformEndpointProtocol.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformEndpointProtocol.kt
@@ -1,5 +1,6 @@
 package lacewingweir.platform
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.handler.codec.http.HttpHeaderNames
 import lacewingweir.state.id.WeightsNumber
 import lacewingweir.transport.http.ClientRequest
@@ -9,6 +10,8 @@
 import lacewingweir.transport.relay.OutboundCall
 import lacewingweir.transport.relay.ResponseHead
 
+private val logger = KotlinLogging.logger {}
+
 /** Encodes requests to endpoints, and decodes their responses, with the headers of the platform. */
 internal object PlatformEndpointProtocol : EndpointProtocol {
     override fun encodeRequest(outbound: OutboundCall): ClientRequest {
@@ -53,6 +56,7 @@
             contentEncoded = headers.contains(HttpHeaderNames.CONTENT_ENCODING),
             eventStream = headers.get(HttpHeaderNames.CONTENT_TYPE)?.startsWith("text/event-stream") == true,
             weights = headers.get(PlatformHeaders.WEIGHTS)?.toLongOrNull()?.let(::WeightsNumber),
+            requestLimit = headers.get(PlatformHeaders.REQUEST_LIMIT)?.let(::parseLimit),
             headers =
                 headers
                     .entries()
@@ -62,6 +66,12 @@
         )
     }
 
+    private fun parseLimit(text: String): Double? {
+        val limit = text.trim().toDoubleOrNull()?.takeIf { it.isFinite() && it >= 0 }
+        if (limit == null) logger.warn { "platform: malformed limit of requests: $text" }
+        return limit
+    }
+
     private const val MISDIRECTED_REQUEST = 421
     private const val LEAST_URGENT_PRIORITY = 9
 
--- a/src/main/kotlin/lacewingweir/platform/PlatformNames.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformNames.kt
@@ -47,6 +47,9 @@
     const val CACHE_COPY = "Kv-From"
     const val PRIORITY = "Request-Priority"
 
+    /** The requests per second that an endpoint accepts from all instances together, as a decimal number. */
+    const val REQUEST_LIMIT = "Server-Limit"
+
     /** The number of the weights that produced the answer: a single integer, although the name is a plural. */
     const val WEIGHTS = "Weight-Versions"
 
--- a/src/main/kotlin/lacewingweir/transport/relay/EndpointProtocol.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/EndpointProtocol.kt
@@ -34,7 +34,8 @@
  *
  * [notRun] means that the endpoint states that it did not execute the call. [matchesRequest] is false if the response
  * doesn't carry the id of the call. [contentEncoded] means that the body has a content encoding, so its bytes are not
- * those that the endpoint produced. [headers] are passed on to the caller.
+ * those that the endpoint produced. [requestLimit] is the number of requests per second that the endpoint accepts from all
+ * instances together, or null if it states none. [headers] are passed on to the caller.
  */
 internal class ResponseHead(
     val status: Int,
@@ -43,6 +44,7 @@
     val contentEncoded: Boolean,
     val eventStream: Boolean,
     val weights: WeightsNumber?,
+    val requestLimit: Double? = null,
     val headers: List<Pair<String, String>>,
 ) {
     val success: Boolean
--- a/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
@@ -67,6 +67,7 @@
     ): SendOutcome {
         val head = protocol.decodeHead(outbound.call, response)
         head.weights?.let(reservation::recordWeights)
+        if (head.matchesRequest) reservation.recordRequestLimit(head.requestLimit)
         if (head.notRun) {
             response.readAll(MAX_REFUSAL_BYTES)
             return SendOutcome.NotRun("status ${head.status}", refused = true)
