--- a/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
+++ b/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
@@ -38,6 +38,10 @@
     @Volatile
     var brokenOffParts: Set<String> = emptySet()
 
+    /** Requests per second that the engine says it accepts, or null if it states no limit. */
+    @Volatile
+    var requestLimit: Double? = null
+
     /** Time from the arrival of a request to the head of its response. */
     @Volatile
     var prefillMillis = 10L
@@ -81,9 +85,10 @@
         arrivals += Arrival(nowMillis(), parts)
         delay(prefillMillis)
         val id = exchange.headers.get("Attempt-Id")
+        val limit = requestLimit?.let { listOf("Server-Limit" to it.toString()) }.orEmpty()
         exchange.startStream(
             200,
-            listOf("Content-Type" to "text/event-stream", "Attempt-Id" to id, "Server-Stamp" to "stamp"),
+            listOf("Content-Type" to "text/event-stream", "Attempt-Id" to id, "Server-Stamp" to "stamp") + limit,
         )
         if (parts.dropLast(1).any { it in crashingParts }) {
             if (ended.compareAndSet(false, true)) crash()
