Send limited endpoints no more requests than they accept from all instances

Callers noticed nothing.

Cause: the limit wasn't read. It was passed on to the caller, and engines were chosen by expected time, which a limit doesn't change.

Why this works: each instance reads the limit from any response and reports it in its digests with its age; the newest statement wins, so an endpoint that names none any more is free at once. As many instances send as each can have one request a second, the same for all by rendezvous hashing among the instances heard, and one instance for smaller limits: an equal share of 1 a second among 84 would serve nobody, and one token each would exceed it at once. Repeats and handovers are counted. If all endpoints of a service are limited, the excess is refused at once with the time until the next token.

Before and after, EndpointLimitTest (one run each): three failures (more than 11 requests in 4 s at 1 a second with 8 and with 60 instances, more than 29 at 4 a second), then none; with all engines limited, more than 70% of the limit is used.

--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -40,6 +40,7 @@
 import lacewingweir.protocol.settings.HostPort
 import lacewingweir.protocol.settings.RouterSettings
 import lacewingweir.state.fleet.CallerLimits
+import lacewingweir.state.limit.limitShare
 import lacewingweir.state.retry.RepeatBudget
 import lacewingweir.state.time.MonotonicClock
 import lacewingweir.state.time.SuspendAwareClock
@@ -85,7 +86,15 @@
         )
     private val startedAtMillis = clock.nowMillis()
     private val startedAtUnixMillis = System.currentTimeMillis()
-    private val tracker = EndpointTracker(clock, settings.domain, WeightsAgePolicy(ageClock) { bounds.weightsMillis })
+    private val tracker =
+        EndpointTracker(
+            clock,
+            settings.domain,
+            WeightsAgePolicy(ageClock) { bounds.weightsMillis },
+            limitShare = { endpoint, perSecond ->
+                limitShare(endpoint, perSecond, settings.name, peerDigests.names(), directory.snapshot.peers.size)
+            },
+        )
     private val repeatBudgets =
         RepeatBudgets(clock, { directory.snapshot.peers.size }) {
             RepeatBudget(
@@ -301,6 +310,7 @@
         prefills = tracker.takePrefills(),
         windowTotals = if (withWindowTotals && hasRunForRateWindow()) rateLimiter.windowTotals() else null,
         promptNews = quarantine.news(),
+        limits = tracker.limitReports(),
     )
 
     private fun onDatagram(datagram: PeerDatagram) {
--- a/src/main/kotlin/lacewingweir/coordination/gossip/InstanceDigest.kt
+++ b/src/main/kotlin/lacewingweir/coordination/gossip/InstanceDigest.kt
@@ -19,6 +19,21 @@
     @CborLabel(4) val memoryTokens: Long,
 )
 
+/**
+ * The requests per second that an endpoint accepts from all instances together, as it stated [ageMillis] ago, or [NONE]
+ * if it stated that there is no limit any more.
+ */
+@Serializable
+internal data class EndpointLimit(
+    @CborLabel(1) val endpoint: EndpointTag,
+    @CborLabel(2) val perSecond: Double,
+    @CborLabel(3) val ageMillis: Long,
+) {
+    companion object {
+        const val NONE: Double = -1.0
+    }
+}
+
 /** The weights of an engine as its reporter knows them. While the engine is [loading], it accepts no new requests. */
 @Serializable
 internal data class EngineWeights(
@@ -47,6 +62,7 @@
  * @property prefills prefixes that engines have prefilled since the previous digest
  * @property windowTotals tokens admitted by the whole fleet within each customer's rate window, for peers that have
  *   just started; null in most digests, and if the instance has not run for a whole window
+ * @property limits limits of requests that are in force or have ended recently
  * @property promptNews what the instance has recently learned of prompt parts that crash endpoints, in case the
  *   datagram that reported it at once was lost; null if there is nothing
  */
@@ -62,6 +78,7 @@
     @CborLabel(8) val prefills: List<PrefilledPrefix> = emptyList(),
     @CborLabel(9) val windowTotals: Map<String, Long>? = null,
     @CborLabel(10) val promptNews: PromptNews? = null,
+    @CborLabel(11) val limits: List<EndpointLimit> = emptyList(),
 ) {
     /** How long the digest describes its instance if no later one arrives. */
     val validityMillis: Long
--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointState.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointState.kt
@@ -1,9 +1,12 @@
 package lacewingweir.coordination.placement
 
+import lacewingweir.coordination.gossip.EndpointLimit
 import lacewingweir.coordination.gossip.EndpointLoad
 import lacewingweir.state.fleet.EndpointEntry
 import lacewingweir.state.health.EndpointHealth
+import lacewingweir.state.id.EndpointTag
 import lacewingweir.state.id.WeightsNumber
+import lacewingweir.state.limit.RequestTokens
 import lacewingweir.state.placement.CachedPrefixes
 
 /**
@@ -33,6 +36,64 @@
 
     /** Requests per second that the endpoint accepts from all instances together, or null if it states no limit. */
     var requestLimit: Double? = null
+        private set
+
+    /** When the endpoint stated [requestLimit], or most recently stated none, to this instance or to a peer. */
+    private var limitStatedAtMillis = Long.MIN_VALUE
+    private var requestTokens: RequestTokens? = null
+    private var lastShare = 0.0
+    private var shareValidUntilMillis = Long.MIN_VALUE
+
+    /** Records what the endpoint stated at [statedAtMillis]. Returns whether this is newer and changes the limit. */
+    fun updateRequestLimit(
+        perSecond: Double?,
+        statedAtMillis: Long,
+    ): Boolean {
+        if (statedAtMillis < limitStatedAtMillis) return false
+        limitStatedAtMillis = statedAtMillis
+        if (requestLimit == perSecond) return false
+        if (requestLimit == null) requestTokens = RequestTokens(statedAtMillis)
+        requestLimit = perSecond
+        shareValidUntilMillis = Long.MIN_VALUE
+        return true
+    }
+
+    /** Returns the limit for the digest, or null if there is none and peers know that already. */
+    fun limitReport(nowMillis: Long): EndpointLimit? {
+        val ageMillis = nowMillis - limitStatedAtMillis
+        if (requestTokens == null || requestLimit == null && ageMillis > LIMIT_END_NEWS_MILLIS) return null
+        return EndpointLimit(entry.tag, requestLimit ?: EndpointLimit.NONE, ageMillis)
+    }
+
+    /** Returns the milliseconds until this instance may send a request under the limit, given its [share] of it. */
+    fun limitedMillis(
+        nowMillis: Long,
+        share: (EndpointTag, perSecond: Double) -> Double,
+    ): Long {
+        val limit = requestLimit ?: return 0
+        return requestTokens?.millisUntilAvailable(shareOf(limit, nowMillis, share), nowMillis) ?: 0
+    }
+
+    /** Counts a request against this instance's [share] of the limit. */
+    fun takeRequest(
+        nowMillis: Long,
+        share: (EndpointTag, perSecond: Double) -> Double,
+    ) {
+        val limit = requestLimit ?: return
+        requestTokens?.take(shareOf(limit, nowMillis, share), nowMillis)
+    }
+
+    private fun shareOf(
+        limit: Double,
+        nowMillis: Long,
+        share: (EndpointTag, perSecond: Double) -> Double,
+    ): Double {
+        if (nowMillis >= shareValidUntilMillis) {
+            lastShare = share(entry.tag, limit)
+            shareValidUntilMillis = nowMillis + SHARE_VALIDITY_MILLIS
+        }
+        return lastShare
+    }
 
     /** Time until which no request is sent because the endpoint rejected one. */
     var avoidedUntilMillis = 0L
@@ -66,5 +127,11 @@
     private companion object {
         /** Share of an engine's memory that cached prefixes may use; the rest is for running requests. */
         const val CACHE_MEMORY_SHARE: Double = 0.6
+
+        /** How long a share is used before it is calculated again from the instances that run. */
+        const val SHARE_VALIDITY_MILLIS: Long = 100
+
+        /** How long the end of a limit is reported. Allows for several digests, in case some are lost. */
+        const val LIMIT_END_NEWS_MILLIS: Long = 5_000
     }
 }
--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
@@ -9,6 +9,7 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import lacewingweir.coordination.fleet.FleetSnapshot
+import lacewingweir.coordination.gossip.EndpointLimit
 import lacewingweir.coordination.gossip.EndpointLoad
 import lacewingweir.coordination.gossip.EngineReport
 import lacewingweir.coordination.gossip.EngineWeights
@@ -26,11 +27,13 @@
 
 private val logger = KotlinLogging.logger {}
 
+/** [limitShare] returns the requests per second of this instance at an endpoint that accepts `perSecond` from all. */
 internal class EndpointTracker(
     private val clock: MonotonicClock,
     private val domain: FailureDomain,
     private val weightsAgePolicy: WeightsAgePolicy,
     private val random: Random = Random.Default,
+    private val limitShare: (EndpointTag, perSecond: Double) -> Double = { _, perSecond -> perSecond },
 ) {
     private val states = HashMap<EndpointId, EndpointState>()
     private val peerLoads = PeerLoads(clock)
@@ -108,6 +111,11 @@
             statesByTag[prefix.endpoint]?.prefixes?.recordPrefill(prefix.hash, prefix.tokens)
         }
         applyWeights(digest.instance, digest.weights, digest.validityMillis)
+        val now = clock.nowMillis()
+        for (limit in digest.limits) {
+            val perSecond = limit.perSecond.takeIf { it != EndpointLimit.NONE }
+            statesByTag[limit.endpoint]?.let { updateLimit(it, perSecond, now - limit.ageMillis, digest.instance) }
+        }
     }
 
     /** Applies a peer's report that engines have begun or finished to load weights. */
@@ -185,16 +193,19 @@
     fun backlogAt(id: EndpointId): Long =
         states[id]?.let { it.backlogTokens.toLong() + peerLoads.backlogTokens(it.entry.tag).toLong() } ?: 0
 
+    private fun usableStates(request: PlacementRequest): List<EndpointState> =
+        fleet
+            ?.usable(request.service)
+            .orEmpty()
+            .filter { it.id !in request.excluded }
+            .mapNotNull { states[it.id] }
+
     /** Chooses an endpoint and reserves load there. Returns null if no endpoint accepts the request now. */
     @Synchronized
     fun place(request: PlacementRequest): EndpointReservation? {
         val snapshot = fleet ?: return null
         val now = clock.nowMillis()
-        val candidates =
-            snapshot
-                .usable(request.service)
-                .filter { it.id !in request.excluded }
-                .mapNotNull { states[it.id] }
+        val candidates = usableStates(request).filter { it.limitedMillis(now, limitShare) == 0L }
         val notAvoided = candidates.filterNot { it.avoidedUntilMillis > now }.ifEmpty { candidates }
         val healthy = notAvoided.filterNot { it.health.isEjected(now) }.ifEmpty { notAvoided }
         if (healthy.isEmpty()) return null
@@ -216,11 +227,13 @@
         val snapshot = fleet ?: return null
         val service = from.endpoint.service
         val spec = snapshot.engineSpec(service)?.takeIf { it.supportsHandover } ?: return null
+        val now = clock.nowMillis()
         val candidates =
             snapshot
                 .usable(service)
                 .filter { it.id != from.endpoint.id && it.id !in excluded }
                 .mapNotNull { states[it.id] }
+                .filter { it.limitedMillis(now, limitShare) == 0L }
         return engineChooser.chooseHandoverTarget(from, candidates, spec)?.let { reserveAgain(it, from) }
     }
 
@@ -252,6 +265,7 @@
 
     private fun reserve(choice: EndpointChoice): EndpointReservation {
         val state = choice.state
+        state.takeRequest(clock.nowMillis(), limitShare)
         state.running++
         state.backlogTokens += choice.uncachedTokens
         state.memoryTokens += choice.memoryTokens
@@ -320,9 +334,36 @@
         state: EndpointState,
         perSecond: Double?,
     ) {
-        if (state.requestLimit == perSecond) return
-        logger.info { "board: endpoint ${state.entry.id} limit=$perSecond requests/s before=${state.requestLimit}" }
-        state.requestLimit = perSecond
+        updateLimit(state, perSecond, clock.nowMillis(), reporter = null)
+    }
+
+    private fun updateLimit(
+        state: EndpointState,
+        perSecond: Double?,
+        statedAtMillis: Long,
+        reporter: String?,
+    ) {
+        val before = state.requestLimit
+        if (!state.updateRequestLimit(perSecond, statedAtMillis)) return
+        logger.info {
+            "board: endpoint ${state.entry.id} limit=$perSecond requests/s before=$before " +
+                "reporter=${reporter ?: "self"}"
+        }
+    }
+
+    /** Returns the limits of requests for this instance's digest. */
+    @Synchronized
+    fun limitReports(): List<EndpointLimit> = states.values.mapNotNull { it.limitReport(clock.nowMillis()) }
+
+    /**
+     * Returns the milliseconds until this instance may send the request to an endpoint if the limits of all usable
+     * endpoints forbid it now, or null if no limit does.
+     */
+    @Synchronized
+    fun limitedMillis(request: PlacementRequest): Long? {
+        val now = clock.nowMillis()
+        val waits = usableStates(request).map { it.limitedMillis(now, limitShare) }
+        return if (waits.isEmpty() || waits.any { it == 0L }) null else waits.min()
     }
 
     private fun learnWeights(
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -228,6 +228,10 @@
                 tracker.place(request)
                     ?: if (state.triedEndpoints.isEmpty()) null else tracker.place(request.withoutExclusions())
             if (reservation != null) return accept(state, reservation)
+            tracker.limitedMillis(request.withoutExclusions())?.let { limitedMillis ->
+                state.refuseOrFail(RelayRefusal.LIMITED, limitedRetryMillis(limitedMillis))
+                return null
+            }
             if (clock.nowMillis() >= waitUntil) {
                 state.refuseOrFail(RelayRefusal.NO_ENDPOINT, limits().noEndpointRetryMillis)
                 return null
@@ -236,6 +240,10 @@
         }
     }
 
+    /** Instances that don't send to limited endpoints can't tell when another instance may. */
+    private fun limitedRetryMillis(limitedMillis: Long): Long =
+        if (limitedMillis == Long.MAX_VALUE) limits().noShareRetryMillis else limitedMillis
+
     /**
      * Returns [reservation]. Ends it, responds to the caller and returns null if the call can't be served with it.
      *
--- a/src/main/kotlin/lacewingweir/transport/relay/EndpointProtocol.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/EndpointProtocol.kt
@@ -34,8 +34,8 @@
  *
  * [notRun] means that the endpoint states that it did not execute the call. [matchesRequest] is false if the response
  * doesn't carry the id of the call. [contentEncoded] means that the body has a content encoding, so its bytes are not
- * those that the endpoint produced. [requestLimit] is the number of requests per second that the endpoint accepts from all
- * instances together, or null if it states none. [headers] are passed on to the caller.
+ * those that the endpoint produced. [requestLimit] is the number of requests per second that the endpoint accepts from
+ * all instances together, or null if it states none. [headers] are passed on to the caller.
  */
 internal class ResponseHead(
     val status: Int,
--- a/src/main/kotlin/lacewingweir/transport/relay/RelayLimits.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/RelayLimits.kt
@@ -23,4 +23,5 @@
     val overloadRetryMillis: Long = 300,
     val notRunRetryMillis: Long = 150,
     val blockedPromptRetryMillis: Long = 600_000,
+    val noShareRetryMillis: Long = 500,
 )
--- a/src/main/kotlin/lacewingweir/transport/relay/RelayRefusal.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/RelayRefusal.kt
@@ -26,6 +26,9 @@
     /** The expected wait exceeds the usable share of the remaining time. */
     OVERLOADED(503),
 
+    /** All endpoints accept only a limited number of requests per second, and this instance's share is used up. */
+    LIMITED(503),
+
     /** Every endpoint tried refused the call or was not reached, and the call may not be sent again. */
     NOT_RUN(503),
 
--- a/src/test/kotlin/lacewingweir/coordination/placement/EndpointTrackerTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/placement/EndpointTrackerTest.kt
@@ -17,6 +17,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
 import strikt.assertions.isNotEqualTo
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
@@ -168,4 +169,104 @@
         expectThat(tracker.place(request())).isNull()
         expectThat(tracker.weightsOf(EndpointId("a"))).isNotEqualTo(WeightsNumber(2))
     }
+
+    private fun limitDigest(
+        from: EndpointTracker,
+        number: Long = 1,
+    ) = InstanceDigest("peer", 1, number, 250, emptyMap(), emptyList(), emptyList(), limits = from.limitReports())
+
+    private fun EndpointTracker.stateLimit(
+        id: String,
+        perSecond: Double?,
+    ) {
+        val others = listOf("a", "b").filter { it != id }.toTypedArray()
+        place(request(*others))!!.recordRequestLimit(perSecond)
+    }
+
+    @Test
+    fun `an endpoint with a limit gets its requests per second, and the others get the rest`() {
+        tracker.onFleet(engineFleet("a", "b"))
+        tracker.stateLimit("a", 2.0)
+        var sentToLimited = 0
+        repeat(100) {
+            timers.advance(100)
+            if (tracker
+                    .place(request())!!
+                    .endpoint.id.value == "a"
+            ) {
+                sentToLimited++
+            }
+        }
+        expectThat(sentToLimited).isLessThan(22)
+    }
+
+    @Test
+    fun `an endpoint without a limit any more gets requests as before`() {
+        tracker.onFleet(engineFleet("a"))
+        val reservation = tracker.place(request())!!
+        reservation.recordRequestLimit(1.0)
+        expectThat(tracker.place(request())).isNull()
+        expectThat(tracker.limitedMillis(request())).isNotNull().isGreaterThan(900)
+        reservation.recordRequestLimit(null)
+        expectThat(tracker.place(request())).isNotNull()
+        expectThat(tracker.limitedMillis(request())).isNull()
+    }
+
+    @Test
+    fun `peers learn of a limit and of its end from digests`() {
+        val observer =
+            EndpointTracker(
+                timers,
+                FLEET_DOMAIN,
+                weightsAgePolicy,
+            ).also { it.onFleet(engineFleet("a", "b")) }
+        tracker.onFleet(engineFleet("a", "b"))
+        observer.stateLimit("a", 1.0)
+        timers.advance(200)
+        tracker.onDigest(limitDigest(observer))
+        repeat(10) { expectThat(tracker.place(request())).isNotNull().get { endpoint.id.value }.isEqualTo("b") }
+        timers.advance(1_000)
+        observer.stateLimit("a", null)
+        tracker.onDigest(limitDigest(observer, number = 2))
+        expectThat(tracker.place(request("b"))).isNotNull()
+        expectThat(tracker.place(request("b"))).isNotNull()
+    }
+
+    /** Guards against peers that bring back a limit that has ended, by repeating what they heard before. */
+    @Test
+    fun `an older report does not replace what an endpoint stated later`() {
+        val observer =
+            EndpointTracker(
+                timers,
+                FLEET_DOMAIN,
+                weightsAgePolicy,
+            ).also { it.onFleet(engineFleet("a", "b")) }
+        tracker.onFleet(engineFleet("a", "b"))
+        observer.stateLimit("a", 1.0)
+        timers.advance(500)
+        tracker.stateLimit("a", null)
+        tracker.onDigest(limitDigest(observer))
+        repeat(3) { expectThat(tracker.place(request("b"))).isNotNull() }
+    }
+
+    @Test
+    fun `a restarted endpoint has no limit`() {
+        tracker.onFleet(engineFleet("a"))
+        tracker.place(request())!!.recordRequestLimit(0.5)
+        expectThat(tracker.place(request())).isNull()
+        tracker.onFleet(engineFleet("a", startedAt = 2))
+        expectThat(tracker.place(request())).isNotNull()
+    }
+
+    @Test
+    fun `a running request is not handed over to an engine whose limit is used up`() {
+        val fleet = engineFleet("a", "b", supportsHandover = true)
+        tracker.onFleet(fleet)
+        tracker.stateLimit("b", 1.0)
+        val running = tracker.place(request("b"))!!
+        expectThat(tracker.placeForHandover(running, emptySet())).isNull()
+        timers.advance(1_100)
+        expectThat(tracker.placeForHandover(running, emptySet())).isNotNull()
+        expectThat(tracker.placeForHandover(running, emptySet())).isNull()
+    }
 }
--- a/src/test/kotlin/lacewingweir/platform/EndpointLimitTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/EndpointLimitTest.kt
@@ -5,7 +5,6 @@
 import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isGreaterThan
@@ -17,11 +16,9 @@
 internal class EndpointLimitTest {
     private val statuses = CopyOnWriteArrayList<Int>()
 
-    @Tag("known-red")
     @Test
     fun `an engine gets no more requests than its limit in a small fleet`() = playSomeLimited(instances = 8)
 
-    @Tag("known-red")
     @Test
     fun `an engine gets no more requests than its limit in a large fleet`() = playSomeLimited(instances = 60)
 
@@ -40,7 +37,6 @@
         }
 
     /** Guards against calls that reach engines because no other engine is left, or that wait until their deadline. */
-    @Tag("known-red")
     @Test
     fun `engines that all name a limit get no more requests, and use most of it`(): Unit =
         runBlocking {
@@ -81,7 +77,7 @@
     ) {
         val limit = checkNotNull(engine.requestLimit)
         val times = engine.arrivals.map { it.atMillis }.filter { it > namedAtMillis + CONTACT_MILLIS }
-        val most = times.maxOf { from -> times.count { it in from until from + WINDOW_MILLIS } }
+        val most = times.maxOfOrNull { from -> times.count { it in from until from + WINDOW_MILLIS } } ?: 0
         expectThat(most.toDouble())
             .describedAs("requests in 4 s with a limit of $limit/s")
             .isLessThanOrEqualTo(1.5 * WINDOW_MILLIS / 1_000 * limit + 5)
--- a/src/test/kotlin/lacewingweir/platform/PlatformRelayTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/PlatformRelayTest.kt
@@ -13,6 +13,7 @@
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
 import strikt.assertions.isNotEmpty
 import strikt.assertions.isNotNull
@@ -270,6 +271,35 @@
             expectThat(relay.call("stream", headers = prompt).complete).isFalse()
         }
 
+    /** Guards against calls that wait for an endpoint whose limit is used up, although it can't be sent in time. */
+    @Test
+    fun `a call is refused at once with Retry-After if the limits of all endpoints are used up`(): Unit =
+        runBlocking {
+            val endpoint =
+                relay.endpoint("i-1") {
+                    it.respond(200, responseHeaders + ("Server-Limit" to "0.5"), "answer".encodeToByteArray())
+                }
+            expectThat(relay.call("idempotent").status).isEqualTo(200)
+            val duration =
+                measureTime {
+                    expectThat(relay.call("idempotent")) {
+                        get { status }.isEqualTo(503)
+                        get { retryAfter?.toDouble() }.isNotNull().isGreaterThan(1.5)
+                    }
+                }
+            expectThat(duration.inWholeMilliseconds).isLessThan(100)
+            expectThat(endpoint.receivedRequests).hasSize(1)
+        }
+
+    @Test
+    fun `a malformed limit of requests is ignored`(): Unit =
+        runBlocking {
+            relay.endpoint("i-1") {
+                it.respond(200, responseHeaders + ("Server-Limit" to "few"), "answer".encodeToByteArray())
+            }
+            repeat(3) { expectThat(relay.call("idempotent").status).isEqualTo(200) }
+        }
+
     @Test
     fun `the cache salt contains the isolated customer and the weights`(): Unit =
         runBlocking {
