--- a/src/main/kotlin/lacewingweir/cli/router/AdmissionReporter.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/AdmissionReporter.kt
@@ -6,10 +6,16 @@
 
 private val logger = KotlinLogging.logger {}
 
-/** [blockedParts] are blocked now. [blockedCalls] is the number of calls refused for them since the start. */
+/**
+ * [blockedParts] and [limitedEndpoints] are those at present. The other figures are counted from the start: calls
+ * refused for blocked parts, requests sent to limited endpoints, and calls refused because all endpoints were limited.
+ */
 internal data class AdmissionFigures(
     val blockedParts: Int,
     val blockedCalls: Long,
+    val limitedEndpoints: Int,
+    val limitedSends: Long,
+    val limitedCalls: Long,
 )
 
 internal class AdmissionReporter(
@@ -27,7 +33,10 @@
         if (current != reported) {
             logger.info {
                 "admission: blockedParts=${current.blockedParts} " +
-                    "blockedCalls=${current.blockedCalls - reported.blockedCalls}"
+                    "blockedCalls=${current.blockedCalls - reported.blockedCalls} " +
+                    "limitedEndpoints=${current.limitedEndpoints} " +
+                    "limitedSends=${current.limitedSends - reported.limitedSends} " +
+                    "limitedCalls=${current.limitedCalls - reported.limitedCalls}"
             }
         }
         reported = current
--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -185,6 +185,17 @@
                 storeFailures = store.failures,
             )
         }
+    private val admissionReporter =
+        AdmissionReporter(timers) {
+            val limits = tracker.limitFigures()
+            AdmissionFigures(
+                blockedParts = quarantine.blockedParts.size,
+                blockedCalls = quarantine.blockedPrompts,
+                limitedEndpoints = limits.endpoints,
+                limitedSends = limits.sends,
+                limitedCalls = limits.refusals,
+            )
+        }
     private val readinessServer = createServer(settings.readinessListen, ::answerReadiness)
 
     @Volatile
@@ -207,6 +218,7 @@
         timers.every("hot customers", HOT_CUSTOMERS_PERIOD_MILLIS) { storeHotCustomers() }
         rollout.start()
         trafficReporter.start()
+        admissionReporter.start()
         logger.info { "router: started name=${settings.name} domain=${settings.failureDomain} store=$storeAddress" }
     }
 
--- a/src/main/kotlin/lacewingweir/coordination/crash/PromptQuarantine.kt
+++ b/src/main/kotlin/lacewingweir/coordination/crash/PromptQuarantine.kt
@@ -19,6 +19,7 @@
 import lacewingweir.state.fleet.Prompt
 import lacewingweir.state.id.PartId
 import lacewingweir.state.time.MonotonicClock
+import java.util.concurrent.atomic.LongAdder
 
 private val logger = KotlinLogging.logger {}
 
@@ -43,6 +44,7 @@
     private val ownAnswered = ArrayDeque<Dated<PartId>>()
     private val ownBlocked = ArrayDeque<Dated<PartId>>()
     private var knownStored = StoredBlockedParts()
+    private val blockedCount = LongAdder()
 
     /** A copy that is replaced as a whole, so that calls can check it without a lock. */
     @Volatile
@@ -52,11 +54,15 @@
     val blockedParts: Set<PartId>
         get() = blocked
 
+    /** The number of prompts for which [blockedPart] returned a part. */
+    val blockedPrompts: Long
+        get() = blockedCount.sum()
+
     /** Returns a blocked part of [prompt], or null if it may be sent to endpoints. */
     fun blockedPart(prompt: Prompt?): PartId? {
         val current = blocked
         if (prompt == null || current.isEmpty()) return null
-        return prompt.sharedParts.firstOrNull { it in current }
+        return prompt.sharedParts.firstOrNull { it in current }?.also { blockedCount.increment() }
     }
 
     /** Records that [prompt] was answered, which proves that none of its parts crashes endpoints. */
--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
@@ -27,6 +27,13 @@
 
 private val logger = KotlinLogging.logger {}
 
+/** The number of limited endpoints, of requests placed on them, and of requests that no limit allowed. */
+internal data class LimitFigures(
+    val endpoints: Int,
+    val sends: Long,
+    val refusals: Long,
+)
+
 /** [limitShare] returns the requests per second of this instance at an endpoint that accepts `perSecond` from all. */
 internal class EndpointTracker(
     private val clock: MonotonicClock,
@@ -44,6 +51,9 @@
     private var drainingEngines: Set<EndpointId> = emptySet()
     private val drainingListeners = CopyOnWriteArrayList<(EndpointId) -> Unit>()
 
+    private var limitedSends = 0L
+    private var limitRefusals = 0L
+
     private var fleet: FleetSnapshot? = null
 
     /**
@@ -265,7 +275,10 @@
 
     private fun reserve(choice: EndpointChoice): EndpointReservation {
         val state = choice.state
-        state.takeRequest(clock.nowMillis(), limitShare)
+        if (state.requestLimit != null) {
+            state.takeRequest(clock.nowMillis(), limitShare)
+            limitedSends++
+        }
         state.running++
         state.backlogTokens += choice.uncachedTokens
         state.memoryTokens += choice.memoryTokens
@@ -363,9 +376,15 @@
     fun limitedMillis(request: PlacementRequest): Long? {
         val now = clock.nowMillis()
         val waits = usableStates(request).map { it.limitedMillis(now, limitShare) }
-        return if (waits.isEmpty() || waits.any { it == 0L }) null else waits.min()
+        if (waits.isEmpty() || waits.any { it == 0L }) return null
+        limitRefusals++
+        return waits.min()
     }
 
+    /** Returns the number of endpoints with a limit, and what was counted because of limits since the start. */
+    @Synchronized
+    fun limitFigures() = LimitFigures(states.values.count { it.requestLimit != null }, limitedSends, limitRefusals)
+
     private fun learnWeights(
         state: EndpointState,
         weights: WeightsNumber,
