Keep telling peers of a blocked part until it is in the store

Found by reading, not seen in a play: an instance that starts while the store takes no writes learns of the verdict from its peers only, and they told it for five seconds. The new case of PromptQuarantineTest fails without the change by its news being null after a minute.

--- a/src/main/kotlin/lacewingweir/coordination/crash/PromptQuarantine.kt
+++ b/src/main/kotlin/lacewingweir/coordination/crash/PromptQuarantine.kt
@@ -42,7 +42,8 @@
     private val evidence = CrashEvidence()
     private val ownCrashes = ArrayDeque<Dated<EndpointCrash>>()
     private val ownAnswered = ArrayDeque<Dated<PartId>>()
-    private val ownBlocked = ArrayDeque<Dated<PartId>>()
+
+    @Volatile
     private var knownStored = StoredBlockedParts()
     private val blockedCount = LongAdder()
 
@@ -116,18 +117,21 @@
             }
         logger.warn { "quarantine: endpoint ${endpoint.id} crashed suspects=${describe(crash)}" }
         val decided = recordCrash(crash)
-        if (decided != null) synchronized(this) { ownBlocked.add(decided) }
         onNews()
         if (decided != null) onDecision()
     }
 
-    /** Returns the news of the last seconds for the peers, or null if there are none. */
+    /**
+     * Returns the news of the last seconds for the peers, or null if there are none. Blocked parts are news until they
+     * are in the store, because instances that start can learn of them only from their peers until then.
+     */
     @Synchronized
     fun news(): PromptNews? {
         val oldest = clock.nowMillis() - NEWS_MILLIS
-        listOf(ownCrashes, ownAnswered, ownBlocked).forEach { dated -> dated.removeIf { it.atMillis < oldest } }
-        if (ownCrashes.isEmpty() && ownAnswered.isEmpty() && ownBlocked.isEmpty()) return null
-        return PromptNews(ownCrashes.values(), ownAnswered.values(), ownBlocked.values())
+        listOf(ownCrashes, ownAnswered).forEach { dated -> dated.removeIf { it.atMillis < oldest } }
+        val unsaved = (blocked - knownStored.parts).toList().takeLast(MAX_NEWS)
+        if (ownCrashes.isEmpty() && ownAnswered.isEmpty() && unsaved.isEmpty()) return null
+        return PromptNews(ownCrashes.values(), ownAnswered.values(), unsaved)
     }
 
     /** Applies the news of a peer. */
@@ -167,7 +171,6 @@
         evidence.unblockAll()
         blocked = emptySet()
         ownCrashes.clear()
-        ownBlocked.clear()
         logger.warn { "quarantine: all parts unblocked" }
     }
 
--- a/src/main/kotlin/lacewingweir/coordination/gossip/InstanceDigest.kt
+++ b/src/main/kotlin/lacewingweir/coordination/gossip/InstanceDigest.kt
@@ -105,7 +105,7 @@
  *
  * @property crashes crashes that the instance has observed
  * @property answered suspected parts that were answered after all
- * @property blocked parts that the instance has decided to block
+ * @property blocked parts that the instance blocks and that are not in the store yet
  */
 @Serializable
 internal data class PromptNews(
--- a/src/test/kotlin/lacewingweir/coordination/crash/PromptQuarantineTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/crash/PromptQuarantineTest.kt
@@ -140,6 +140,19 @@
         expectThat(quarantine.news()).isNull()
     }
 
+    /** Guards against instances that start while the store is unavailable for writes, and never hear of a verdict. */
+    @Test
+    fun `a blocked part is news until it is in the store`() {
+        endAll()
+        breakOff("i-1", "a", "bad")
+        breakOff("i-2", "b", "bad")
+        timers.advance(60_000)
+        val started = instance().also { it.onNews(quarantine.news()!!) }
+        expectThat(started.blockedParts).isEqualTo(setOf(PartId("bad")))
+        quarantine.onFleet(snapshot(StoredBlockedParts(setOf(PartId("bad")), revision = 7)))
+        expectThat(quarantine.news()).isNull()
+    }
+
     @Test
     fun `parts blocked in the store are blocked from the first snapshot on`() {
         quarantine.onFleet(snapshot(StoredBlockedParts(setOf(PartId("bad")), revision = 7)))
