Wait until the port of digests is free when an instance is closed

CrashingPromptPartTest failed once with a BindException when it started its instances again at once: Ktor closes the socket in the background. Passed with the change (one run of the class, 7 tests).

--- a/src/main/kotlin/lacewingweir/transport/digest/DatagramDigestNetwork.kt
+++ b/src/main/kotlin/lacewingweir/transport/digest/DatagramDigestNetwork.kt
@@ -6,11 +6,14 @@
 import io.ktor.network.sockets.Datagram
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.awaitClosed
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.Buffer
 import kotlinx.io.readByteArray
 import kotlinx.serialization.SerializationException
@@ -66,8 +69,12 @@
         return bytes.size + DATAGRAM_HEADER_BYTES
     }
 
+    /** Closes the socket and waits until its port is free. */
     override fun close() {
-        socket?.close()
+        socket?.let {
+            it.close()
+            runBlocking { withTimeoutOrNull(CLOSE_TIMEOUT_MILLIS) { it.awaitClosed() } }
+        }
         selector.close()
     }
 
@@ -98,5 +105,6 @@
     private companion object {
         /** Size of the IPv4 and UDP headers. */
         const val DATAGRAM_HEADER_BYTES: Int = 28
+        const val CLOSE_TIMEOUT_MILLIS: Long = 1_000
     }
 }
