--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -108,6 +108,7 @@
     private val quarantine: PromptQuarantine =
         PromptQuarantine(
             clock,
+            scope,
             refusesConnections = {
                 endpointClient.isRefused(it.host, it.port, PlatformEndpointProtocol.CONNECT_TIMEOUT_MILLIS)
             },
--- a/src/main/kotlin/lacewingweir/coordination/crash/PromptQuarantine.kt
+++ b/src/main/kotlin/lacewingweir/coordination/crash/PromptQuarantine.kt
@@ -9,6 +9,9 @@
 package lacewingweir.coordination.crash
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
 import lacewingweir.coordination.fleet.FleetSnapshot
 import lacewingweir.coordination.fleet.StoredBlockedParts
@@ -30,6 +33,7 @@
  */
 internal class PromptQuarantine(
     private val clock: MonotonicClock,
+    private val scope: CoroutineScope,
     private val refusesConnections: suspend (EndpointEntry) -> Boolean,
     private val onNews: suspend () -> Unit,
     private val onDecision: suspend () -> Unit,
@@ -78,22 +82,26 @@
     }
 
     /**
-     * Returns whether a call whose response broke off may be sent to another endpoint, which [prompt] could crash, too.
+     * Checks whether an endpoint has ended as it began to answer [prompt], and reports the crash if so.
      *
-     * [answerBegan] tells whether the head of the response had been received, but no part of the answer. The end of an
-     * endpoint at this moment is recorded as a crash. Calls that were only waiting there are sent again unless the
-     * crash makes one of their parts suspect, which is known after a short time.
+     * The result is whether it has ended. The check goes on if the caller of the prompt disconnects.
      */
-    suspend fun mayRepeat(
+    fun checkForCrash(
         endpoint: EndpointEntry,
         prompt: Prompt,
-        answerBegan: Boolean,
-    ): Boolean {
-        if (answerBegan) {
+    ): Deferred<Boolean> =
+        scope.async {
             val ended = hasEnded(endpoint)
             if (ended) reportCrash(endpoint, prompt)
-            return !ended
+            ended
         }
+
+    /**
+     * Returns whether a call that had no response when its connection was lost may be sent to another endpoint.
+     *
+     * It may unless the endpoint crashed and one of the parts is suspected of it, which is known after a short time.
+     */
+    suspend fun mayRepeat(prompt: Prompt): Boolean {
         val unknownParts = synchronized(this) { prompt.sharedParts.filterNot(evidence::wasAnswered) }
         if (unknownParts.isEmpty()) return true
         delay(REPORT_WAIT_MILLIS)
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -162,14 +162,15 @@
         service: ServiceName,
     ) {
         while (maySend(state, admitted, service)) {
-            val reservation = place(state, admitted, service) ?: return
+            var reservation = place(state, admitted, service) ?: return
             var outcome = sendOnce(state, admitted, service, reservation)
             while (outcome is SendOutcome.HandedOver) {
                 state.receivedSends++
                 state.possibleRuns++
-                outcome = sendOnce(state, admitted, service, outcome.run.reservation, outcome.run.copy)
+                reservation = outcome.run.reservation
+                outcome = sendOnce(state, admitted, service, reservation, outcome.run.copy)
             }
-            if (recordOutcome(state, outcome, reservation.endpoint)) return
+            if (recordOutcome(state, admitted, outcome, reservation.endpoint)) return
         }
     }
 
@@ -324,6 +325,7 @@
     /** Records the outcome of a send and returns whether the call is finished. */
     private suspend fun recordOutcome(
         state: CallState,
+        admitted: Admitted,
         outcome: SendOutcome,
         endpoint: EndpointEntry,
     ): Boolean {
@@ -360,7 +362,7 @@
                     state.failOnTimeout()
                     return true
                 }
-                if (mayCrashAnother(state, outcome, endpoint)) {
+                if (mayCrashAnother(state, admitted, outcome, endpoint)) {
                     state.fail()
                     return true
                 }
@@ -369,15 +371,23 @@
         return false
     }
 
-    /** Returns whether the call may have ended its endpoint, so that sending it again may end another one. */
+    /** Returns whether the call could be sent again, but may have ended its endpoint and could end another one. */
     private suspend fun mayCrashAnother(
         state: CallState,
+        admitted: Admitted,
         outcome: SendOutcome.Broken,
         endpoint: EndpointEntry,
     ): Boolean {
-        val prompt = state.call.prompt
-        if (prompt == null || outcome.received == ReceivedPart.EVENTS) return false
-        return !quarantine.mayRepeat(endpoint, prompt, answerBegan = outcome.received == ReceivedPart.HEAD)
+        val prompt = state.call.prompt ?: return false
+        val repeatable = admitted.route.repeatable && state.possibleRuns < admitted.route.maxEndpoints
+        return when (outcome.received) {
+            ReceivedPart.NOTHING -> repeatable && !quarantine.mayRepeat(prompt)
+            ReceivedPart.HEAD -> {
+                val ended = quarantine.checkForCrash(endpoint, prompt)
+                repeatable && ended.await()
+            }
+            ReceivedPart.EVENTS -> false
+        }
     }
 
     private fun sharedParts(call: InboundCall): String =
--- a/src/test/kotlin/lacewingweir/coordination/crash/PromptQuarantineTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/crash/PromptQuarantineTest.kt
@@ -1,5 +1,7 @@
 package lacewingweir.coordination.crash
 
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.runBlocking
 import lacewingweir.coordination.fleet.FleetSnapshot
 import lacewingweir.coordination.fleet.StoredBlockedParts
@@ -29,6 +31,7 @@
     private fun instance() =
         PromptQuarantine(
             timers,
+            CoroutineScope(Dispatchers.Unconfined),
             refusesConnections = { it.id.value in ended },
             onNews = {},
             onDecision = { decisions++ },
@@ -39,21 +42,21 @@
     private fun prompt(vararg sharedParts: String) =
         Prompt(FLEET_MODEL, 300, 20, (sharedParts.toList() + "own").map { PromptPart(it, 100) })
 
-    /** Breaks a call with these shared parts off after the head of its response. Returns whether it may be repeated. */
+    /** Breaks a call with these shared parts off after the head of its response. Returns whether its endpoint ended. */
     private fun breakOff(
         id: String,
         vararg sharedParts: String,
         by: PromptQuarantine = quarantine,
-    ): Boolean = runBlocking { by.mayRepeat(endpoint(id), prompt(*sharedParts), answerBegan = true) }
+    ): Boolean = runBlocking { by.checkForCrash(endpoint(id), prompt(*sharedParts)).await() }
 
     private fun endAll() = ended.addAll(listOf("i-1", "i-2", "i-3"))
 
     @Test
-    fun `a call that ended its endpoint is not repeated, and after two ends its part is blocked`() {
+    fun `after two ends of endpoints their common part is blocked`() {
         endAll()
-        expectThat(breakOff("i-1", "a", "bad")).isFalse()
+        expectThat(breakOff("i-1", "a", "bad")).isTrue()
         expectThat(quarantine.blockedPart(prompt("c", "bad"))).isNull()
-        expectThat(breakOff("i-2", "b", "bad")).isFalse()
+        expectThat(breakOff("i-2", "b", "bad")).isTrue()
         expectThat(quarantine.blockedPart(prompt("c", "bad"))).isEqualTo(PartId("bad"))
         expectThat(quarantine.blockedPart(prompt("a", "b"))).isNull()
         expectThat(decisions).isEqualTo(1)
@@ -61,8 +64,8 @@
 
     /** Guards against verdicts from connections that are reset, cut or closed, and from garbled or partial answers. */
     @Test
-    fun `responses broken off by endpoints that live are no evidence and may be repeated`() {
-        repeat(20) { expectThat(breakOff("i-${it % 3 + 1}", "sys", "doc")).isTrue() }
+    fun `responses broken off by endpoints that live are no evidence`() {
+        repeat(20) { expectThat(breakOff("i-${it % 3 + 1}", "sys", "doc")).isFalse() }
         expectThat(quarantine.news()).isNull()
         expectThat(quarantine.blockedParts).isEmpty()
     }
@@ -72,9 +75,7 @@
     fun `calls that had no response when their endpoint ended are no evidence`() {
         endAll()
         repeat(20) {
-            val mayRepeat =
-                runBlocking { quarantine.mayRepeat(endpoint("i-${it % 3 + 1}"), prompt("sys", "doc"), false) }
-            expectThat(mayRepeat).isTrue()
+            expectThat(runBlocking { quarantine.mayRepeat(prompt("sys", "doc")) }).isTrue()
         }
         expectThat(quarantine.blockedParts).isEmpty()
     }
@@ -84,8 +85,8 @@
         endAll()
         breakOff("i-1", "sys", "bad")
         runBlocking {
-            expectThat(quarantine.mayRepeat(endpoint("i-1"), prompt("other", "bad"), false)).isFalse()
-            expectThat(quarantine.mayRepeat(endpoint("i-1"), prompt("other", "doc"), false)).isTrue()
+            expectThat(quarantine.mayRepeat(prompt("other", "bad"))).isFalse()
+            expectThat(quarantine.mayRepeat(prompt("other", "doc"))).isTrue()
         }
     }
 
--- a/src/test/kotlin/lacewingweir/platform/PlatformRelayTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/PlatformRelayTest.kt
@@ -291,6 +291,24 @@
             expectThat(endpoint.receivedRequests).hasSize(1)
         }
 
+    /** Guards against a call that ends one engine after the other. */
+    @Test
+    fun `a call whose engine ended as it began to answer is not sent again`(): Unit =
+        runBlocking {
+            val engines =
+                listOf("i-1", "i-2").map { id ->
+                    lateinit var engine: RelayFixture.Endpoint
+                    engine =
+                        relay.endpoint(id, "engine") { exchange ->
+                            exchange.startStream(200, eventStream)
+                            engine.server.close()
+                        }
+                    engine
+                }
+            expectThat(relay.call("stream", headers = prompt).status).isEqualTo(502)
+            expectThat(engines.sumOf { it.receivedRequests.size }).isEqualTo(1)
+        }
+
     @Test
     fun `a malformed limit of requests is ignored`(): Unit =
         runBlocking {
--- a/src/test/kotlin/lacewingweir/platform/RelayFixture.kt
+++ b/src/test/kotlin/lacewingweir/platform/RelayFixture.kt
@@ -65,6 +65,7 @@
     private val quarantine =
         PromptQuarantine(
             clock,
+            scope,
             refusesConnections = { http.isRefused(it.host, it.port, timeoutMillis = 400) },
             onNews = {},
             onDecision = {},
