Answer the caller of a crash without waiting for its report

A crash under a prompt without shared parts is no longer reported, since there is nothing to suspect. The new case of PromptQuarantineTest would wait forever.

--- a/src/main/kotlin/lacewingweir/coordination/crash/PromptQuarantine.kt
+++ b/src/main/kotlin/lacewingweir/coordination/crash/PromptQuarantine.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import lacewingweir.coordination.fleet.FleetSnapshot
 import lacewingweir.coordination.fleet.StoredBlockedParts
 import lacewingweir.coordination.gossip.PromptNews
@@ -84,7 +85,8 @@
     /**
      * Checks whether an endpoint has ended as it began to answer [prompt], and reports the crash if so.
      *
-     * The result is whether it has ended. The check goes on if the caller of the prompt disconnects.
+     * The result is whether it has ended. The check goes on if the caller of the prompt disconnects, and the caller's
+     * response doesn't wait for the report.
      */
     fun checkForCrash(
         endpoint: EndpointEntry,
@@ -92,7 +94,13 @@
     ): Deferred<Boolean> =
         scope.async {
             val ended = hasEnded(endpoint)
-            if (ended) reportCrash(endpoint, prompt)
+            if (ended && prompt.sharedParts.isNotEmpty()) {
+                val decided = recordOwnCrash(endpoint, prompt)
+                scope.launch {
+                    onNews()
+                    if (decided) onDecision()
+                }
+            }
             ended
         }
 
@@ -115,18 +123,17 @@
         return refusesConnections(endpoint)
     }
 
-    private suspend fun reportCrash(
+    /** Returns whether a part is blocked because of the crash. */
+    private fun recordOwnCrash(
         endpoint: EndpointEntry,
         prompt: Prompt,
-    ) {
+    ): Boolean {
         val crash =
             synchronized(this) {
                 EndpointCrash(endpoint.tag, evidence.suspects(prompt.sharedParts)).also { ownCrashes.add(it) }
             }
         logger.warn { "quarantine: endpoint ${endpoint.id} crashed suspects=${describe(crash)}" }
-        val decided = recordCrash(crash)
-        onNews()
-        if (decided != null) onDecision()
+        return recordCrash(crash)
     }
 
     /**
@@ -145,7 +152,7 @@
     /** Applies the news of a peer. */
     fun onNews(news: PromptNews) {
         synchronized(this) { evidence.recordAnswer(news.answered) }
-        news.crashes.forEach(::recordCrash)
+        news.crashes.forEach { recordCrash(it) }
         news.blocked.forEach { block(it, "blocked by a peer") }
     }
 
@@ -158,9 +165,9 @@
         knownStored = stored
     }
 
-    private fun recordCrash(crash: EndpointCrash): PartId? {
+    private fun recordCrash(crash: EndpointCrash): Boolean {
         val culprit = synchronized(this) { evidence.recordCrash(crash, clock.nowMillis()) }
-        return culprit?.takeIf { block(it, "crashed several endpoints") }
+        return culprit != null && block(culprit, "crashed several endpoints")
     }
 
     @Synchronized
--- a/src/test/kotlin/lacewingweir/coordination/crash/PromptQuarantineTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/crash/PromptQuarantineTest.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.runBlocking
 import lacewingweir.coordination.fleet.FleetSnapshot
 import lacewingweir.coordination.fleet.StoredBlockedParts
@@ -90,6 +91,23 @@
         }
     }
 
+    /** Guards against answers to callers that wait for calls of a store that is slow or down. */
+    @Test
+    fun `the result of a check does not wait for its report`() {
+        endAll()
+        val neverReported =
+            PromptQuarantine(
+                timers,
+                CoroutineScope(Dispatchers.Unconfined),
+                refusesConnections = { true },
+                onNews = { awaitCancellation() },
+                onDecision = { awaitCancellation() },
+            )
+        expectThat(breakOff("i-1", "a", "bad", by = neverReported)).isTrue()
+        expectThat(breakOff("i-2", "b", "bad", by = neverReported)).isTrue()
+        expectThat(neverReported.blockedParts).isEqualTo(setOf(PartId("bad")))
+    }
+
     @Test
     fun `the last part of a prompt is never blamed`() {
         endAll()
