Name the request in the log line of a call that broke off

Headers are left out, since ids, deadlines and resume positions differ in each attempt. The customer stands for its keys, which may change. Computed only for calls that broke off.

--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -65,6 +65,7 @@
     private suspend fun serve(state: CallState) {
         val admitted = admit(state) ?: return
         state.route = admitted.route
+        state.customer = admitted.customer?.id
         val job = currentCoroutineContext().job
         state.exchange.onDisconnect {
             state.callerDisconnected = true
@@ -356,7 +357,8 @@
                 state.possibleRuns++
                 logger.info {
                     "relay: id=${state.call.id} broken at ${state.lastEndpoint}: ${outcome.reason} " +
-                        "received=${outcome.received} shared=${sharedParts(state.call)}"
+                        "received=${outcome.received} request=${state.fingerprint} " +
+                        "shared=${sharedParts(state.call)}"
                 }
                 if (outcome.timedOut) {
                     state.failOnTimeout()
--- a/src/main/kotlin/lacewingweir/transport/relay/CallState.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallState.kt
@@ -4,7 +4,9 @@
 import lacewingweir.coordination.fleet.FleetDirectory
 import lacewingweir.coordination.fleet.StoreContactProof
 import lacewingweir.state.fleet.RoutePolicy
+import lacewingweir.state.id.CustomerId
 import lacewingweir.state.id.EndpointId
+import lacewingweir.state.id.RequestFingerprint
 import lacewingweir.state.time.MonotonicClock
 import lacewingweir.transport.http.ServerExchange
 import java.util.Locale
@@ -24,6 +26,14 @@
 ) {
     val progress = StreamProgress(exchange)
     var route: RoutePolicy? = null
+
+    /** The customer whose key the call has, or null if its route needs no key. */
+    var customer: CustomerId? = null
+
+    /** Must not be read before [customer] is known. */
+    val fingerprint: RequestFingerprint by lazy(LazyThreadSafetyMode.NONE) {
+        RequestFingerprint.of(customer, call.method, call.host, call.target, call.body)
+    }
     var deadlineAtMillis = 0L
     var sends = 0
 
