--- /dev/null
+++ b/src/test/kotlin/lacewingweir/platform/CrashingRequestTest.kt
@@ -0,0 +1,138 @@
+package lacewingweir.platform
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.joinAll
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Tag
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import strikt.assertions.isLessThanOrEqualTo
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.random.Random
+
+/** Plays a request that ends each endpoint that runs it, and that comes again, on a fleet of whole instances. */
+internal class CrashingRequestTest {
+    private class Served(
+        val atMillis: Long,
+        val complete: Boolean,
+    )
+
+    @Test
+    @Tag("known-red")
+    fun `a lookup that crashes its endpoints stops reaching them in a small fleet`() = playLookups(instances = 8)
+
+    @Test
+    @Tag("known-red")
+    fun `a lookup that crashes its endpoints stops reaching them in a large fleet`() = playLookups(instances = 60)
+
+    /** Sound prompts share all parts with the one that crashes engines, so that no part tells them apart. */
+    @Test
+    @Tag("known-red")
+    fun `a prompt that crashes engines stops reaching them in a small fleet`() = playPrompts(instances = 8, engines = 6)
+
+    @Test
+    @Tag("known-red")
+    fun `a prompt that crashes engines stops reaching them in a large fleet`() =
+        playPrompts(instances = 60, engines = 60)
+
+    @Test
+    @Tag("known-red")
+    fun `a prompt that crashes engines before they respond stops reaching them`() =
+        playPrompts(instances = 8, engines = 6, beforeHead = true)
+
+    private fun playLookups(instances: Int): Unit =
+        runBlocking {
+            RouterFleet(instances, engines = 1, desks = 3).use { fleet ->
+                fleet.start()
+                fleet.desks.forEach { it.crashingBodies = setOf(CRASHING) }
+                play(instances, fleet.desks) { index, crashes, number ->
+                    // One sound lookup in four is a hot one, the others come once.
+                    val sound = if (number % 4 == 1) "hot${number % 3}" else "lot$number"
+                    fleet.lookUp(index, if (crashes) CRASHING else sound).status == 200
+                }
+            }
+        }
+
+    private fun playPrompts(
+        instances: Int,
+        engines: Int,
+        beforeHead: Boolean = false,
+    ): Unit =
+        runBlocking {
+            RouterFleet(instances, engines).use { fleet ->
+                fleet.start()
+                fleet.engines.forEach {
+                    it.crashingBodies = setOf(CRASHING)
+                    it.crashesBeforeHead = beforeHead
+                }
+                play(instances, fleet.engines) { index, crashes, number ->
+                    val parts = if (number % 2 == 0) CRASHING_PARTS else "sys1:100,doc${number % 10}:100"
+                    val response =
+                        if (crashes) {
+                            fleet.call(
+                                index,
+                                CRASHING_PARTS,
+                                CRASHING,
+                                "own",
+                            )
+                        } else {
+                            fleet.call(index, parts)
+                        }
+                    response.status == 200 && response.complete
+                }
+            }
+        }
+
+    /** Makes sound calls all the time, and the crashing one from [WARMUP_MILLIS] on, each at any of the instances. */
+    private suspend fun play(
+        instances: Int,
+        endpoints: List<StandinPromptEngine>,
+        call: suspend (index: Int, crashes: Boolean, number: Int) -> Boolean,
+    ): Unit =
+        kotlinx.coroutines.coroutineScope {
+            val random = Random(1)
+            val served = CopyOnWriteArrayList<Served>()
+            val startMillis = StandinPromptEngine.nowMillis()
+            val calls =
+                (0 until CALLS).map { n ->
+                    delay(PERIOD_MILLIS)
+                    val index = random.nextInt(instances)
+                    val crashes = n % 4 == 0 && StandinPromptEngine.nowMillis() > startMillis + WARMUP_MILLIS
+                    launch {
+                        val complete = call(index, crashes, n)
+                        if (!crashes) served += Served(StandinPromptEngine.nowMillis(), complete)
+                    }
+                }
+            calls.joinAll()
+
+            val ends = endpoints.flatMap { it.crashes }.sorted()
+            val thirdEnd = ends.getOrNull(2) ?: Long.MAX_VALUE
+            val late =
+                endpoints.flatMap { it.arrivals }.count {
+                    it.body == CRASHING && thirdEnd < it.atMillis - CONTACT_MILLIS
+                }
+            expectThat(
+                late,
+            ).describedAs("crashing calls that reached endpoints, ${ends.size} ends").isLessThanOrEqualTo(3)
+            expectThat(ends.size).isLessThan(MAX_ENDS)
+            val lastMillis = served.filter { it.atMillis > StandinPromptEngine.nowMillis() - 3_000 }
+            expectThat(lastMillis.count { it.complete }.toDouble() / lastMillis.size).isGreaterThan(0.9)
+        }
+
+    private companion object {
+        const val CRASHING = "bad request"
+        const val CRASHING_PARTS = "sys0:100,doc0:100"
+        const val CALLS = 600
+        const val PERIOD_MILLIS = 20L
+        const val WARMUP_MILLIS = 1_500L
+
+        /** Time that the platform gives the fleet to exchange knowledge. */
+        const val CONTACT_MILLIS = 3_000L
+
+        /** Three ends, and one for each of the three calls that may still reach endpoints after that. */
+        const val MAX_ENDS = 7
+    }
+}
--- a/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
+++ b/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
@@ -18,10 +18,11 @@
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 
-/** Whole router instances on loopback that share a stand-in store and stand-in engines of one service. */
+/** Whole router instances on loopback that share a stand-in store and stand-ins of engines and of a plain service. */
 internal class RouterFleet(
     private val size: Int,
     engines: Int,
+    desks: Int = 0,
 ) : AutoCloseable {
     class CallerResponse(
         val status: Int,
@@ -35,6 +36,9 @@
     private val http = HttpClient(group)
     val store = StandinKeyValueStore(group, scope)
     val engines = List(engines) { StandinPromptEngine("e$it", group, scope, store) }
+
+    /** The endpoints of the plain service. */
+    val desks = List(desks) { StandinPromptEngine("d$it", group, scope, store, service = "desk") }
     private val subnet = nextSubnet.incrementAndGet()
     private val requestNumbers = AtomicLong()
     private val instances = ArrayList<RouterInstance>()
@@ -42,6 +46,7 @@
     suspend fun start() {
         store.write("op/config", CONFIG)
         engines.forEach { it.start() }
+        desks.forEach { it.start() }
         startInstances()
     }
 
@@ -75,29 +80,55 @@
             storeAddress = store.address,
         )
 
-    /** Sends a prompt with the shared [parts] and a last part of its own to the instance at [index]. */
+    /**
+     * Sends a prompt with the shared [parts] and the part [last], or one of its own, to the instance at [index].
+     */
     suspend fun call(
         index: Int,
         parts: String,
+        body: String = "body",
+        last: String? = null,
     ): CallerResponse {
         val number = requestNumbers.incrementAndGet()
+        val prompt =
+            listOf(
+                "Model" to "m",
+                "Token-Counts" to "300,20",
+                "Prompt-Prefix" to "$parts,${last ?: "last$number"}:100",
+            )
+        return send(index, number, "/tag/x", body, prompt)
+    }
+
+    /** Sends a request with [body] to the plain service, through the instance at [index]. */
+    suspend fun lookUp(
+        index: Int,
+        body: String,
+        path: String = "/lookup/x",
+        key: String = "k1",
+    ): CallerResponse = send(index, requestNumbers.incrementAndGet(), path, body, key = key)
+
+    private suspend fun send(
+        index: Int,
+        number: Long,
+        path: String,
+        body: String,
+        prompt: List<Pair<String, String>> = emptyList(),
+        key: String = "k1",
+    ): CallerResponse {
         val request =
             ClientRequest(
                 host = host(index),
                 port = CALLER_PORT,
                 method = "POST",
-                path = "/tag/x",
+                path = path,
                 headers =
                     listOf(
                         "Host" to "h.example",
                         "Attempt-Id" to "%016x".format(number),
-                        "X-Api-Key" to "k1",
+                        "X-Api-Key" to key,
                         "Deadline-Ms" to "3000",
-                        "Model" to "m",
-                        "Token-Counts" to "300,20",
-                        "Prompt-Prefix" to "$parts,last$number:100",
-                    ),
-                body = "body".encodeToByteArray(),
+                    ) + prompt,
+                body = body.encodeToByteArray(),
                 preserveHostHeader = true,
             )
         return when (val result = http.open(request)) {
@@ -117,6 +148,7 @@
     override fun close() {
         killInstances()
         engines.forEach { it.close() }
+        desks.forEach { it.close() }
         store.close()
         http.close()
         scope.cancel()
@@ -137,8 +169,13 @@
         const val CONFIG =
             """{"version":1,"routes":[{"name":"tag","host":"h.example","prefix":"/tag/","kind":"stream",
             "timeoutMs":3000,"latencyTargetMs":500,"priority":0,"service":"engine","maxAttempts":2,
-            "public":false,"resumable":true}],"services":[{"name":"engine","maxConns":300,
+            "public":false,"resumable":true},
+            {"name":"lookup","host":"h.example","prefix":"/lookup/","kind":"idempotent",
+            "timeoutMs":3000,"latencyTargetMs":500,"priority":0,"service":"desk","maxAttempts":3,"public":false},
+            {"name":"reserve","host":"h.example","prefix":"/reserve/","kind":"non_idempotent",
+            "timeoutMs":3000,"latencyTargetMs":500,"priority":0,"service":"desk","maxAttempts":1,"public":false}],
+            "services":[{"name":"desk","maxConns":110},{"name":"engine","maxConns":300,
             "engine":{"slots":48,"kvCapTokens":200000,"moves":true,"models":[{"name":"m"}]}}],
-            "tenants":[{"name":"acme","apiKeys":["k1"]}]}"""
+            "tenants":[{"name":"acme","apiKeys":["k1","k1b"]},{"name":"zeta","apiKeys":["k2"]}]}"""
     }
 }
--- a/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
+++ b/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
@@ -2,26 +2,31 @@
 
 import io.netty.channel.EventLoopGroup
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import lacewingweir.transport.http.HttpServer
 import lacewingweir.transport.http.ServerExchange
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicInteger
 
 /**
- * A stand-in of an engine on the platform that ends when it begins an answer on one of [crashingParts], and starts
- * again at the same address under a new id after [RESTART_MILLIS].
+ * A stand-in of an endpoint on the platform, an engine or one of a plain [service], that ends when it begins to run a
+ * request with one of [crashingBodies] or an answer on one of [crashingParts]. It starts again at the same address
+ * under a new id after [RESTART_MILLIS].
  */
 internal class StandinPromptEngine(
     private val name: String,
     private val group: EventLoopGroup,
     private val scope: CoroutineScope,
     private val store: StandinKeyValueStore,
+    private val service: String = ENGINE_SERVICE,
 ) : AutoCloseable {
     class Arrival(
         val atMillis: Long,
         val parts: List<String>,
+        val body: String,
     )
 
     private var server: HttpServer? = null
@@ -34,6 +39,13 @@
     @Volatile
     var crashingParts: Set<String> = emptySet()
 
+    @Volatile
+    var crashingBodies: Set<String> = emptySet()
+
+    /** Whether an engine ends before the head of its response when it runs one of [crashingBodies]. */
+    @Volatile
+    var crashesBeforeHead = false
+
     /** Parts on which the engine closes the connection after the head of its response, and goes on. */
     @Volatile
     var brokenOffParts: Set<String> = emptySet()
@@ -46,6 +58,9 @@
     @Volatile
     var prefillMillis = 10L
 
+    /** Requests that have been answered whole. */
+    val answered = AtomicInteger()
+
     /** Requests that have arrived, without control requests. */
     val arrivals = CopyOnWriteArrayList<Arrival>()
 
@@ -61,11 +76,11 @@
         val listener = HttpServer(group, scope, "127.0.0.1", port) { handle(it, ended) }.start()
         server = listener
         port = listener.port
+        val models = if (service == ENGINE_SERVICE) ""","models":[{"name":"m","version":1,"adapters":[]}]""" else ""
         store.write(
             "servers/$id",
-            """{"service":"engine","address":"127.0.0.1:$port","zone":"z1","version":"v1","slots":48,"state":"ready",
-            "coldLeftMs":0,"sequence":1,"born":${1_000 + runs},
-            "models":[{"name":"m","version":1,"adapters":[]}]}""",
+            """{"service":"$service","address":"127.0.0.1:$port","zone":"z1","version":"v1","slots":48,"state":"ready",
+            "coldLeftMs":0,"sequence":1,"born":${1_000 + runs}$models}""",
         )
     }
 
@@ -80,17 +95,30 @@
         val parts =
             exchange.headers
                 .get("Prompt-Prefix")
-                .split(',')
+                ?.split(',')
+                .orEmpty()
                 .map { it.substringBefore(':') }
-        arrivals += Arrival(nowMillis(), parts)
+        val body = exchange.body.decodeToString()
+        arrivals += Arrival(nowMillis(), parts, body)
         delay(prefillMillis)
+        val crashes = body in crashingBodies || parts.dropLast(1).any { it in crashingParts }
+        if (crashes && (service != ENGINE_SERVICE || crashesBeforeHead)) {
+            if (ended.compareAndSet(false, true)) crash()
+            // The end of the server breaks off the request, without a response.
+            awaitCancellation()
+        }
         val id = exchange.headers.get("Attempt-Id")
+        if (service != ENGINE_SERVICE) {
+            exchange.respond(200, listOf("Attempt-Id" to id, "Server-Stamp" to "stamp"), body.encodeToByteArray())
+            answered.incrementAndGet()
+            return
+        }
         val limit = requestLimit?.let { listOf("Server-Limit" to it.toString()) }.orEmpty()
         exchange.startStream(
             200,
             listOf("Content-Type" to "text/event-stream", "Attempt-Id" to id, "Server-Stamp" to "stamp") + limit,
         )
-        if (parts.dropLast(1).any { it in crashingParts }) {
+        if (crashes) {
             if (ended.compareAndSet(false, true)) crash()
             return
         }
@@ -100,6 +128,7 @@
         }
         for (n in 1..3) exchange.write("id: $n\ndata: piece$n\n\n".encodeToByteArray())
         exchange.finish()
+        answered.incrementAndGet()
     }
 
     /** Ends the engine, with all its connections. */
@@ -121,6 +150,7 @@
     }
 
     companion object {
+        const val ENGINE_SERVICE = "engine"
         const val RESTART_MILLIS: Long = 1_500
 
         fun nowMillis(): Long = System.nanoTime() / 1_000_000
