Test that sound requests beside crashes are answered, and that verdicts last

Whole instances: a verdict outlasts the end of all instances, holds for each key of its customer and for no other customer, body or path; a reservation is blocked as well; hot and single lookups at endpoints that crash one after the other, and all at once, are all answered afterwards; responses that living endpoints break off block nothing.

--- a/src/test/kotlin/lacewingweir/platform/CrashingRequestTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/CrashingRequestTest.kt
@@ -4,11 +4,16 @@
 import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import lacewingweir.testing.eventually
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
 import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.random.Random
 
@@ -116,6 +121,92 @@
             expectThat(lastMillis.count { it.complete }.toDouble() / lastMillis.size).isGreaterThan(0.9)
         }
 
+    /** Guards against a verdict that ends with the instances that know it. */
+    @Test
+    fun `a blocked request stays blocked when all instances end, for its caller only`(): Unit =
+        runBlocking {
+            RouterFleet(size = 4, engines = 1, desks = 3).use { fleet ->
+                fleet.start()
+                fleet.blockCrashingRequest(path = "/lookup/x")
+                fleet.killInstances()
+                fleet.startInstances()
+                val endsBefore = fleet.desks.sumOf { it.crashes.size }
+                repeat(12) {
+                    // The customer may show another of its keys.
+                    val response = fleet.lookUp(it % 4, CRASHING, key = if (it % 2 == 0) "k1" else "k1b")
+                    expectThat(response.status).isEqualTo(503)
+                    expectThat(response.retryAfter?.toDouble()).isNotNull().isGreaterThan(60.0)
+                }
+                expectThat(fleet.desks.sumOf { it.crashes.size }).isEqualTo(endsBefore)
+                fleet.desks.forEach { it.crashingBodies = emptySet() }
+                expectThat(fleet.lookUp(0, CRASHING, key = "k2").status).isEqualTo(200)
+                expectThat(fleet.lookUp(0, "another body").status).isEqualTo(200)
+                expectThat(fleet.lookUp(0, CRASHING, path = "/lookup/y").status).isEqualTo(200)
+            }
+        }
+
+    /** Guards against calls that end endpoints because they are never repeated here, but come again. */
+    @Test
+    fun `a reservation that crashes its endpoints is blocked`(): Unit =
+        runBlocking {
+            RouterFleet(size = 4, engines = 1, desks = 3).use { fleet ->
+                fleet.start()
+                fleet.blockCrashingRequest(path = "/reserve/x")
+                expectThat(fleet.desks.sumOf { it.crashes.size }).isLessThan(MAX_ENDS)
+            }
+        }
+
+    /** Guards against refusals of sound calls, hot ones above all, that run at endpoints that crash for another reason. */
+    @Test
+    fun `sound lookups at endpoints that crash again and again, also all at once, are answered afterwards`(): Unit =
+        runBlocking {
+            RouterFleet(size = 4, engines = 1, desks = 3).use { fleet ->
+                fleet.start()
+                fleet.desks.forEach { it.prefillMillis = 60 }
+                val calls =
+                    (0 until 400).map { n ->
+                        delay(25)
+                        // Each endpoint is back before its next crash.
+                        if (n % 30 == 29 && n < 270) fleet.desks[n / 30 % 3].crash()
+                        if (n == 350) fleet.desks.forEach { it.crash() }
+                        launch { fleet.lookUp(n % 4, soundBody(n)) }
+                    }
+                calls.joinAll()
+                delay(2 * StandinPromptEngine.RESTART_MILLIS)
+                val answers = (0 until 400).map { n -> n to fleet.lookUp(n % 4, soundBody(n)).status }
+                expectThat(answers.filter { it.second != 200 }).describedAs("sound calls refused").isEmpty()
+                expectThat(fleet.store.value(PlatformKeys.BLOCK_LIST)).isNull()
+            }
+        }
+
+    /** Guards against verdicts from time-outs, and from responses that endpoints that live break off. */
+    @Test
+    fun `lookups that endpoints that live don't answer are not blamed`(): Unit =
+        runBlocking {
+            RouterFleet(size = 3, engines = 1, desks = 3).use { fleet ->
+                fleet.start()
+                fleet.desks.forEach { it.abortingBodies = setOf("lot") }
+                repeat(30) { fleet.lookUp(it % 3, "lot") }
+                fleet.desks.forEach { it.abortingBodies = emptySet() }
+                expectThat(fleet.lookUp(0, "lot").status).isEqualTo(200)
+                expectThat(fleet.store.value(PlatformKeys.BLOCK_LIST)).isNull()
+            }
+        }
+
+    /** Two hot lookups of each instance, among others that come once. */
+    private fun soundBody(number: Int) = if (number % 3 == 0) "lot$number" else "hot${number % 2}"
+
+    /** Sends the crashing request until it is blocked in the store. */
+    private suspend fun RouterFleet.blockCrashingRequest(path: String) {
+        desks.forEach { it.crashingBodies = setOf(CRASHING) }
+        eventually("the request is blocked", timeoutMillis = 30_000) {
+            lookUp(Random.nextInt(4), CRASHING, path)
+            delay(50)
+            store.value(PlatformKeys.BLOCK_LIST)?.contains("requests") == true
+        }
+        eventually("the endpoints are back", timeoutMillis = 10_000) { lookUp(0, "sound").status == 200 }
+    }
+
     private companion object {
         const val CRASHING = "bad request"
         const val CRASHING_PARTS = "sys0:100,doc0:100"
--- a/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
+++ b/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
@@ -42,6 +42,10 @@
     @Volatile
     var crashingBodies: Set<String> = emptySet()
 
+    /** Bodies on which an endpoint of a plain service closes the connection without a response, and goes on. */
+    @Volatile
+    var abortingBodies: Set<String> = emptySet()
+
     /** Whether an engine ends before the head of its response when it runs one of [crashingBodies]. */
     @Volatile
     var crashesBeforeHead = false
@@ -108,6 +112,10 @@
             awaitCancellation()
         }
         val id = exchange.headers.get("Attempt-Id")
+        if (body in abortingBodies) {
+            exchange.abort()
+            return
+        }
         if (service != ENGINE_SERVICE) {
             exchange.respond(200, listOf("Attempt-Id" to id, "Server-Stamp" to "stamp"), body.encodeToByteArray())
             answered.incrementAndGet()
