Log the software versions of endpoints, and what a call resumes

The logs had neither, so streams that changed the version within a call (H1), over two calls (H2) or with a restarted endpoint (H3) couldn't be told apart. An endpoint's item is decoded with its software version; one that isn't a text is unknown. 'sent' names the version, the event to resume after and the call that brought the first event.

--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetDirectory.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetDirectory.kt
@@ -126,7 +126,8 @@
 
     private fun describe(entry: EndpointEntry) =
         "id=${entry.id} service=${entry.service} address=${entry.address} leaving=${entry.leaving} " +
-            "weights=${entry.weights.values.joinToString(",")}"
+            "weights=${entry.weights.values.joinToString(",")} software=${entry.software} " +
+            "startedAt=${entry.startedAtUnixMillis}"
 
     private fun applyConfig(received: FleetConfig) {
         val known = config
--- a/src/main/kotlin/lacewingweir/platform/PlatformItemCodec.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformItemCodec.kt
@@ -28,6 +28,7 @@
 import lacewingweir.state.id.RequestFingerprint
 import lacewingweir.state.id.RouteId
 import lacewingweir.state.id.ServiceName
+import lacewingweir.state.id.SoftwareVersion
 import lacewingweir.state.id.SuspectId
 import lacewingweir.state.id.WeightsNumber
 
@@ -35,7 +36,7 @@
  * Decodes the items of the platform's store into the types of this project, and encodes the items of instances.
  *
  * The word `version` has three meanings in these items: the number of the configuration, the number of a model's
- * weights, and the software version of an endpoint, which is not used here.
+ * weights, and the software version of an endpoint.
  */
 internal object PlatformItemCodec {
     private const val BITS_PER_BYTE = 8
@@ -136,6 +137,7 @@
             // `born` is the time at which the endpoint's process started.
             startedAtUnixMillis = item.integerOrNull("born") ?: 0,
             weights = weights(item),
+            software = (item["version"] as? JsonPrimitive)?.takeIf { it.isString }?.let { SoftwareVersion(it.content) },
         )
     }
 
--- a/src/main/kotlin/lacewingweir/platform/PlatformNames.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformNames.kt
@@ -35,6 +35,9 @@
 
     /** The id of the last event that the receiver of the stream already has. */
     const val LAST_EVENT_ID = "Last-Event-Id"
+
+    /** The id of the request whose response began the stream that this request continues. */
+    const val RESUMED_REQUEST = "Resumes"
     const val CACHE_SALT = "Cache-Salt"
 
     /** The address of an engine from which the KV cache of prompt parts can be copied. */
--- a/src/main/kotlin/lacewingweir/platform/PlatformRequestDecoder.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformRequestDecoder.kt
@@ -32,6 +32,7 @@
             callerTimeoutMillis = remainingMillis?.trim()?.toDoubleOrNull()?.toLong(),
             prompt = prompt(exchange),
             resumeAfter = headers.get(PlatformHeaders.LAST_EVENT_ID),
+            resumes = headers.get(PlatformHeaders.RESUMED_REQUEST)?.let { RequestId(it.trim()) },
             arrivedAtMillis = nowMillis,
         )
     }
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -343,7 +343,8 @@
         logger.info {
             "relay: id=${state.call.id} sent to=${reservation.endpoint.id} try=${state.sends} leftMs=$timeoutMillis " +
                 "expectedMs=${reservation.expectedMillis.toLong()} missed=${reservation.uncachedTokens.toLong()} " +
-                "weights=${reservation.weights} fetch=${reservation.cacheSource?.id} continues=${cacheCopy?.handle}"
+                "weights=${reservation.weights} fetch=${reservation.cacheSource?.id} continues=${cacheCopy?.handle} " +
+                "software=${reservation.endpoint.software} after=${outbound.resumeAfter} resumes=${state.call.resumes}"
         }
         try {
             return withTimeoutOrNull(timeoutMillis) {
--- a/src/test/kotlin/lacewingweir/platform/PlatformItemCodecTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/PlatformItemCodecTest.kt
@@ -9,6 +9,7 @@
 import lacewingweir.state.id.PartId
 import lacewingweir.state.id.RequestFingerprint
 import lacewingweir.state.id.ServiceName
+import lacewingweir.state.id.SoftwareVersion
 import lacewingweir.state.id.SuspectId
 import lacewingweir.state.id.WeightsNumber
 import org.junit.jupiter.api.Test
@@ -33,7 +34,7 @@
         "models":[{"name":"m","version":3,"adapters":[]}],"sequence":4,"born":1700000000000}"""
 
     @Test
-    fun `an endpoint item is decoded with its weights and start time but without its software version`() {
+    fun `an endpoint item is decoded with its weights, start time and software version`() {
         expectThat(decode("servers/i-1", endpointItem)).isA<FleetUpdate.Endpoint>().get { entry }.and {
             get { id }.isEqualTo(EndpointId("i-1"))
             get { service }.isEqualTo(ServiceName("s"))
@@ -42,7 +43,12 @@
             get { leaving }.isFalse()
             get { startedAtUnixMillis }.isEqualTo(1_700_000_000_000)
             get { weights }.isEqualTo(mapOf(ModelName("m") to WeightsNumber(3)))
+            get { software }.isEqualTo(SoftwareVersion("v7"))
         }
+        expectThat(decode("servers/i-1", endpointItem.replace("\"v7\"", "7")))
+            .isA<FleetUpdate.Endpoint>()
+            .get { entry.software }
+            .isNull()
         expectThat(decode("servers/i-1", endpointItem.replace("ready", "draining")))
             .isA<FleetUpdate.Endpoint>()
             .get {
