--- a/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
+++ b/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
@@ -13,6 +13,7 @@
 import lacewingweir.transport.http.ClientRequest
 import lacewingweir.transport.http.ClientResult
 import lacewingweir.transport.http.HttpClient
+import lacewingweir.transport.http.ReadResult
 import lacewingweir.transport.http.readAll
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
@@ -41,7 +42,7 @@
     val desks = List(desks) { StandinPromptEngine("d$it", group, scope, store, service = "desk") }
     private val subnet = nextSubnet.incrementAndGet()
     private val requestNumbers = AtomicLong()
-    private val instances = ArrayList<RouterInstance>()
+    private val instances = ArrayList<RouterInstance?>()
 
     suspend fun start() {
         store.write("op/config", CONFIG)
@@ -61,9 +62,15 @@
         delay(PEER_DISCOVERY_MILLIS)
     }
 
+    /** Ends the instance at [index], without a shutdown. Its calls are broken off. */
+    fun killInstance(index: Int) {
+        instances[index]?.close()
+        instances[index] = null
+    }
+
     /** Ends all instances at once, without a shutdown. */
     fun killInstances() {
-        instances.forEach { it.close() }
+        instances.forEach { it?.close() }
         instances.clear()
     }
 
@@ -90,13 +97,48 @@
         last: String? = null,
     ): CallerResponse {
         val number = requestNumbers.incrementAndGet()
-        val prompt =
-            listOf(
-                "Model" to "m",
-                "Token-Counts" to "300,20",
-                "Prompt-Prefix" to "$parts,${last ?: "last$number"}:100",
-            )
-        return send(index, number, "/tag/x", body, prompt)
+        return send(index, number, "/tag/x", body, prompt("$parts,${last ?: "last$number"}:100"))
+    }
+
+    private fun prompt(parts: String) = listOf("Model" to "m", "Token-Counts" to "300,20", "Prompt-Prefix" to parts)
+
+    /** A stream as its caller sees it: the id of the call that brought its first event, and all events so far. */
+    class CallerStream(
+        val firstCall: Long,
+        val events: List<String>,
+        val complete: Boolean,
+        val status: Int,
+    )
+
+    /** Begins a stream through the instance at [index], or continues [from]. */
+    suspend fun stream(
+        index: Int,
+        from: CallerStream? = null,
+    ): CallerStream {
+        val number = requestNumbers.incrementAndGet()
+        val resuming =
+            if (from == null || from.events.isEmpty()) {
+                emptyList()
+            } else {
+                listOf("Last-Event-Id" to "${from.events.size}", "Resumes" to callId(from.firstCall))
+            }
+        val headers = prompt("sys:100,doc${number % SHARED_DOCUMENTS}:100,stream$number:100") + resuming
+        val result = open(index, number, "/tag/x", "stream", headers, "k1")
+        val response = (result as? ClientResult.Answered)?.response
+        val text = StringBuilder()
+        var complete = false
+        while (response != null && response.status == 200) {
+            val part = response.read(STREAM_IDLE_MILLIS)
+            if (part !is ReadResult.Data) {
+                complete = part is ReadResult.End
+                break
+            }
+            text.append(part.bytes.decodeToString())
+        }
+        response?.close()
+        val events = text.split("\n\n").dropLast(1).map { it.substringAfter("data: ") }
+        val firstCall = if (resuming.isEmpty()) number else checkNotNull(from).firstCall
+        return CallerStream(firstCall, from?.events.orEmpty() + events, complete, response?.status ?: 0)
     }
 
     /** Sends a request with [body] to the plain service, through the instance at [index]. */
@@ -107,15 +149,15 @@
         key: String = "k1",
     ): CallerResponse = send(index, requestNumbers.incrementAndGet(), path, body, key = key)
 
-    private suspend fun send(
+    private suspend fun open(
         index: Int,
         number: Long,
         path: String,
         body: String,
-        prompt: List<Pair<String, String>> = emptyList(),
-        key: String = "k1",
-    ): CallerResponse {
-        val request =
+        headers: List<Pair<String, String>>,
+        key: String,
+    ): ClientResult =
+        http.open(
             ClientRequest(
                 host = host(index),
                 port = CALLER_PORT,
@@ -124,26 +166,37 @@
                 headers =
                     listOf(
                         "Host" to "h.example",
-                        "Attempt-Id" to "%016x".format(number),
+                        "Attempt-Id" to callId(number),
                         "X-Api-Key" to key,
                         "Deadline-Ms" to "3000",
-                    ) + prompt,
+                    ) + headers,
                 body = body.encodeToByteArray(),
                 preserveHostHeader = true,
-            )
-        return when (val result = http.open(request)) {
+            ),
+        )
+
+    private fun callId(number: Long) = "%016x".format(number)
+
+    private suspend fun send(
+        index: Int,
+        number: Long,
+        path: String,
+        body: String,
+        headers: List<Pair<String, String>> = emptyList(),
+        key: String = "k1",
+    ): CallerResponse =
+        when (val result = open(index, number, path, body, headers, key)) {
             is ClientResult.Answered -> {
-                val body = result.response.readAll(1_000_000)
+                val bytes = result.response.readAll(1_000_000)
                 CallerResponse(
                     result.response.status,
-                    body?.decodeToString().orEmpty(),
-                    complete = body != null,
+                    bytes?.decodeToString().orEmpty(),
+                    complete = bytes != null,
                     retryAfter = result.response.headers.get("Retry-After"),
                 )
             }
             is ClientResult.NotSent, is ClientResult.Unknown -> CallerResponse(0, "", complete = false, null)
         }
-    }
 
     override fun close() {
         killInstances()
@@ -160,6 +213,10 @@
         const val READINESS_PORT = 8_605
         const val DIGEST_PORT = 7_600
 
+        /** Prompts that share a part share an engine, so the engines get several parts. */
+        const val SHARED_DOCUMENTS = 12
+        const val STREAM_IDLE_MILLIS = 5_000L
+
         /** Twice the interval between the watches of the store. */
         const val PEER_DISCOVERY_MILLIS = 800L
 
--- a/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
+++ b/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
@@ -22,6 +22,7 @@
     private val scope: CoroutineScope,
     private val store: StandinKeyValueStore,
     private val service: String = ENGINE_SERVICE,
+    @Volatile var software: String = "v1",
 ) : AutoCloseable {
     class Arrival(
         val atMillis: Long,
@@ -62,6 +63,17 @@
     @Volatile
     var prefillMillis = 10L
 
+    /** Number of events of an answer, and the time between them. */
+    @Volatile
+    var events = 3
+
+    @Volatile
+    var eventMillis = 0L
+
+    /** The data of an event. */
+    @Volatile
+    var piece: (Int) -> String = { "piece$it" }
+
     /** Requests that have been answered whole. */
     val answered = AtomicInteger()
 
@@ -83,7 +95,7 @@
         val models = if (service == ENGINE_SERVICE) ""","models":[{"name":"m","version":1,"adapters":[]}]""" else ""
         store.write(
             "servers/$id",
-            """{"service":"$service","address":"127.0.0.1:$port","zone":"z1","version":"v1","slots":48,"state":"ready",
+            """{"service":"$service","address":"127.0.0.1:$port","zone":"z1","version":"$software","slots":48,"state":"ready",
             "coldLeftMs":0,"sequence":1,"born":${1_000 + runs}$models}""",
         )
     }
@@ -134,7 +146,11 @@
             exchange.abort()
             return
         }
-        for (n in 1..3) exchange.write("id: $n\ndata: piece$n\n\n".encodeToByteArray())
+        val first = (exchange.headers.get("Last-Event-Id")?.toInt() ?: 0) + 1
+        for (n in first..events) {
+            exchange.write("id: $n\ndata: ${piece(n)}\n\n".encodeToByteArray())
+            delay(eventMillis)
+        }
         exchange.finish()
         answered.incrementAndGet()
     }
