Take endpoints that end at the same moment as one piece of evidence against parts

When a failure domain or a rack is lost, many engines end at once, each beside calls that were beginning to be answered. Parts that all prompts of a route share, and that were answered before, were then under four ends or more, and were blocked for good: every prompt of the route would have been refused until operators removed the item.

Ends within a second count as one for parts that were answered. Parts that were never answered are blocked as quickly as before.

--- a/src/main/kotlin/lacewingweir/state/crash/CrashEvidence.kt
+++ b/src/main/kotlin/lacewingweir/state/crash/CrashEvidence.kt
@@ -167,15 +167,30 @@
         val unexplained = unexplainedCrashes()
         return leadingPart(unexplained.map(::running), CRASHES_TO_BLOCK, CRASHES_TO_BLOCK_IN_DOUBT)
             ?: leadingPart(
-                unexplained
-                    .filter { crash ->
-                        crash.suspects.values.none { isPart(it) && neverAnswered(it) || it.id in onTrial }
-                    }.map { crash -> crash.suspects.values.filter(::isPart) },
+                answeredPartsByMoment(unexplained),
                 CRASHES_TO_BLAME_ANSWERED,
                 CRASHES_TO_BLAME_ANSWERED,
             )
     }
 
+    /**
+     * The parts in those of [crashes] that nothing unknown explains. Crashes at the same moment are taken as one, since
+     * the loss of a failure domain or a rack ends many endpoints that have parts in common.
+     */
+    private fun answeredPartsByMoment(crashes: List<Crash>): List<Collection<Suspect>> {
+        val moments = ArrayList<Pair<Long, LinkedHashMap<SuspectId, Suspect>>>()
+        for (crash in crashes) {
+            if (crash.suspects.values.any { isPart(it) && neverAnswered(it) || it.id in onTrial }) continue
+            if (moments.isEmpty() || crash.atMillis - moments.last().first >= SAME_MOMENT_MILLIS) {
+                moments += crash.atMillis to LinkedHashMap()
+            }
+            crash.suspects.values
+                .filter(::isPart)
+                .forEach { moments.last().second.putIfAbsent(it.id, it) }
+        }
+        return moments.map { it.second.values }
+    }
+
     /**
      * Returns the part that is suspected in most of [crashes], if those are at least [enough].
      *
@@ -219,6 +234,9 @@
         /** Number of crashes for what was answered before, since new weights for example may change that. */
         private const val CRASHES_TO_BLAME_ANSWERED: Int = 4
 
+        /** Endpoints that end within this time may have a common cause. */
+        private const val SAME_MOMENT_MILLIS: Long = 1_000
+
         /** A trial may fail because of another call that the endpoint runs, but two hardly can. */
         private const val FAILED_TRIALS_TO_BLOCK: Int = 2
 
