--- a/src/main/kotlin/lacewingweir/coordination/crash/CrashQuarantine.kt
+++ b/src/main/kotlin/lacewingweir/coordination/crash/CrashQuarantine.kt
@@ -62,13 +62,13 @@
 )
 
 internal enum class BrokenCallProgress {
-    /** The call may have waited at the endpoint, which was running others. */
+    /** The call had no response from an engine, which may have been running others. */
     MAY_HAVE_WAITED,
 
-    /** The endpoint may have been running the call, as plain services do with most calls they have. */
+    /** The call was at an endpoint of a plain service, which runs most of the calls that it has. */
     MAY_HAVE_RUN,
 
-    /** The endpoint was beginning to answer the call. */
+    /** An engine was beginning to answer the call. */
     ANSWER_BEGUN,
 }
 
@@ -189,8 +189,8 @@
     /**
      * Checks whether an endpoint has ended while it had a call, and reports the crash if so.
      *
-     * The result is whether it has ended. The check goes on if the caller disconnects, and the caller's response doesn't
-     * wait for the report.
+     * The result is whether it has ended. The check goes on if the caller disconnects, and the caller's response
+     * doesn't wait for the report.
      */
     fun checkForCrash(
         endpoint: EndpointEntry,
@@ -326,7 +326,8 @@
         ownAnswered.removeOlderThan(now - NEWS_MILLIS)
         val turnChanged = turns.changedAtMillis?.let { now - it <= NEWS_MILLIS } ?: false
         val unsaved = blocked - knownStored.ids
-        if (ownCrashes.isEmpty && ownAnswered.isEmpty && unsaved.isEmpty() && !turnChanged) return null
+        val isQuiet = ownCrashes.isEmpty && ownAnswered.isEmpty && unsaved.isEmpty()
+        if (isQuiet && !turnChanged) return null
         val space = NewsSpace()
         return CrashNews(
             instance = self,
--- a/src/main/kotlin/lacewingweir/coordination/gossip/InstanceDigest.kt
+++ b/src/main/kotlin/lacewingweir/coordination/gossip/InstanceDigest.kt
@@ -101,8 +101,8 @@
 )
 
 /**
- * What [instance] has learned of prompt parts and requests that crash endpoints. Repeated and reordered news do no harm,
- * except that an old claim may delay a trial.
+ * What [instance] has learned of prompt parts and requests that crash endpoints. Repeated and reordered news do no
+ * harm, except that an old claim may delay a trial.
  *
  * @property crashes crashes that the instance has observed
  * @property answered suspects that were answered after all
--- a/src/main/kotlin/lacewingweir/coordination/placement/EngineChooser.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EngineChooser.kt
@@ -127,7 +127,10 @@
         second: EndpointEntry,
     ) = first.software != null && first.software == second.software
 
-    /** Returns the other engine with the same weights and software that caches most of the prompt, or null if none caches enough. */
+    /**
+     * Returns the other engine with the same weights and software that caches most of the prompt, or null if none
+     * caches enough.
+     */
     private fun bestCacheSource(
         state: EndpointState,
         cached: Map<EndpointState, Double>,
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -449,25 +449,29 @@
         endpoint: EndpointEntry,
     ): Boolean {
         if (outcome.received == ReceivedPart.EVENTS || outcome.givenUp) return false
-        val toEngine = state.call.prompt != null
-        val progress =
-            when {
-                outcome.received == ReceivedPart.HEAD -> BrokenCallProgress.ANSWER_BEGUN
-                toEngine -> BrokenCallProgress.MAY_HAVE_WAITED
-                else -> BrokenCallProgress.MAY_HAVE_RUN
-            }
+        val progress = progressOf(state.call, outcome)
         val suspectedBefore = quarantine.isSuspect(state.suspects.request)
         val ended = quarantine.checkForCrash(endpoint, BrokenCall(state.suspects, progress, state.onTrial))
         val repeatable = admitted.route.repeatable && state.possibleRuns < admitted.route.maxEndpoints
-        return when {
-            !repeatable || state.onTrial -> false
-            toEngine && progress == BrokenCallProgress.ANSWER_BEGUN -> ended.await()
-            toEngine -> !quarantine.mayRepeat(state.suspects)
-            suspectedBefore -> ended.await() && quarantine.standing { state.suspects } != Standing.Clear
-            else -> false
+        if (!repeatable || state.onTrial) return false
+        return when (progress) {
+            BrokenCallProgress.ANSWER_BEGUN -> ended.await()
+            BrokenCallProgress.MAY_HAVE_WAITED -> !quarantine.mayRepeat(state.suspects)
+            BrokenCallProgress.MAY_HAVE_RUN ->
+                suspectedBefore && ended.await() && quarantine.standing { state.suspects } != Standing.Clear
         }
     }
 
+    private fun progressOf(
+        call: InboundCall,
+        outcome: SendOutcome.Broken,
+    ): BrokenCallProgress =
+        when {
+            call.prompt == null -> BrokenCallProgress.MAY_HAVE_RUN
+            outcome.received == ReceivedPart.HEAD -> BrokenCallProgress.ANSWER_BEGUN
+            else -> BrokenCallProgress.MAY_HAVE_WAITED
+        }
+
     private sealed interface Check {
         class Passed(
             val admitted: Admitted,
--- a/src/test/kotlin/lacewingweir/platform/CrashingRequestTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/CrashingRequestTest.kt
@@ -156,7 +156,7 @@
             }
         }
 
-    /** Guards against refusals of sound calls, hot ones above all, that run at endpoints that crash for another reason. */
+    /** Guards against refusals of sound calls, hot ones above all, at endpoints that crash for another reason. */
     @Test
     fun `sound lookups at endpoints that crash again and again, also all at once, are answered afterwards`(): Unit =
         runBlocking {
--- a/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
+++ b/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
@@ -117,42 +117,55 @@
         val body = exchange.body.decodeToString()
         arrivals += Arrival(nowMillis(), parts, body)
         delay(prefillMillis)
-        val crashes = body in crashingBodies || parts.dropLast(1).any { it in crashingParts }
-        if (crashes && (service != ENGINE_SERVICE || crashesBeforeHead)) {
-            if (ended.compareAndSet(false, true)) crash()
-            // The end of the server breaks off the request, without a response.
-            awaitCancellation()
-        }
-        val id = exchange.headers.get("Attempt-Id")
-        if (body in abortingBodies) {
-            exchange.abort()
-            return
-        }
-        if (service != ENGINE_SERVICE) {
-            exchange.respond(200, listOf("Attempt-Id" to id, "Server-Stamp" to "stamp"), body.encodeToByteArray())
-            answered.incrementAndGet()
-            return
+        val run = Run(exchange, parts, body, ended)
+        when {
+            run.crashes && (service != ENGINE_SERVICE || crashesBeforeHead) -> {
+                run.crash()
+                // The end of the server breaks off the request, without a response.
+                awaitCancellation()
+            }
+            body in abortingBodies -> exchange.abort()
+            service != ENGINE_SERVICE -> {
+                exchange.respond(200, run.responseHeaders, body.encodeToByteArray())
+                answered.incrementAndGet()
+            }
+            else -> answerPrompt(run)
         }
+    }
+
+    private suspend fun answerPrompt(run: Run) {
+        val exchange = run.exchange
         val limit = requestLimit?.let { listOf("Server-Limit" to it.toString()) }.orEmpty()
-        exchange.startStream(
-            200,
-            listOf("Content-Type" to "text/event-stream", "Attempt-Id" to id, "Server-Stamp" to "stamp") + limit,
-        )
-        if (crashes) {
-            if (ended.compareAndSet(false, true)) crash()
-            return
+        exchange.startStream(200, run.responseHeaders + ("Content-Type" to "text/event-stream") + limit)
+        when {
+            run.crashes -> run.crash()
+            run.parts.any { it in brokenOffParts } -> exchange.abort()
+            else -> {
+                val first = (exchange.headers.get("Last-Event-Id")?.toInt() ?: 0) + 1
+                for (n in first..events) {
+                    exchange.write("id: $n\ndata: ${piece(n)}\n\n".encodeToByteArray())
+                    delay(eventMillis)
+                }
+                exchange.finish()
+                answered.incrementAndGet()
+            }
         }
-        if (parts.any { it in brokenOffParts }) {
-            exchange.abort()
-            return
-        }
-        val first = (exchange.headers.get("Last-Event-Id")?.toInt() ?: 0) + 1
-        for (n in first..events) {
-            exchange.write("id: $n\ndata: ${piece(n)}\n\n".encodeToByteArray())
-            delay(eventMillis)
+    }
+
+    /** A request that the endpoint runs. [ended] tells whether this run of the endpoint has been ended already. */
+    private inner class Run(
+        val exchange: ServerExchange,
+        val parts: List<String>,
+        body: String,
+        private val ended: AtomicBoolean,
+    ) {
+        val crashes = body in crashingBodies || parts.dropLast(1).any { it in crashingParts }
+        val responseHeaders =
+            listOf("Attempt-Id" to exchange.headers.get("Attempt-Id"), "Server-Stamp" to "stamp")
+
+        fun crash() {
+            if (ended.compareAndSet(false, true)) this@StandinPromptEngine.crash()
         }
-        exchange.finish()
-        answered.incrementAndGet()
     }
 
     /** Ends the engine, with all its connections. */
--- a/src/test/kotlin/lacewingweir/platform/StreamAcrossVersionsTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/StreamAcrossVersionsTest.kt
@@ -63,7 +63,13 @@
                 val streams = fleet.streamsBesideCrashes(0, 1)
                 expectThat(streams.flatMap { fleet.mixed(it) }).isEmpty()
                 expectThat(streams.count { it.complete }).isGreaterThan(STREAMS * 8 / 10)
-                val continued = streams.filterNot { it.complete }.mapIndexed { n, it -> fleet.stream(n % 3, from = it) }
+                val continued =
+                    streams.filterNot { it.complete }.mapIndexed {
+                        n,
+                        stream,
+                        ->
+                        fleet.stream(n % 3, from = stream)
+                    }
                 expectThat(continued.flatMap { fleet.mixed(it) }).isEmpty()
                 expectThat(continued.count { it.complete }).isEqualTo(continued.size)
             }
@@ -106,13 +112,8 @@
                 val startMillis = StandinPromptEngine.nowMillis()
                 val continued =
                     coroutineScope {
-                        broken
-                            .mapIndexed {
-                                n,
-                                it,
-                                ->
-                                async { fleet.stream(n % 3, it) }
-                            }.awaitAll()
+                        val tries = broken.mapIndexed { n, stream -> async { fleet.stream(n % 3, from = stream) } }
+                        tries.awaitAll()
                     }
                 expectThat(StandinPromptEngine.nowMillis() - startMillis).isLessThan(AT_ONCE_MILLIS)
                 expectThat(continued.flatMap { fleet.mixed(it) }).isEmpty()
