Move the admission of calls, and the check for ended endpoints, to classes of their own

The code is moved, not changed, except that the two refusals after a wait share one function. A test of lookups that living endpoints don't answer also has calls that run out of time now.

--- a/src/main/kotlin/lacewingweir/coordination/crash/CrashQuarantine.kt
+++ b/src/main/kotlin/lacewingweir/coordination/crash/CrashQuarantine.kt
@@ -26,52 +26,10 @@
 import lacewingweir.state.id.EndpointTag
 import lacewingweir.state.id.SuspectId
 import lacewingweir.state.time.MonotonicClock
-import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.LongAdder
 
 private val logger = KotlinLogging.logger {}
 
-/** Whether a call may be sent to endpoints. */
-internal sealed interface Standing {
-    data object Clear : Standing
-
-    /** The request crashed several endpoints and was never answered. It may be sent in a trial only. */
-    data object OnTrial : Standing
-
-    /** The call would crash any endpoint, because of [cause]. */
-    data class Blocked(
-        val cause: SuspectId,
-    ) : Standing
-}
-
-/** What the quarantine has counted since the start, and the numbers of suspects and blocked ids at present. */
-internal data class QuarantineFigures(
-    val blockedParts: Int,
-    val blockedRequests: Int,
-    val requestsOnTrial: Int,
-    val blockedCalls: Long,
-    val trials: Long,
-    val failedTrials: Long,
-)
-
-/** How a call was broken off: how far its endpoint had come, and whether the call was a trial of its request. */
-internal data class BrokenCall(
-    val suspects: CallSuspects,
-    val progress: BrokenCallProgress,
-    val onTrial: Boolean = false,
-)
-
-internal enum class BrokenCallProgress {
-    /** The call had no response from an engine, which may have been running others. */
-    MAY_HAVE_WAITED,
-
-    /** The call was at an endpoint of a plain service, which runs most of the calls that it has. */
-    MAY_HAVE_RUN,
-
-    /** An engine was beginning to answer the call. */
-    ANSWER_BEGUN,
-}
-
 /**
  * @property self the name of this instance
  * @property refusesConnections returns whether nothing listens at the address of an endpoint any more
@@ -82,7 +40,7 @@
     private val self: String,
     private val clock: MonotonicClock,
     private val scope: CoroutineScope,
-    private val refusesConnections: suspend (EndpointEntry) -> Boolean,
+    refusesConnections: suspend (EndpointEntry) -> Boolean,
     private val onNews: suspend () -> Unit,
     private val onDecision: suspend () -> Unit,
 ) {
@@ -90,7 +48,7 @@
     private val turns = TrialTurns(self)
     private val ownCrashes = RecentNews<EndpointTag, EndpointCrash>(MAX_NEWS)
     private val ownAnswered = RecentNews<SuspectId, SuspectId>(MAX_NEWS)
-    private val endChecks = ConcurrentHashMap<EndpointTag, Deferred<Boolean>>()
+    private val endDetector = EndDetector(scope, refusesConnections)
 
     /** The check of the endpoint to which this instance has sent its trial, once the trial has been broken off. */
     private var trialCheck: Deferred<Boolean>? = null
@@ -198,7 +156,7 @@
     ): Deferred<Boolean> {
         val check =
             scope.async {
-                val ended = hasEnded(endpoint)
+                val ended = endDetector.hasEnded(endpoint)
                 if (ended) {
                     val decided = recordOwnCrash(endpoint, call)
                     scope.launch { report(endpoint, call, decided) }
@@ -252,29 +210,6 @@
     @Synchronized
     fun isSuspect(request: SuspectId): Boolean = evidence.isSuspect(request)
 
-    /**
-     * Returns whether the endpoint has ended. One that lives goes on listening when a response breaks off.
-     *
-     * The calls that break off at the same time share the check.
-     */
-    private suspend fun hasEnded(endpoint: EndpointEntry): Boolean {
-        val check =
-            endChecks.computeIfAbsent(endpoint.tag) {
-                scope.async {
-                    refusesConnections(endpoint) ||
-                        run {
-                            delay(SECOND_CHECK_MILLIS)
-                            refusesConnections(endpoint)
-                        }
-                }
-            }
-        return try {
-            check.await()
-        } finally {
-            endChecks.remove(endpoint.tag, check)
-        }
-    }
-
     /** Returns whether anything is blocked because of the crash. */
     private fun recordOwnCrash(
         endpoint: EndpointEntry,
@@ -418,9 +353,6 @@
         /** Time within which a claim reaches all peers of a large fleet, even if other news were sent just before. */
         const val CLAIM_WAIT_MILLIS: Long = 250
 
-        /** An endpoint may close its connections slightly before its port. */
-        const val SECOND_CHECK_MILLIS: Long = 30
-
         /** Allows for several digests, in case some are lost. */
         const val NEWS_MILLIS: Long = 5_000
 
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -13,15 +13,12 @@
 import lacewingweir.coordination.fleet.FleetDirectory
 import lacewingweir.coordination.fleet.StoreContactProof
 import lacewingweir.coordination.gossip.FleetRateLimiter
-import lacewingweir.coordination.gossip.RateDecision
 import lacewingweir.coordination.placement.EndpointReservation
 import lacewingweir.coordination.placement.EndpointTracker
 import lacewingweir.coordination.placement.PlacementRequest
 import lacewingweir.coordination.placement.ReservationOutcome
 import lacewingweir.coordination.stream.StreamVersions
-import lacewingweir.state.fleet.CustomerSpec
 import lacewingweir.state.fleet.EndpointEntry
-import lacewingweir.state.fleet.FleetConfig
 import lacewingweir.state.fleet.RequestKind
 import lacewingweir.state.fleet.RoutePolicy
 import lacewingweir.state.id.ServiceName
@@ -42,7 +39,7 @@
 internal class CallRelay(
     private val directory: FleetDirectory,
     private val proof: StoreContactProof,
-    private val rateLimiter: FleetRateLimiter,
+    rateLimiter: FleetRateLimiter,
     private val repeatBudgets: RepeatBudgets,
     private val tracker: EndpointTracker,
     private val sender: EndpointSender,
@@ -52,6 +49,8 @@
     private val limits: () -> RelayLimits,
     private val random: Random = Random.Default,
 ) {
+    private val admission = CallAdmission(directory, proof, rateLimiter, quarantine, limits)
+
     /** Serves one call. Cancelling the coroutine closes the connection to the endpoint. */
     suspend fun handle(
         call: InboundCall,
@@ -70,7 +69,7 @@
 
     private suspend fun serve(state: CallState) {
         try {
-            val admitted = admit(state) ?: return
+            val admitted = admission.admit(state) ?: return
             serveAdmitted(state, admitted)
         } finally {
             if (state.onTrial) quarantine.endTrial()
@@ -115,92 +114,6 @@
         return false
     }
 
-    /** Checks route, key, standing and rate. Refuses the call and returns null if a check fails. */
-    private suspend fun admit(state: CallState): Admitted? =
-        when (val checked = checkRouteAndKey(state.call)) {
-            is Check.Refused -> state.refuse(checked.refusal, limits().noCurrentConfigRetryMillis)
-            is Check.Passed -> {
-                state.route = checked.admitted.route
-                state.customer = checked.admitted.customer?.id
-                if (isAllowed(state)) checkRate(state, checked.admitted) else null
-            }
-        }
-
-    /** Returns whether the call doesn't crash endpoints as far as is known. Refuses it if not. */
-    private suspend fun isAllowed(state: CallState): Boolean =
-        when (val standing = quarantine.standing { state.suspects }) {
-            Standing.Clear -> true
-            Standing.OnTrial -> {
-                state.onTrial = quarantine.beginTrial(state.suspects.request)
-                if (!state.onTrial) state.refuse<Unit>(RelayRefusal.SUSPECTED, limits().suspectedRetryMillis)
-                state.onTrial
-            }
-            is Standing.Blocked -> {
-                logger.info { "relay: id=${state.call.id} is blocked because of ${standing.cause}" }
-                state.refuse<Unit>(RelayRefusal.BLOCKED, limits().blockedRetryMillis)
-                false
-            }
-        }
-
-    /** Returns the refusal of a call that has become suspected or blocked since it was admitted, or null. */
-    private fun refusalSinceAdmission(state: CallState): RelayRefusal? =
-        when (quarantine.standing { state.suspects }) {
-            Standing.Clear -> null
-            Standing.OnTrial -> RelayRefusal.SUSPECTED.takeUnless { state.onTrial }
-            is Standing.Blocked -> RelayRefusal.BLOCKED
-        }
-
-    private suspend fun checkRate(
-        state: CallState,
-        admitted: Admitted,
-    ): Admitted? {
-        val customer = admitted.customer ?: return admitted
-        val tokens = tokensToCharge(state.call, customer)
-        val decision = rateLimiter.admit(customer, tokens)
-        if (decision is RateDecision.Refused) {
-            logger.info {
-                "relay: id=${state.call.id} over rate customer=${customer.id} limit=${customer.rate} tokens=$tokens " +
-                    "used=${decision.usedTokens} peersHeard=${decision.livePeers} instances=${decision.fleetSize}"
-            }
-            return state.refuse(RelayRefusal.OVER_RATE, decision.retryAfterMillis)
-        }
-        return admitted
-    }
-
-    /**
-     * Checks route and key of the call against the newest configuration.
-     *
-     * The call is refused as [RelayRefusal.NO_CURRENT_CONFIG] if the contact proof is too old for the result to be
-     * trusted.
-     */
-    private fun checkRouteAndKey(call: InboundCall): Check {
-        val config = directory.snapshot.config ?: return Check.Refused(RelayRefusal.NO_CURRENT_CONFIG)
-        val checked = checkAgainst(call, config)
-        val maxProofAgeMillis =
-            when (checked) {
-                // With an older proof, the route or key may have been added since.
-                is Check.Refused -> limits().maxRefusalProofAgeMillis
-                is Check.Passed ->
-                    if (checked.admitted.customer == null) Long.MAX_VALUE else limits().maxKeyProofAgeMillis
-            }
-        return if (proof.ageMillis() <= maxProofAgeMillis) checked else Check.Refused(RelayRefusal.NO_CURRENT_CONFIG)
-    }
-
-    private fun checkAgainst(
-        call: InboundCall,
-        config: FleetConfig,
-    ): Check {
-        val route = config.route(call.host, call.path) ?: return Check.Refused(RelayRefusal.NO_ROUTE)
-        if (route.open || config.customers.isEmpty()) return Check.Passed(Admitted(route, null))
-        val customer = call.keyDigest?.let(config::customer) ?: return Check.Refused(RelayRefusal.UNKNOWN_KEY)
-        return Check.Passed(Admitted(route, customer))
-    }
-
-    private fun tokensToCharge(
-        call: InboundCall,
-        customer: CustomerSpec,
-    ): Long = call.prompt?.let { it.inputTokens + it.maxOutputTokens } ?: customer.requestTokens
-
     private fun chooseService(route: RoutePolicy): ServiceName {
         var remainingWeight = random.nextInt(route.targets.sumOf { it.weight }.coerceAtLeast(1))
         for (target in route.targets) {
@@ -324,18 +237,14 @@
         val usableMillis = state.remainingMillis * limits().usableShareOfRemainingTime
         // While the call waited, the key may have been withdrawn, the contact proof may have become too old, or the
         // request may have come under suspicion.
-        val recheck = checkRouteAndKey(state.call)
-        val refusal = refusalSinceAdmission(state)
-        if (recheck is Check.Passed && refusal == null && reservation.expectedMillis <= usableMillis) return reservation
+        val refused = admission.recheck(state)
+        if (refused == null && reservation.expectedMillis <= usableMillis) return reservation
         reservation.end(ReservationOutcome.NOT_COUNTED)
-        when {
-            recheck is Check.Refused -> state.refuseOrFail(recheck.refusal, limits().noCurrentConfigRetryMillis)
-            refusal == RelayRefusal.BLOCKED -> state.refuseOrFail(refusal, limits().blockedRetryMillis)
-            refusal != null -> state.refuseOrFail(refusal, limits().suspectedRetryMillis)
-            else -> {
-                val excessMillis = (reservation.expectedMillis - usableMillis).toLong()
-                state.refuseOrFail(RelayRefusal.OVERLOADED, maxOf(excessMillis, limits().overloadRetryMillis))
-            }
+        if (refused != null) {
+            state.refuseOrFail(refused.refusal, refused.retryAfterMillis)
+        } else {
+            val excessMillis = (reservation.expectedMillis - usableMillis).toLong()
+            state.refuseOrFail(RelayRefusal.OVERLOADED, maxOf(excessMillis, limits().overloadRetryMillis))
         }
         return null
     }
@@ -472,21 +381,6 @@
             else -> BrokenCallProgress.MAY_HAVE_WAITED
         }
 
-    private sealed interface Check {
-        class Passed(
-            val admitted: Admitted,
-        ) : Check
-
-        class Refused(
-            val refusal: RelayRefusal,
-        ) : Check
-    }
-
-    private class Admitted(
-        val route: RoutePolicy,
-        val customer: CustomerSpec?,
-    )
-
     private companion object {
         /** No endpoint can respond in less time. */
         const val MIN_SEND_MILLIS: Long = 5
--- a/src/test/kotlin/lacewingweir/platform/CrashingRequestTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/CrashingRequestTest.kt
@@ -187,7 +187,12 @@
                 fleet.start()
                 fleet.desks.forEach { it.abortingBodies = setOf("lot") }
                 repeat(30) { fleet.lookUp(it % 3, "lot") }
-                fleet.desks.forEach { it.abortingBodies = emptySet() }
+                fleet.desks.forEach {
+                    it.abortingBodies = emptySet()
+                    it.prefillMillis = SLOWER_THAN_DEADLINE_MILLIS
+                }
+                List(6) { n -> launch { fleet.lookUp(n % 3, "lot") } }.joinAll()
+                fleet.desks.forEach { it.prefillMillis = 10 }
                 expectThat(fleet.lookUp(0, "lot").status).isEqualTo(200)
                 expectThat(fleet.store.value(PlatformKeys.BLOCK_LIST)).isNull()
             }
@@ -213,6 +218,7 @@
         const val CALLS = 600
         const val PERIOD_MILLIS = 20L
         const val WARMUP_MILLIS = 1_500L
+        const val SLOWER_THAN_DEADLINE_MILLIS = 3_500L
 
         /** Time that the platform gives the fleet to exchange knowledge. */
         const val CONTACT_MILLIS = 3_000L
