Start instances of the tests again when their ports are free

Cause: the JDK frees the port of a closed channel that is registered with a selector only at the next selection, after the close has returned. A process that ends frees its ports at once, so instances outside of tests are not concerned.

--- a/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
+++ b/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
@@ -16,6 +16,7 @@
 import lacewingweir.transport.http.HttpClient
 import lacewingweir.transport.http.ReadResult
 import lacewingweir.transport.http.readAll
+import java.net.BindException
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
@@ -54,7 +55,7 @@
 
     /** Starts all instances and waits until each serves a call and has had the time to learn of the others. */
     suspend fun startInstances() {
-        repeat(size) { instances += RouterInstance(settings(it)).also { instance -> instance.start() } }
+        repeat(size) { instances += startInstance(it) }
         repeat(size) { index ->
             eventually("instance $index serves", timeoutMillis = 20_000) {
                 call(index, "sys:100,ready:100").status == 200
@@ -63,6 +64,22 @@
         delay(PEER_DISCOVERY_MILLIS)
     }
 
+    /** The ports of an instance that was closed are free only after the next selection of its event loops. */
+    private suspend fun startInstance(index: Int): RouterInstance {
+        var started: RouterInstance? = null
+        eventually("the ports of instance $index are free") {
+            val instance = RouterInstance(settings(index))
+            try {
+                instance.start()
+                started = instance
+            } catch (_: BindException) {
+                instance.close()
+            }
+            started != null
+        }
+        return checkNotNull(started)
+    }
+
     /** Ends the instance at [index], without a shutdown. Its calls are broken off. */
     fun killInstance(index: Int) {
         instances[index]?.close()
