--- a/src/main/kotlin/lacewingweir/transport/relay/CallAdmission.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallAdmission.kt
@@ -19,7 +19,7 @@
     val customer: CustomerSpec?,
 )
 
-/** Decides whether a call may be sent: checks its route, its key, the standing of its request, and its customer's rate. */
+/** Checks whether a call may be sent: its route, its key, the standing of its request, and its customer's rate. */
 internal class CallAdmission(
     private val directory: FleetDirectory,
     private val proof: StoreContactProof,
