Give the stand-in engines weights, load commands and a queue

The stand-in engine had one version of weights for ever, and no control requests.

A call begins at its first event, which is recorded. The stand-in store can end leases that aren't renewed, and RouterFleet can set target weights and start one instance again.

--- a/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
+++ b/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
@@ -86,6 +86,14 @@
         instances[index] = null
     }
 
+    /** Starts the instance at [index], which was ended, anew. */
+    suspend fun restartInstance(index: Int) {
+        instances[index] = startInstance(index)
+    }
+
+    /** Sets the target weights of the engines' model. */
+    fun setTargetWeights(weights: Long) = store.write("op/version/m", """{"model":"m","version":$weights}""")
+
     /** Ends all instances at once, without a shutdown. */
     fun killInstances() {
         instances.forEach { it?.close() }
--- a/src/test/kotlin/lacewingweir/platform/StandinKeyValueStore.kt
+++ b/src/test/kotlin/lacewingweir/platform/StandinKeyValueStore.kt
@@ -3,8 +3,11 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.handler.codec.http.QueryStringDecoder
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonObject
@@ -20,7 +23,7 @@
 /**
  * A stand-in of the platform's store with ranges, watches, transactions and leases, for tests of whole instances.
  *
- * Leases end only by call.
+ * Leases end only by call, unless [leasesExpire].
  */
 internal class StandinKeyValueStore(
     group: EventLoopGroup,
@@ -33,6 +36,11 @@
         val lease: Long,
     )
 
+    private class Lease(
+        val ttlMillis: Long,
+        var endMillis: Long,
+    )
+
     private class Change(
         val key: String,
         val revision: Long,
@@ -43,6 +51,7 @@
     private val history = ArrayList<Change>()
     private val revision = MutableStateFlow(1L)
     private var oldestRevision = 0L
+    private val leases = LinkedHashMap<Long, Lease>()
     private var lastLease = 0L
     private val server = HttpServer(group, scope, "127.0.0.1", 0) { handle(it) }.start()
 
@@ -50,9 +59,22 @@
     @Volatile
     var down = false
 
+    init {
+        scope.launch {
+            while (isActive) {
+                delay(EXPIRY_PERIOD_MILLIS)
+                if (leasesExpire) endExpiredLeases()
+            }
+        }
+    }
+
     val address: String
         get() = "127.0.0.1:${server.port}"
 
+    /** Whether leases that aren't renewed end. */
+    @Volatile
+    var leasesExpire = false
+
     /** Number of transactions that wrote each key. */
     val writeCounts = HashMap<String, Int>()
 
@@ -121,24 +143,46 @@
                 }
             }
             PlatformPaths.TRANSACTION -> transact(exchange)
-            PlatformPaths.LEASE_GRANT -> exchange.respondJson(buildJsonObject { put("lease", nextLease()) })
+            PlatformPaths.LEASE_GRANT -> exchange.respondJson(buildJsonObject { put("lease", grantLease(exchange)) })
             else -> respondToLeaseCall(exchange)
         }
     }
 
     private suspend fun respondToLeaseCall(exchange: ServerExchange) {
-        if (exchange.path.startsWith(PlatformPaths.LEASE_END)) {
-            val lease = exchange.path.removePrefix(PlatformPaths.LEASE_END).toLong()
-            endLease(lease)
+        val path = exchange.path
+        if (path.startsWith(PlatformPaths.LEASE_END)) endLease(path.removePrefix(PlatformPaths.LEASE_END).toLong())
+        if (path.startsWith(PlatformPaths.LEASE_RENEW) &&
+            !renew(path.removePrefix(PlatformPaths.LEASE_RENEW).toLong())
+        ) {
+            exchange.respond(404)
+            return
         }
         exchange.respondJson(buildJsonObject { })
     }
 
     @Synchronized
-    private fun nextLease() = ++lastLease
+    private fun grantLease(exchange: ServerExchange): Long {
+        val ttlMillis = parseObject(exchange.body).integer("ttlMs")
+        leases[++lastLease] = Lease(ttlMillis, StandinPromptEngine.nowMillis() + ttlMillis)
+        return lastLease
+    }
+
+    @Synchronized
+    private fun renew(id: Long): Boolean {
+        val lease = leases[id] ?: return false
+        lease.endMillis = StandinPromptEngine.nowMillis() + lease.ttlMillis
+        return true
+    }
+
+    @Synchronized
+    private fun endExpiredLeases() {
+        val now = StandinPromptEngine.nowMillis()
+        leases.filterValues { it.endMillis < now }.keys.forEach { endLease(it) }
+    }
 
     @Synchronized
     private fun endLease(lease: Long) {
+        leases.remove(lease)
         val keys = items.values.filter { it.lease == lease }.map { it.key }
         if (keys.isNotEmpty()) commit(emptyList(), keys)
     }
@@ -204,6 +248,7 @@
     override fun close() = server.close()
 
     private companion object {
+        const val EXPIRY_PERIOD_MILLIS = 50L
         val JSON = listOf("Content-Type" to "application/json")
     }
 }
--- a/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
+++ b/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
@@ -30,6 +30,9 @@
         val body: String,
     )
 
+    /** The weights of an engine. */
+    val weights = StandinWeights(scope) { publish() }
+
     private var server: HttpServer? = null
     private var port = 0
     private var runs = 0
@@ -59,7 +62,7 @@
     @Volatile
     var requestLimit: Double? = null
 
-    /** Time from the arrival of a request to the head of its response. */
+    /** Time from the arrival of a request to the head of its response, in which a call on an engine hasn't begun. */
     @Volatile
     var prefillMillis = 10L
 
@@ -92,7 +95,18 @@
         val listener = HttpServer(group, scope, "127.0.0.1", port) { handle(it, ended) }.start()
         server = listener
         port = listener.port
-        val models = if (service == ENGINE_SERVICE) ""","models":[{"name":"m","version":1,"adapters":[]}]""" else ""
+        weights.onStart()
+        publish()
+    }
+
+    /** Writes the endpoint's item. */
+    private fun publish() {
+        val models =
+            if (service == ENGINE_SERVICE) {
+                ""","models":[{"name":"m","version":${weights.current},"adapters":[]}]"""
+            } else {
+                ""
+            }
         store.write(
             "servers/$id",
             """{"service":"$service","address":"127.0.0.1:$port","zone":"z1","version":"$software","slots":48,"state":"ready",
@@ -105,7 +119,7 @@
         ended: AtomicBoolean,
     ) {
         if (exchange.path.startsWith("/lacewingweir/")) {
-            exchange.respond(404)
+            weights.control(exchange, id)
             return
         }
         val parts =
@@ -116,8 +130,17 @@
                 .map { it.substringBefore(':') }
         val body = exchange.body.decodeToString()
         arrivals += Arrival(nowMillis(), parts, body)
-        delay(prefillMillis)
         val run = Run(exchange, parts, body, ended)
+        if (run.reachesFirstEvent) {
+            if (!weights.begin(exchange, prefillMillis)) return
+            try {
+                answerPrompt(run)
+            } finally {
+                weights.end()
+            }
+            return
+        }
+        delay(prefillMillis)
         when {
             run.crashes && (service != ENGINE_SERVICE || crashesBeforeHead) -> {
                 run.crash()
@@ -160,8 +183,10 @@
         private val ended: AtomicBoolean,
     ) {
         val crashes = body in crashingBodies || parts.dropLast(1).any { it in crashingParts }
+        val reachesFirstEvent = service == ENGINE_SERVICE && !crashes && parts.none { it in brokenOffParts }
         val responseHeaders =
-            listOf("Attempt-Id" to exchange.headers.get("Attempt-Id"), "Server-Stamp" to "stamp")
+            listOf("Attempt-Id" to exchange.headers.get("Attempt-Id"), "Server-Stamp" to "stamp") +
+                if (service == ENGINE_SERVICE) listOf("Weight-Versions" to "${weights.current}") else emptyList()
 
         fun crash() {
             if (ended.compareAndSet(false, true)) this@StandinPromptEngine.crash()
