Take the age of target weights from peers that observed it

Cause: the store doesn't say how old a target is, and a restarted instance has nobody whom it asks.

Why the change works: for a minute, digests carry the ages of the targets that an instance has watched being set, at most 8; without such a target nothing is sent. Each date is a moment before which the target wasn't set, so the latest one is the nearest. An age that was taken over, or is assumed, isn't told on. A datagram that waited while its receiver was frozen would make a target too young: the earliest moment of a peer's datagrams counts, once two are 200 ms apart. A moment later than the one at which the instance learned of the target is ignored: a store restored from an older copy shows a target being set again. Targets before the newest one are dated as well, so that two targets in a row have their own ages after a restart.

Measured: with the handler of the ages switched off, 4 of the 10 tests of TargetWeightsAgeTest fail (peers' age taken over, target before the newest one, latest of 6 and of 60 peers); with it all 10 pass. The two tests of queued datagrams and of the restored store also pass with it switched off; they guard the ways in which taking over could do harm. FleetDirectoryTest 10, EndpointTrackerTest 15, DigestCodecTest 3, DigestTrafficTest 2, LayersTest 2: pass. No fleet of whole instances was run.

--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -324,6 +324,7 @@
         windowTotals = if (withWindowTotals && hasRunForRateWindow()) rateLimiter.windowTotals() else null,
         crashNews = quarantine.news(),
         limits = tracker.limitReports(),
+        targets = directory.observedTargetAges(),
     )
 
     private fun onDatagram(datagram: PeerDatagram) {
@@ -338,6 +339,7 @@
         if (result !is PeerDigests.AcceptResult.Updated) return
         rateLimiter.onDigest(digest, result.previous)
         tracker.onDigest(digest)
+        directory.onTargetAges(digest.instance, digest.targets)
         digest.crashNews?.let(quarantine::onNews)
     }
 
--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetDirectory.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetDirectory.kt
@@ -13,7 +13,10 @@
 import lacewingweir.state.fleet.EndpointEntry
 import lacewingweir.state.fleet.FleetConfig
 import lacewingweir.state.fleet.PeerEntry
+import lacewingweir.state.fleet.TargetAge
 import lacewingweir.state.id.CustomerId
+import lacewingweir.state.id.ModelName
+import lacewingweir.state.id.WeightsNumber
 import lacewingweir.state.time.ClockReading
 import lacewingweir.state.time.SuspendAwareClock
 import java.util.concurrent.atomic.AtomicReference
@@ -79,6 +82,19 @@
         publish()
     }
 
+    /** Returns the ages of recent targets that this instance has observed itself. */
+    fun observedTargetAges(): List<TargetAge> = targetDates.observedAges()
+
+    /** Takes over the ages of targets that [peer] has observed. */
+    fun onTargetAges(
+        peer: String,
+        ages: List<TargetAge>,
+    ) {
+        val changed = ages.filter { targetDates.onTold(peer, it) }
+        for ((model, weights) in changed) logTarget("dated", model, WeightsNumber(weights), source = peer)
+        if (changed.isNotEmpty()) publish()
+    }
+
     override fun onContactRestored() {
         contactRestoredAt = clock.now()
     }
@@ -143,10 +159,17 @@
         if (known != null && known >= update.weights) return
         val knownAt = proof.moment
         targetDates.add(update.model, update.weights, knownAt)
-        logger.info {
-            "directory: target weights set model=${update.model} weights=${update.weights} " +
-                "age=${targetDates.ageMillis(update.model)} source=${if (knownAt == null) "assumed" else "watched"}"
-        }
+        logTarget("set", update.model, update.weights, source = if (knownAt == null) "assumed" else "watched")
+    }
+
+    private fun logTarget(
+        event: String,
+        model: ModelName,
+        weights: WeightsNumber,
+        source: String,
+    ) = logger.info {
+        "directory: target weights $event model=$model weights=$weights " +
+            "age=${targetDates.ageMillis(model, weights)} source=$source"
     }
 
     private fun itemRemoved(key: String) {
--- a/src/main/kotlin/lacewingweir/coordination/fleet/TargetDates.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/TargetDates.kt
@@ -4,30 +4,18 @@
  * The store doesn't record when an item was written, and engines with outdated weights may serve for a limited time
  * after it. An instance that counts this time from when it learned of a target allows too much if it learned late,
  * because it was frozen, cut off or has just started. Each date is therefore a moment before which the target was
- * certainly not set, so that outdated weights are at most used for too short a time.
+ * certainly not set, so that outdated weights are at most used for too short a time. Of several such moments, those of
+ * this instance and of its peers, the latest is the best one.
  */
 package lacewingweir.coordination.fleet
 
+import lacewingweir.state.fleet.TargetAge
 import lacewingweir.state.id.ModelName
 import lacewingweir.state.id.WeightsNumber
 import lacewingweir.state.time.ClockReading
 import lacewingweir.state.time.SuspendAwareClock
 import java.util.TreeMap
 
-/**
- * What is known about the moment at which a target was set.
- *
- * [watchedAfter] is the last moment at which this instance knew every item of the store, before it learned of the
- * target, or null if it found the target when it started. It then has an [assumed] moment.
- */
-private class TargetDate(
-    val watchedAfter: ClockReading?,
-    var assumed: ClockReading,
-) {
-    val moment: ClockReading
-        get() = watchedAfter ?: assumed
-}
-
 internal class TargetDates(
     private val clock: SuspendAwareClock,
 ) {
@@ -44,9 +32,18 @@
         model: ModelName,
         weights: WeightsNumber,
         knownAt: ClockReading?,
+    ) {
+        val now = clock.now()
+        addDate(model, weights, TargetDate(clock, now, knownAt, assumed = now.plus(-ASSUMED_AGE_MILLIS)))
+    }
+
+    private fun addDate(
+        model: ModelName,
+        weights: WeightsNumber,
+        date: TargetDate,
     ) {
         val dates = byModel.getOrPut(model) { TreeMap() }
-        dates[weights] = TargetDate(knownAt, assumed = clock.now().plus(-ASSUMED_AGE_MILLIS))
+        dates[weights] = date
         if (dates.size > MAX_DATES) dates.pollFirstEntry()
     }
 
@@ -55,12 +52,46 @@
         byModel[model]?.lastEntry()?.value?.assumed = clock.now().plus(-LONG_AGO_MILLIS)
     }
 
-    /** Returns the milliseconds since the newest target of [model] was set, at most. */
-    fun ageMillis(model: ModelName): Long? = byModel[model]?.lastEntry()?.let { clock.ageMillis(it.value.moment) }
+    /**
+     * Takes over the age of a target that [peer] has told. Returns whether this changes its date.
+     *
+     * It may be a target that was followed by another one before this instance started. Targets that the store hasn't
+     * shown yet are ignored; the peer tells them again.
+     */
+    fun onTold(
+        peer: String,
+        age: TargetAge,
+    ): Boolean {
+        val weights = WeightsNumber(age.weights)
+        val dates = byModel[age.model] ?: return false
+        val next = dates.ceilingEntry(weights) ?: return false
+        if (next.key != weights) addDate(age.model, weights, TargetDate(clock, next.value.learnedAt))
+        return dates[weights]?.onTold(peer, age.ageMillis) ?: false
+    }
+
+    /** Returns the youngest targets whose age this instance has observed itself, for its peers. */
+    fun observedAges(): List<TargetAge> =
+        byModel
+            .flatMap { (model, dates) ->
+                dates.mapNotNull { (weights, date) ->
+                    date.watchedAfter?.let { TargetAge(model, weights.value, clock.ageMillis(it)) }
+                }
+            }.filter { it.ageMillis < MAX_TOLD_AGE_MILLIS }
+            .sortedBy { it.ageMillis }
+            .take(MAX_TOLD)
+
+    /** Returns how long ago the target was set at most, or null if it is unknown. */
+    fun ageMillis(
+        model: ModelName,
+        weights: WeightsNumber,
+    ): Long? = byModel[model]?.get(weights)?.moment?.let(clock::ageMillis)
 
     fun targets(): Map<ModelName, WeightsTarget> =
         byModel.mapValues { (_, dates) ->
-            WeightsTarget(dates.lastKey(), dates.map { (weights, date) -> weights to date.moment })
+            WeightsTarget(
+                dates.lastKey(),
+                dates.mapNotNull { (weights, date) -> date.moment?.let { weights to it } },
+            )
         }
 
     private companion object {
@@ -76,5 +107,11 @@
 
         /** Exceeds the number of targets set within the time for which an engine may remain outdated. */
         const val MAX_DATES: Int = 64
+
+        /** Exceeds the limit for outdated weights by far; older targets need no exact date. */
+        const val MAX_TOLD_AGE_MILLIS: Long = 60_000
+
+        /** Bounds the digests while targets are set in quick succession. */
+        const val MAX_TOLD: Int = 8
     }
 }
--- a/src/main/kotlin/lacewingweir/coordination/gossip/InstanceDigest.kt
+++ b/src/main/kotlin/lacewingweir/coordination/gossip/InstanceDigest.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborLabel
 import lacewingweir.state.crash.EndpointCrash
+import lacewingweir.state.fleet.TargetAge
 import lacewingweir.state.id.EndpointTag
 import lacewingweir.state.id.SuspectId
 
@@ -65,6 +66,7 @@
  * @property limits limits of requests that are in force or have ended recently
  * @property crashNews what the instance has recently learned of calls that crash endpoints, in case the
  *   datagram that reported it at once was lost; null if there is nothing
+ * @property targets ages of recent target weights that the instance has observed
  */
 @Serializable
 internal data class InstanceDigest(
@@ -79,6 +81,7 @@
     @CborLabel(9) val windowTotals: Map<String, Long>? = null,
     @CborLabel(10) val crashNews: CrashNews? = null,
     @CborLabel(11) val limits: List<EndpointLimit> = emptyList(),
+    @CborLabel(12) val targets: List<TargetAge> = emptyList(),
 ) {
     /** How long the digest describes its instance if no later one arrives. */
     val validityMillis: Long
--- a/src/test/kotlin/lacewingweir/coordination/fleet/TargetWeightsAgeTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/fleet/TargetWeightsAgeTest.kt
@@ -10,12 +10,20 @@
 import lacewingweir.coordination.store.StoreResult
 import lacewingweir.coordination.store.StoreTransaction
 import lacewingweir.coordination.store.WatchResult
+import lacewingweir.state.fleet.TargetAge
 import lacewingweir.state.id.ModelName
 import lacewingweir.state.id.WeightsNumber
 import lacewingweir.state.time.SuspendAwareClock
 import lacewingweir.testing.ManualTimers
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isIn
 import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNotNull
 
@@ -110,10 +118,112 @@
         expectThat(outdatedSince(2)).isNotNull().isLessThanOrEqualTo(setAt)
     }
 
+    private fun tell(
+        peer: String,
+        weights: Int,
+        setAt: Long,
+    ) = directory.onTargetAges(peer, listOf(TargetAge(MODEL, weights.toLong(), timers.nowMillis() - setAt)))
+
+    @Test
+    fun `a restarted instance takes the age of new weights from its peers`() {
+        val setAt = timers.nowMillis()
+        timers.advance(6_000)
+        mirror(listOf(item(3)))
+        tell("peer", weights = 3, setAt)
+        timers.advance(250)
+        tell("peer", weights = 3, setAt)
+        expectThat(outdatedSince(2)).isNotNull().isIn(setAt - ALLOWANCE_MILLIS..setAt)
+    }
+
+    @Test
+    fun `a restarted instance takes the age of a target before the newest one from its peers`() {
+        val setAt = timers.nowMillis()
+        timers.advance(6_000)
+        mirror(listOf(item(3)))
+        repeat(2) {
+            tell("peer", weights = 2, setAt)
+            tell("peer", weights = 3, setAt + 5_000)
+            timers.advance(250)
+        }
+        expectThat(outdatedSince(1)).isNotNull().isIn(setAt - ALLOWANCE_MILLIS..setAt)
+        expectThat(outdatedSince(2)).isNotNull().isIn(setAt + 5_000 - ALLOWANCE_MILLIS..setAt + 5_000)
+        expectThat(directory.snapshot.weights[MODEL]?.weights).isEqualTo(WeightsNumber(3))
+    }
+
+    /** Each instance knows a moment before which the weights weren't set, so the latest one is the nearest. */
+    @ParameterizedTest
+    @ValueSource(ints = [6, 60])
+    fun `the latest of the moments that peers have observed counts`(peers: Int) {
+        val setAt = timers.nowMillis() + 2_000
+        timers.advance(3_000)
+        mirror(listOf(item(3)))
+        repeat(2) {
+            repeat(peers) { peer -> tell("peer-$peer", weights = 3, setAt - 10L * (peer + 1)) }
+            timers.advance(250)
+        }
+        expectThat(outdatedSince(2)).isNotNull().isIn(setAt - 10 - ALLOWANCE_MILLIS..setAt)
+    }
+
+    /** Guards against ages that have become too low while their datagrams waited for a frozen instance. */
+    @Test
+    fun `ages that waited while the instance was frozen never make new weights younger`() {
+        var setAt = 0L
+        mirror(
+            listOf(item(2)),
+            {
+                timers.advance(400)
+                setAt = timers.nowMillis()
+                timers.advance(3_700)
+                WatchResult.Changes(listOf(change(3)), 8)
+            },
+        )
+        repeat(3) { queued ->
+            directory.onTargetAges("peer", listOf(TargetAge(MODEL, 3, 250L * queued)))
+            expectThat(outdatedSince(2)).isNotNull().isLessThanOrEqualTo(setAt)
+        }
+        timers.advance(250)
+        tell("peer", weights = 3, setAt)
+        expectThat(outdatedSince(2)).isNotNull().isLessThanOrEqualTo(setAt)
+    }
+
+    /** An instance that starts while the store lacks its latest items sees a target being set that was set before. */
+    @Test
+    fun `a peer that saw weights set once more by a restored store doesn't make them younger`() {
+        mirror(listOf(item(2)), { WatchResult.Changes(listOf(change(3)), 8) })
+        val known = outdatedSince(2)
+        timers.advance(5_000)
+        val setAgainAt = timers.nowMillis()
+        repeat(2) {
+            timers.advance(250)
+            tell("peer", weights = 3, setAgainAt)
+        }
+        expectThat(outdatedSince(2)).isEqualTo(known)
+    }
+
+    @Test
+    fun `only observed ages are told, and only for a minute`() {
+        mirror(listOf(item(2)))
+        expectThat(directory.observedTargetAges()).isEmpty()
+        directory.onChanged(listOf(change(3)))
+        expectThat(directory.observedTargetAges()).containsExactly(TargetAge(MODEL, 3, 0))
+        timers.advance(60_000)
+        expectThat(directory.observedTargetAges()).isEmpty()
+    }
+
+    @Test
+    fun `few ages are told while targets follow each other`() {
+        mirror(listOf(item(1)))
+        repeat(30) { directory.onChanged(listOf(change(it + 2))) }
+        expectThat(directory.observedTargetAges()).hasSize(8)
+    }
+
     private companion object {
         val MODEL = ModelName("m")
         const val TARGET_KEY = "weights"
         const val WAIT_MILLIS = 1_500L
+
+        /** The time that a datagram may take. */
+        const val ALLOWANCE_MILLIS = 50L
         const val END = "end of the script"
     }
 }
