--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -73,7 +73,7 @@
     private val store = PlatformStore(HttpClient(group, defaultIdleTimeoutMillis = STORE_IDLE_MILLIS), storeAddress)
     private val endpointClient = HttpClient(group, defaultIdleTimeoutMillis = ENDPOINT_IDLE_MILLIS)
     private val proof = StoreContactProof(ageClock)
-    private val directory = FleetDirectory(PlatformItemCodec::decode, ageClock, timers)
+    private val directory = FleetDirectory(PlatformItemCodec::decode, ageClock, timers, proof)
     private val mirror = StoreMirror(store, ALL_KEYS_PREFIX, WATCH_WAIT_MILLIS, ageClock, proof, directory)
     private val peerDigests = PeerDigests(settings.name, clock)
     private val rateWindowMillis = (bounds.rateWindowSeconds * MILLIS_PER_SECOND).toLong()
@@ -324,6 +324,7 @@
         windowTotals = if (withWindowTotals && hasRunForRateWindow()) rateLimiter.windowTotals() else null,
         crashNews = quarantine.news(),
         limits = tracker.limitReports(),
+        targets = directory.observedTargetAges(),
     )
 
     private fun onDatagram(datagram: PeerDatagram) {
@@ -338,6 +339,7 @@
         if (result !is PeerDigests.AcceptResult.Updated) return
         rateLimiter.onDigest(digest, result.previous)
         tracker.onDigest(digest)
+        directory.onTargetAges(digest.instance, digest.targets)
         digest.crashNews?.let(quarantine::onNews)
     }
 
