Log the age of outdated weights when calls are sent and begin

- `relay: ... sent` has `outdatedMs`, the age of the engine's outdated weights as this instance knows it, or 0.
- `relay: ... begun on outdated weights` tells of the first event of such a call, with the age at that moment.
- `admission:` counts the calls sent on outdated weights, and those refused because engines would accept them, but their weights were outdated for too long.

No decision changes.

--- a/src/main/kotlin/lacewingweir/cli/router/AdmissionReporter.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/AdmissionReporter.kt
@@ -4,19 +4,21 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import lacewingweir.coordination.crash.QuarantineFigures
 import lacewingweir.coordination.placement.LimitFigures
+import lacewingweir.coordination.placement.OutdatedWeightsFigures
 import lacewingweir.coordination.stream.StreamFigures
 import lacewingweir.coordination.time.TimerService
 
 private val logger = KotlinLogging.logger {}
 
 /**
- * What an instance has kept away from endpoints because it would crash them, because of limits, or because a stream
- * could not go on.
+ * What an instance has kept away from endpoints because it would crash them, because of limits, because a stream
+ * could not go on, or because the weights of engines were outdated.
  */
 internal data class AdmissionFigures(
     val quarantine: QuarantineFigures,
     val limits: LimitFigures,
     val streams: StreamFigures,
+    val outdated: OutdatedWeightsFigures,
 )
 
 internal class AdmissionReporter(
@@ -33,8 +35,8 @@
         val current = figures()
         if (current != reported) {
             logger.info {
-                val (quarantine, limits, streams) = current
-                val (quarantineBefore, limitsBefore, streamsBefore) = reported
+                val (quarantine, limits, streams, outdated) = current
+                val (quarantineBefore, limitsBefore, streamsBefore, outdatedBefore) = reported
                 "admission: blockedParts=${quarantine.blockedParts} blockedRequests=${quarantine.blockedRequests} " +
                     "requestsOnTrial=${quarantine.requestsOnTrial} " +
                     "blockedCalls=${quarantine.blockedCalls - quarantineBefore.blockedCalls} " +
@@ -45,7 +47,9 @@
                     "limitedCalls=${limits.refusals - limitsBefore.refusals} " +
                     "streamsContinued=${streams.continued - streamsBefore.continued} " +
                     "streamsRefused=${streams.refused - streamsBefore.refused} " +
-                    "streamQuestions=${streams.asked - streamsBefore.asked}"
+                    "streamQuestions=${streams.asked - streamsBefore.asked} " +
+                    "outdatedSends=${outdated.sends - outdatedBefore.sends} " +
+                    "outdatedRefusals=${outdated.refusals - outdatedBefore.refusals}"
             }
         }
         reported = current
--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -193,7 +193,12 @@
         }
     private val admissionReporter =
         AdmissionReporter(timers) {
-            AdmissionFigures(quarantine.figures, tracker.limitFigures(), streamVersions.figures)
+            AdmissionFigures(
+                quarantine.figures,
+                tracker.limitFigures(),
+                streamVersions.figures,
+                tracker.outdatedWeightsFigures(),
+            )
         }
     private val readinessServer = createServer(settings.readinessListen, ::answerReadiness)
 
--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointReservation.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointReservation.kt
@@ -52,13 +52,23 @@
     private val phase = AtomicInteger(WAITING)
     val endpoint: EndpointEntry = state.entry
     val weights: WeightsNumber? = state.weights()
+    internal val model = choice.model
 
     /** Salt of the prefix hashes. Requests share cached prompt parts only under equal salts. */
     val salt: String = cacheSalt(weights, cacheIsolation)
 
-    /** Records that the first event of the answer arrived, so the prefill of the prompt is complete. */
-    fun onFirstEvent() {
-        if (phase.compareAndSet(WAITING, ANSWERING)) tracker.onFirstEvent(this)
+    /** How long [weights] have been outdated by now, or zero if they are not. */
+    val outdatedMillis: Long
+        get() = tracker.outdatedMillis(this)
+
+    /**
+     * Records that the first event of the answer arrived, so the prefill of the prompt is complete. Returns false if
+     * this was recorded before, or if the reservation has ended.
+     */
+    fun onFirstEvent(): Boolean {
+        val first = phase.compareAndSet(WAITING, ANSWERING)
+        if (first) tracker.onFirstEvent(this)
+        return first
     }
 
     fun recordWeights(weights: WeightsNumber) = tracker.recordWeights(state, weights)
--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
@@ -9,6 +9,7 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import lacewingweir.coordination.fleet.FleetSnapshot
+import lacewingweir.coordination.fleet.WeightsTarget
 import lacewingweir.coordination.gossip.EndpointLimit
 import lacewingweir.coordination.gossip.EndpointLoad
 import lacewingweir.coordination.gossip.EngineReport
@@ -20,6 +21,7 @@
 import lacewingweir.state.id.EndpointId
 import lacewingweir.state.id.EndpointTag
 import lacewingweir.state.id.FailureDomain
+import lacewingweir.state.id.ModelName
 import lacewingweir.state.id.ServiceName
 import lacewingweir.state.id.SoftwareVersion
 import lacewingweir.state.id.WeightsNumber
@@ -36,6 +38,15 @@
     val refusals: Long,
 )
 
+/**
+ * The number of requests placed on engines with outdated weights, and of those refused because the weights of all
+ * engines that would accept them were outdated for too long.
+ */
+internal data class OutdatedWeightsFigures(
+    val sends: Long,
+    val refusals: Long,
+)
+
 /** [limitShare] returns the requests per second of this instance at an endpoint that accepts `perSecond` from all. */
 internal class EndpointTracker(
     private val clock: MonotonicClock,
@@ -56,6 +67,9 @@
     private var limitedSends = 0L
     private var limitRefusals = 0L
 
+    private var outdatedSends = 0L
+    private var outdatedRefusals = 0L
+
     private var fleet: FleetSnapshot? = null
 
     /**
@@ -270,6 +284,7 @@
             memoryTokens = from.memoryTokens,
             prefilled = from.prefilled,
             cacheIsolation = from.cacheIsolation,
+            model = from.model,
         ),
     )
 
@@ -289,6 +304,7 @@
             state.takeRequest(clock.nowMillis(), limitShare)
             limitedSends++
         }
+        if (targetOf(choice.model)?.outdatedSince(state.weights()) != null) outdatedSends++
         state.running++
         state.backlogTokens += choice.uncachedTokens
         state.memoryTokens += choice.memoryTokens
@@ -297,6 +313,24 @@
         return EndpointReservation(this, choice, measuresPrefillSpeed = onlyRequest, placedAtMillis = clock.nowMillis())
     }
 
+    private fun targetOf(model: ModelName?): WeightsTarget? = model?.let { fleet?.weights?.get(it) }
+
+    @Synchronized
+    internal fun outdatedMillis(reservation: EndpointReservation): Long =
+        weightsAgePolicy.outdatedMillis(reservation.weights, targetOf(reservation.model))
+
+    /** Records that a request was refused because [place] found no endpoint for it. */
+    @Synchronized
+    fun onRefused(request: PlacementRequest) {
+        val target = targetOf(request.prompt?.model) ?: return
+        val now = clock.nowMillis()
+        val accepting = usableStates(request).filter { it.acceptsPrompts(now) }
+        if (accepting.any { target.outdatedSince(it.weights()) != null }) outdatedRefusals++
+    }
+
+    @Synchronized
+    fun outdatedWeightsFigures() = OutdatedWeightsFigures(outdatedSends, outdatedRefusals)
+
     @Synchronized
     internal fun onFirstEvent(reservation: EndpointReservation) {
         val state = reservation.state
--- a/src/main/kotlin/lacewingweir/coordination/placement/EngineChooser.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EngineChooser.kt
@@ -10,6 +10,7 @@
 import lacewingweir.state.fleet.EngineSpec
 import lacewingweir.state.fleet.Prompt
 import lacewingweir.state.id.FailureDomain
+import lacewingweir.state.id.ModelName
 import lacewingweir.state.id.ServiceName
 import lacewingweir.state.id.WeightsNumber
 import lacewingweir.state.placement.EngineView
@@ -21,7 +22,8 @@
 
 /**
  * A chosen endpoint and the load to reserve there: [uncachedTokens] wait for prefill, and [memoryTokens] of KV cache
- * memory are used. [cacheSource] is the engine from which it should copy the cached prompt parts that it lacks.
+ * memory are used. [cacheSource] is the engine from which it should copy the cached prompt parts that it lacks. [model] is null
+ * for requests without a prompt.
  */
 internal class EndpointChoice(
     val state: EndpointState,
@@ -32,6 +34,7 @@
     val prefillSpeed: PrefillSpeed? = null,
     val cacheIsolation: String? = null,
     val cacheSource: EndpointEntry? = null,
+    val model: ModelName? = null,
 )
 
 internal class EngineChooser(
@@ -88,6 +91,7 @@
                 bestCacheSource(state, cached)
                     ?.takeIf { cached.getValue(it) > cached.getValue(state) }
                     ?.entry,
+            model = prompt.model,
         )
     }
 
--- a/src/main/kotlin/lacewingweir/coordination/placement/WeightsAgePolicy.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/WeightsAgePolicy.kt
@@ -34,7 +34,8 @@
             else -> OUTDATED_MILLIS
         }
 
-    private fun outdatedMillis(
+    /** Returns for how long the weights have been outdated, or zero if they are not. */
+    fun outdatedMillis(
         weights: WeightsNumber?,
         target: WeightsTarget?,
     ): Long = target?.outdatedSince(weights)?.let(clock::ageMillis) ?: 0
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -209,6 +209,7 @@
                 return null
             }
             if (clock.nowMillis() >= waitUntil) {
+                tracker.onRefused(request.withoutExclusions())
                 state.refuseOrFail(RelayRefusal.NO_ENDPOINT, limits().noEndpointRetryMillis)
                 return null
             }
@@ -285,7 +286,8 @@
         logger.info {
             "relay: id=${state.call.id} sent to=${reservation.endpoint.id} try=${state.sends} leftMs=$timeoutMillis " +
                 "expectedMs=${reservation.expectedMillis.toLong()} missed=${reservation.uncachedTokens.toLong()} " +
-                "weights=${reservation.weights} fetch=${reservation.cacheSource?.id} continues=${cacheCopy?.handle} " +
+                "weights=${reservation.weights} outdatedMs=${reservation.outdatedMillis} " +
+                "fetch=${reservation.cacheSource?.id} continues=${cacheCopy?.handle} " +
                 "software=${reservation.endpoint.software} after=${outbound.resumeAfter} resumes=${state.call.resumes}"
         }
         try {
--- a/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
@@ -1,5 +1,6 @@
 package lacewingweir.transport.relay
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import lacewingweir.coordination.placement.EndpointReservation
 import lacewingweir.coordination.placement.ReservationOutcome
 import lacewingweir.coordination.stream.StreamVersions
@@ -11,6 +12,8 @@
 import lacewingweir.transport.http.ServerExchange
 import lacewingweir.transport.http.readAll
 
+private val logger = KotlinLogging.logger {}
+
 /** Sends calls to endpoints and relays their responses to the callers. */
 internal class EndpointSender(
     private val http: HttpClient,
@@ -79,7 +82,20 @@
         return if (head.success && head.eventStream) {
             relayEvents(outbound, response, head, reservation, exchange, progress)
         } else {
-            relayComplete(response, head, reservation, exchange)
+            relayComplete(outbound, response, head, reservation, exchange)
+        }
+    }
+
+    private fun onFirstEvent(
+        outbound: OutboundCall,
+        reservation: EndpointReservation,
+    ) {
+        if (!reservation.onFirstEvent()) return
+        val outdatedMillis = reservation.outdatedMillis
+        if (outdatedMillis == 0L) return
+        logger.info {
+            "relay: id=${outbound.call.id} begun on outdated weights at=${outbound.endpoint.id} " +
+                "weights=${reservation.weights} outdatedMs=$outdatedMillis continues=${outbound.cacheCopy?.handle}"
         }
     }
 
@@ -97,6 +113,7 @@
     }
 
     private suspend fun relayComplete(
+        outbound: OutboundCall,
         response: ClientResponse,
         head: ResponseHead,
         reservation: EndpointReservation,
@@ -107,7 +124,7 @@
                 response.readAll(MAX_RESPONSE_BYTES, BODY_IDLE_TIMEOUT_MILLIS, buffered::tryAdd)
                     ?: return brokenAfterHead("incomplete or too large response")
             if (!head.success) return SendOutcome.ErrorResponse(head, body)
-            reservation.onFirstEvent()
+            onFirstEvent(outbound, reservation)
             exchange.respond(head.status, head.headers, body)
             return SendOutcome.Delivered(head.status)
         }
@@ -141,7 +158,7 @@
         private var takenOver = false
 
         fun onEvent(progress: StreamProgress) {
-            reservation.onFirstEvent()
+            onFirstEvent(outbound, reservation)
             if (progress.origin == null) {
                 val endpoint = outbound.endpoint
                 progress.origin = StreamOrigin(endpoint.service, endpoint.software)
