List tests of calls that begin on outdated weights after the bound

Calls that wait in the queue of an engine while the bound for its outdated weights passes: a resumable stream, one that may not run twice, one without repeat budget, one sent before the newer weights were set, and the repeat of a call whose engine broke off. And a prompt placed behind a queue that is longer than the time left to the bound.

--- a/src/test/kotlin/lacewingweir/platform/RelayFixture.kt
+++ b/src/test/kotlin/lacewingweir/platform/RelayFixture.kt
@@ -35,6 +35,9 @@
 /** A relay and endpoints on loopback. Each test defines the responses of its endpoints. */
 internal class RelayFixture(
     repeatExtra: Double = 50.0,
+    weightsLimitMillis: Long = 8_000,
+    private val routeTimeoutMillis: Long = 2_000,
+    private val resumable: Boolean = true,
 ) : AutoCloseable {
     class Endpoint(
         val id: String,
@@ -57,7 +60,8 @@
     private val directory = FleetDirectory(PlatformItemCodec::decode, suspendAwareClock, CoroutineTimerService(scope))
     private val clock = MonotonicClock.SYSTEM
     private val rateLimiter = FleetRateLimiter(clock, "a", 8_000, { emptySet() }, { 1 })
-    private val tracker = EndpointTracker(clock, FailureDomain("z1"), WeightsAgePolicy(suspendAwareClock) { 8_000 })
+    private val tracker =
+        EndpointTracker(clock, FailureDomain("z1"), WeightsAgePolicy(suspendAwareClock) { weightsLimitMillis })
     private val repeatBudgets = RepeatBudgets(clock, { 1 }) { RepeatBudget(10_000, ratio = 0.0, extra = repeatExtra) }
     var limits = RelayLimits(maxKeyProofAgeMillis = 4_500, placementWaitMillis = 100)
     private val handovers =
@@ -116,9 +120,9 @@
                 "non_idempotent" to "plain",
                 "stream" to "engine",
             ).joinToString(",") { (kind, service) ->
-                """{"name":"r-$kind","host":"h.example","prefix":"/$kind/","kind":"$kind","timeoutMs":2000,
+                """{"name":"r-$kind","host":"h.example","prefix":"/$kind/","kind":"$kind","timeoutMs":$routeTimeoutMillis,
                 "latencyTargetMs":500,"priority":1,"service":"$service",
-                "maxAttempts":2,"public":false,"resumable":true}"""
+                "maxAttempts":2,"public":false,"resumable":$resumable}"""
             }
         val customer = """{"name":"acme","apiKeys":[${keys.joinToString(",") { "\"$it\"" }}],"isolated":true}"""
         write(
@@ -134,6 +138,7 @@
         id: String,
         service: String = "plain",
         software: String = "v1",
+        weights: Int = 1,
         handler: suspend (ServerExchange) -> Unit,
     ): Endpoint {
         val receivedRequests = CopyOnWriteArrayList<ServerExchange>()
@@ -143,7 +148,11 @@
                 handler(it)
             }.start()
         servers += server
-        return Endpoint(id, receivedRequests, server).also { register(it, service, software = software) }
+        return Endpoint(
+            id,
+            receivedRequests,
+            server,
+        ).also { register(it, service, software = software, weights = weights) }
     }
 
     /** Writes the item of [endpoint] to the store. */
@@ -152,8 +161,9 @@
         service: String,
         state: String = "ready",
         software: String = "v1",
+        weights: Int = 1,
     ) {
-        val models = if (service == "engine") ""","models":[{"name":"m","version":1,"adapters":[]}]""" else ""
+        val models = if (service == "engine") ""","models":[{"name":"m","version":$weights,"adapters":[]}]""" else ""
         write(
             "servers/${endpoint.id}",
             """{"service":"$service","address":"127.0.0.1:${endpoint.server.port}","zone":"z1","version":"$software","slots":4,
@@ -161,6 +171,8 @@
         )
     }
 
+    fun setTargetWeights(weights: Int) = write("op/version/m", """{"model":"m","version":$weights}""")
+
     /** Writes the item of an engine that listens at [port] to the store. */
     fun registerEngine(
         id: String,
