Keep in the store when target weights were set, for when all instances end at once

Cause: the age of a target lives in the memory of instances only.

Why the change works: the instance that holds the rollout lease writes each target that it has watched being set once into an item of our own, with the wall-clock moment after which it was set; others write it after 1 to 4 s if it is still missing (the holder failed, the store was restored from an older copy). An instance that has just started dates targets by the item, less 500 ms for the difference between two machines' clocks. A moment that lies further ahead is ignored, and logged. What the instance or its peers have observed goes before it, and it goes before what is assumed. One write for each target.

--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -16,6 +16,7 @@
 import lacewingweir.coordination.fleet.LeasedInstanceRegistration
 import lacewingweir.coordination.fleet.StoreContactProof
 import lacewingweir.coordination.fleet.StoreMirror
+import lacewingweir.coordination.fleet.TargetMomentsWriter
 import lacewingweir.coordination.gossip.DigestSender
 import lacewingweir.coordination.gossip.EngineReport
 import lacewingweir.coordination.gossip.FleetRateLimiter
@@ -158,6 +159,16 @@
             ageClock,
             { digestSender.reportEngines(it) },
         )
+    private val targetMomentsWriter =
+        TargetMomentsWriter(
+            store,
+            timers,
+            PlatformKeys.TARGET_MOMENTS,
+            PlatformItemCodec::encodeTargetMoments,
+            stored = { directory.snapshot.targetMoments },
+            observed = directory::observedTargetMoments,
+            holdsLease = { lease.fencingToken() != null },
+        )
     private val digestSender: DigestSender =
         DigestSender(
             settings.name,
@@ -215,6 +226,7 @@
         scope.launch { registration.start() }
         digestSender.start()
         blockListWriter.start()
+        targetMomentsWriter.start()
         streamVersions.start(timers)
         timers.every("hot customers", HOT_CUSTOMERS_PERIOD_MILLIS) { storeHotCustomers() }
         rollout.start()
--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetDirectory.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetDirectory.kt
@@ -14,6 +14,7 @@
 import lacewingweir.state.fleet.FleetConfig
 import lacewingweir.state.fleet.PeerEntry
 import lacewingweir.state.fleet.TargetAge
+import lacewingweir.state.fleet.TargetMoment
 import lacewingweir.state.id.CustomerId
 import lacewingweir.state.id.ModelName
 import lacewingweir.state.id.WeightsNumber
@@ -44,6 +45,8 @@
     private var hotCustomers: Set<CustomerId> = emptySet()
     private var blockListKey: String? = null
     private var blockList = StoredBlockList()
+    private var targetMomentsKey: String? = null
+    private var targetMoments = StoredTargetMoments()
     private var contactRestoredAt: ClockReading? = null
     private var initialListingApplied = false
 
@@ -60,7 +63,9 @@
         val absent = (endpointsByKey.keys + peersByKey.keys + setOfNotNull(leaderKey)).filter { it !in present }
         absent.forEach(::itemRemoved)
         if (blockListKey !in present) blockList = StoredBlockList(removals = blockList.removals)
+        if (targetMomentsKey !in present) targetMoments = StoredTargetMoments()
         changes.forEach(::apply)
+        applyTargetMoments()
         if (!initialListingApplied) backdateLoadedTargets()
         initialListingApplied = true
         publish()
@@ -79,12 +84,19 @@
 
     override fun onChanged(changes: List<StoreChange>) {
         changes.forEach(::apply)
+        applyTargetMoments()
         publish()
     }
 
     /** Returns the ages of recent targets that this instance has observed itself. */
     fun observedTargetAges(): List<TargetAge> = targetDates.observedAges()
 
+    /** Returns the moments of recent targets that this instance has observed itself. */
+    fun observedTargetMoments(): List<TargetMoment> {
+        val now = clock.now().wallMillis
+        return observedTargetAges().map { TargetMoment(it.model, WeightsNumber(it.weights), now - it.ageMillis) }
+    }
+
     /** Takes over the ages of targets that [peer] has observed. */
     fun onTargetAges(
         peer: String,
@@ -103,6 +115,7 @@
         if (change.revision <= (revisions[change.key] ?: 0)) return
         revisions[change.key] = change.revision
         if (change.value == null) {
+            if (change.key == targetMomentsKey) targetMoments = StoredTargetMoments()
             if (change.key == blockListKey) blockList = StoredBlockList(removals = blockList.removals + 1)
             itemRemoved(change.key)
         } else {
@@ -129,6 +142,10 @@
                 blockListKey = key
                 blockList = blockList.copy(ids = update.ids, revision = revisions.getValue(key))
             }
+            is FleetUpdate.TargetMoments -> {
+                targetMomentsKey = key
+                targetMoments = StoredTargetMoments(update.moments, revisions.getValue(key))
+            }
             is FleetUpdate.Unreadable -> {
                 logger.warn { "directory: unreadable item key=$key reason=${update.reason}" }
                 endpointsByKey.remove(key)
@@ -162,6 +179,13 @@
         logTarget("set", update.model, update.weights, source = if (knownAt == null) "assumed" else "watched")
     }
 
+    /** Dates targets by the item of the store, whose order with respect to the targets themselves is arbitrary. */
+    private fun applyTargetMoments() {
+        for (target in targetMoments.moments) {
+            if (targetDates.onStored(target)) logTarget("dated", target.model, target.weights, source = "store")
+        }
+    }
+
     private fun logTarget(
         event: String,
         model: ModelName,
@@ -206,6 +230,7 @@
                 leaderKey != null,
                 hotCustomers,
                 blockList,
+                targetMoments,
             )
         current.set(next)
         observers.forEach { it(next) }
--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetSnapshot.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetSnapshot.kt
@@ -4,6 +4,7 @@
 import lacewingweir.state.fleet.EngineSpec
 import lacewingweir.state.fleet.FleetConfig
 import lacewingweir.state.fleet.PeerEntry
+import lacewingweir.state.fleet.TargetMoment
 import lacewingweir.state.id.CustomerId
 import lacewingweir.state.id.EndpointId
 import lacewingweir.state.id.ModelName
@@ -48,6 +49,12 @@
     val removals: Int = 0,
 )
 
+/** The moments of targets according to the store. [revision] is that of their item, or zero if there is none. */
+internal data class StoredTargetMoments(
+    val moments: List<TargetMoment> = emptyList(),
+    val revision: Long = 0,
+)
+
 /** An immutable snapshot of the state of the fleet. [config] is null until the first configuration was read. */
 internal class FleetSnapshot(
     val config: FleetConfig?,
@@ -57,6 +64,7 @@
     val rolloutLeaderPresent: Boolean,
     val hotCustomers: Set<CustomerId>,
     val blockList: StoredBlockList = StoredBlockList(),
+    val targetMoments: StoredTargetMoments = StoredTargetMoments(),
 ) {
     private val byService: Map<ServiceName, List<EndpointEntry>> = endpoints.values.groupBy { it.service }
 
--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetUpdate.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetUpdate.kt
@@ -4,6 +4,7 @@
 import lacewingweir.state.fleet.EndpointEntry
 import lacewingweir.state.fleet.FleetConfig
 import lacewingweir.state.fleet.PeerEntry
+import lacewingweir.state.fleet.TargetMoment
 import lacewingweir.state.id.CustomerId
 import lacewingweir.state.id.ModelName
 import lacewingweir.state.id.SuspectId
@@ -38,6 +39,11 @@
         val ids: Set<SuspectId>,
     ) : FleetUpdate
 
+    /** When target weights were set, as instances have observed it. */
+    data class TargetMoments(
+        val moments: List<TargetMoment>,
+    ) : FleetUpdate
+
     /** An instance holds the lease for coordinating the loading of weights. */
     data object RolloutLeader : FleetUpdate
 
--- a/src/main/kotlin/lacewingweir/coordination/fleet/TargetDate.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/TargetDate.kt
@@ -1,8 +1,11 @@
 package lacewingweir.coordination.fleet
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import lacewingweir.state.time.ClockReading
 import lacewingweir.state.time.SuspendAwareClock
 
+private val logger = KotlinLogging.logger {}
+
 /**
  * What is known about the moment at which a target was set.
  *
@@ -31,11 +34,13 @@
         var confirmed = false
     }
 
+    private var storedApplied = false
+    private var stored: ClockReading? = null
     private val told = HashMap<String, Told>()
 
     /** The moment from which the target counts, or null if nothing is known. */
     val moment: ClockReading?
-        get() = latestObserved() ?: assumed
+        get() = latestObserved() ?: stored ?: assumed
 
     /** A moment after [learnedAt] is wrong. A store restored from an older copy shows a target once more, for example. */
     private fun latestObserved(): ClockReading? =
@@ -57,7 +62,28 @@
         return moment != before
     }
 
+    /**
+     * Records the moment that the store has kept, on the wall clock of another machine. Returns whether this changes
+     * the moment that counts. A moment that lies ahead comes from a clock that was wrong and has no effect.
+     */
+    fun onStored(unixMillis: Long): Boolean {
+        if (storedApplied) return false
+        storedApplied = true
+        val before = moment
+        val now = clock.now()
+        val ageMillis = now.wallMillis - unixMillis + MAX_CLOCK_DIFFERENCE_MILLIS
+        if (ageMillis < 0) {
+            logger.warn { "directory: moment of target weights lies ${-ageMillis} ms ahead; ignored" }
+            return false
+        }
+        stored = now.plus(-ageMillis)
+        return moment != before
+    }
+
     private companion object {
+        /** Greatest difference between the wall clocks of two machines. */
+        const val MAX_CLOCK_DIFFERENCE_MILLIS: Long = 500
+
         /** Time that a datagram takes between instances; more only if many are queued on a link. */
         const val DELIVERY_MILLIS: Long = 50
 
--- a/src/main/kotlin/lacewingweir/coordination/fleet/TargetDates.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/TargetDates.kt
@@ -10,6 +10,7 @@
 package lacewingweir.coordination.fleet
 
 import lacewingweir.state.fleet.TargetAge
+import lacewingweir.state.fleet.TargetMoment
 import lacewingweir.state.id.ModelName
 import lacewingweir.state.id.WeightsNumber
 import lacewingweir.state.time.ClockReading
@@ -63,10 +64,22 @@
         age: TargetAge,
     ): Boolean {
         val weights = WeightsNumber(age.weights)
-        val dates = byModel[age.model] ?: return false
-        val next = dates.ceilingEntry(weights) ?: return false
-        if (next.key != weights) addDate(age.model, weights, TargetDate(clock, next.value.learnedAt))
-        return dates[weights]?.onTold(peer, age.ageMillis) ?: false
+        return dateOf(age.model, weights)?.onTold(peer, age.ageMillis) ?: false
+    }
+
+    /** Takes over the moment of a target that the store has kept. Returns whether this changes its date. */
+    fun onStored(target: TargetMoment): Boolean =
+        dateOf(target.model, target.weights)?.onStored(target.unixMillis) ?: false
+
+    /** Returns the date of a target up to the newest one of its model, or null if the store hasn't shown it yet. */
+    private fun dateOf(
+        model: ModelName,
+        weights: WeightsNumber,
+    ): TargetDate? {
+        val dates = byModel[model] ?: return null
+        val next = dates.ceilingEntry(weights) ?: return null
+        if (next.key != weights) addDate(model, weights, TargetDate(clock, next.value.learnedAt))
+        return dates[weights]
     }
 
     /** Returns the youngest targets whose age this instance has observed itself, for its peers. */
--- a/src/main/kotlin/lacewingweir/platform/PlatformItemCodec.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformItemCodec.kt
@@ -19,6 +19,7 @@
 import lacewingweir.state.fleet.RoutePolicy
 import lacewingweir.state.fleet.RouteTarget
 import lacewingweir.state.fleet.ServiceSpec
+import lacewingweir.state.fleet.TargetMoment
 import lacewingweir.state.id.CustomerId
 import lacewingweir.state.id.EndpointId
 import lacewingweir.state.id.FailureDomain
@@ -65,6 +66,7 @@
                         parseObject(value).strings("customers").mapTo(HashSet()) { CustomerId(it) },
                     )
                 key == PlatformKeys.BLOCK_LIST -> FleetUpdate.BlockList(blockList(parseObject(value)))
+                key == PlatformKeys.TARGET_MOMENTS -> FleetUpdate.TargetMoments(targetMoments(parseObject(value)))
                 key == PlatformKeys.ROLLOUT_LEASE -> FleetUpdate.RolloutLeader
                 else -> null
             }
@@ -100,6 +102,31 @@
             putJsonArray("requests") { ids.mapNotNull { it.request }.forEach { add(it.value) } }
         }.toString().encodeToByteArray()
 
+    /** Encodes the item that tells when target weights were set. */
+    fun encodeTargetMoments(moments: List<TargetMoment>): ByteArray =
+        buildJsonObject {
+            putJsonArray("targets") {
+                moments.forEach {
+                    add(
+                        buildJsonObject {
+                            put("model", JsonPrimitive(it.model.value))
+                            put("weights", JsonPrimitive(it.weights.value))
+                            put("setAfterUnixMs", JsonPrimitive(it.unixMillis))
+                        },
+                    )
+                }
+            }
+        }.toString().encodeToByteArray()
+
+    private fun targetMoments(item: JsonObject): List<TargetMoment> =
+        item.objects("targets").map {
+            TargetMoment(
+                ModelName(it.string("model")),
+                WeightsNumber(it.integer("weights")),
+                it.integer("setAfterUnixMs"),
+            )
+        }
+
     private fun blockList(item: JsonObject): Set<SuspectId> =
         item.strings("parts").mapTo(LinkedHashSet()) { SuspectId.of(PartId(it)) } +
             item.strings("requests").map { SuspectId.of(RequestFingerprint(it)) }
--- a/src/main/kotlin/lacewingweir/platform/PlatformNames.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformNames.kt
@@ -112,6 +112,9 @@
     /** Prompt parts, and also whole requests, that crash endpoints. Removing the item unblocks them. */
     const val BLOCK_LIST = "lacewingweir/blocked-parts"
 
+    /** When target weights were set, as instances have observed it. */
+    const val TARGET_MOMENTS = "lacewingweir/target-moments"
+
     /** Held by the instance that coordinates the loading of weights. */
     const val ROLLOUT_LEASE = "lacewingweir/rollout"
 }
--- a/src/test/kotlin/lacewingweir/platform/PlatformItemCodecTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/PlatformItemCodecTest.kt
@@ -2,6 +2,7 @@
 
 import lacewingweir.coordination.fleet.FleetUpdate
 import lacewingweir.state.fleet.RequestKind
+import lacewingweir.state.fleet.TargetMoment
 import lacewingweir.state.id.EndpointId
 import lacewingweir.state.id.FailureDomain
 import lacewingweir.state.id.KeyDigest
@@ -143,4 +144,12 @@
         val decoded = PlatformItemCodec.decode(PlatformKeys.BLOCK_LIST, PlatformItemCodec.encodeBlockList(ids))
         expectThat(decoded).isEqualTo(FleetUpdate.BlockList(ids))
     }
+
+    @Test
+    fun `moments of target weights are encoded and decoded`() {
+        val moments = listOf(TargetMoment(ModelName("m"), WeightsNumber(3), 1_780_000_000_000))
+        val decoded =
+            PlatformItemCodec.decode(PlatformKeys.TARGET_MOMENTS, PlatformItemCodec.encodeTargetMoments(moments))
+        expectThat(decoded).isEqualTo(FleetUpdate.TargetMoments(moments))
+    }
 }
