Test that the connection to an engine closes at the deadline of its call

The question was whether the relay closes the connection at once.

It does: sendOnce ends the send by withTimeoutOrNull, which closes the connection while it waits for the head or for the body. The test measures from the caller's request to the close at the engine, with a deadline of 300 ms and less than 700 ms allowed, and passes without a change. Reading the code leaves two explanations, neither of them measured: the time left is counted from when the instance has read the request, so a call that waits unread at a starved or starting instance gets a later deadline, also in the header that the engine's queue goes by; and the timer itself runs late on a busy event loop.

--- a/src/test/kotlin/lacewingweir/platform/PlatformRelayTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/PlatformRelayTest.kt
@@ -1,5 +1,6 @@
 package lacewingweir.platform
 
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -208,6 +209,23 @@
             expectThat(duration.inWholeMilliseconds).isLessThan(700)
         }
 
+    /** Guards against calls that begin at their engine after their callers have left. */
+    @Test
+    fun `the connection to an engine is closed at the deadline of its call`(): Unit =
+        runBlocking {
+            val closed = CompletableDeferred<Unit>()
+            relay.endpoint("i-1", "engine") {
+                it.onDisconnect { closed.complete(Unit) }
+                delay(5_000)
+            }
+            val duration =
+                measureTime {
+                    expectThat(relay.call("stream", headers = prompt, callerTimeoutMillis = 300).status).isEqualTo(504)
+                    closed.await()
+                }
+            expectThat(duration.inWholeMilliseconds).isLessThan(700)
+        }
+
     /** Guards against responses without end that use up the memory of the instance. */
     @Test
     fun `a response without end is given up and another endpoint answers`(): Unit =
