--- a/src/main/kotlin/lacewingweir/coordination/placement/WeightsAgePolicy.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/WeightsAgePolicy.kt
@@ -32,15 +32,6 @@
             limitMillis() - BEGIN_MARGIN_MILLIS - clock.ageMillis(since)
         }
 
-    /**
-     * Returns the milliseconds until calls may no longer begin on [weights], negative afterwards, or null if they are not
-     * outdated.
-     */
-    fun remainingMillis(
-        weights: WeightsNumber?,
-        target: WeightsTarget?,
-    ): Long? = target?.outdatedSince(weights)?.let { limitMillis() - LIMIT_MARGIN_MILLIS - clock.ageMillis(it) }
-
     /** Returns the added cost of outdated weights, in milliseconds of waiting time. */
     fun penaltyMillis(
         weights: WeightsNumber?,
