Prefer new weights the more strongly the closer the bound is

A call that waits on outdated weights near the bound is withdrawn, and its repeat is read anew.

The preference now grows from 250 ms to 1 s at the last moment to begin. It ranks engines only: it was part of the expected wait before, for which callers are refused, and would refuse some who can be served in time. For the same reason an engine that serves the request in the usable part of its time goes before one that doesn't, whatever its weights.

OutdatedWeightsPlacementTest: `new weights are preferred in spite of a longer queue the closer the bound is` failed before (old weights chosen) and passes.

--- a/src/main/kotlin/lacewingweir/coordination/placement/EngineChooser.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EngineChooser.kt
@@ -123,6 +123,7 @@
             inputTokens = prompt.inputTokens.toDouble(),
             sharedTokens = partTokens.take(shared.coerceAtLeast(0)).sum().toDouble(),
             // Hashed without the weights, so that a prompt keeps its home engine when new weights are loaded.
+            usableMillis = request.usableMillis,
             sharedHash = if (shared > 0) prompt.prefixHashes(request.cacheIsolation.orEmpty())[shared - 1] else null,
         )
     }
@@ -172,7 +173,8 @@
             copyableTokens = 0.0,
             millisToBegin = millisToBegin,
             penaltyMillis =
-                domainPenalty + recoveryPenalty + weightsPenaltyMillis + random.nextDouble(TIE_BREAK_MILLIS),
+                domainPenalty + recoveryPenalty + random.nextDouble(TIE_BREAK_MILLIS),
+            weightsPenaltyMillis = weightsPenaltyMillis,
         )
     }
 
--- a/src/main/kotlin/lacewingweir/coordination/placement/PlacementRequest.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/PlacementRequest.kt
@@ -10,7 +10,8 @@
  *
  * [excluded] endpoints were tried before. Requests with different [cacheIsolation] don't share cached prompt parts;
  * null stands for the cache shared by customers that aren't isolated. A request that continues a stream needs an
- * endpoint with the version [software]; one that begins anew has null there.
+ * endpoint with the version [software]; one that begins anew has null there. A request is refused if it is expected to
+ * wait for more than [usableMillis].
  */
 internal class PlacementRequest(
     val service: ServiceName,
@@ -18,7 +19,8 @@
     val cacheIsolation: String?,
     val excluded: Set<EndpointId>,
     val software: SoftwareVersion? = null,
+    val usableMillis: Double = Double.POSITIVE_INFINITY,
 ) {
     /** Returns the same request without exclusions, for when only endpoints that were tried before are left. */
-    fun withoutExclusions() = PlacementRequest(service, prompt, cacheIsolation, emptySet(), software)
+    fun withoutExclusions() = PlacementRequest(service, prompt, cacheIsolation, emptySet(), software, usableMillis)
 }
--- a/src/main/kotlin/lacewingweir/coordination/placement/WeightsAgePolicy.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/WeightsAgePolicy.kt
@@ -8,7 +8,7 @@
  * Decides how long engines with outdated weights may still serve after newer target weights were set.
  *
  * At first, outdated weights have no penalty except for long answers. Then a penalty moves requests to engines that
- * have loaded the new weights. Shortly before the weights have been outdated for [limitMillis], calls may no longer
+ * have loaded the new weights. It grows with the age of the outdated weights. Shortly before the weights have been outdated for [limitMillis], calls may no longer
  * begin on them. A call begins with its first event, after its wait and its prefill at the engine.
  */
 internal class WeightsAgePolicy(
@@ -41,11 +41,17 @@
         when {
             target?.outdatedSince(weights) == null -> 0.0
             // The engine can load weights only after the long answer has ended or was handed over.
-            longAnswer -> OUTDATED_LONG_ANSWER_MILLIS
-            outdatedMillis(weights, target) < NO_PENALTY_MILLIS -> 0.0
-            else -> OUTDATED_MILLIS
+            longAnswer -> maxOf(OUTDATED_LONG_ANSWER_MILLIS, agePenaltyMillis(outdatedMillis(weights, target)))
+            else -> agePenaltyMillis(outdatedMillis(weights, target))
         }
 
+    private fun agePenaltyMillis(outdatedMillis: Long): Double {
+        if (outdatedMillis < NO_PENALTY_MILLIS) return 0.0
+        val rampMillis = (limitMillis() - BEGIN_MARGIN_MILLIS - NO_PENALTY_MILLIS).coerceAtLeast(1)
+        val share = ((outdatedMillis - NO_PENALTY_MILLIS).toDouble() / rampMillis).coerceAtMost(1.0)
+        return OUTDATED_MILLIS + share * (OUTDATED_AT_BOUND_MILLIS - OUTDATED_MILLIS)
+    }
+
     /** Returns for how long the weights have been outdated, or zero if they are not. */
     fun outdatedMillis(
         weights: WeightsNumber?,
@@ -56,9 +62,12 @@
         /** The time for which the platform gives full value to outdated answers, less the time to first token. */
         const val NO_PENALTY_MILLIS: Long = 1_300
 
-        /** Additional waiting time up to which an answer from new weights is preferred to one from outdated weights. */
+        /** Additional waiting time up to which an answer from new weights is preferred at first. */
         const val OUTDATED_MILLIS: Double = 250.0
 
+        /** The same shortly before the bound, when a call that waits too long is withdrawn and read anew elsewhere. */
+        const val OUTDATED_AT_BOUND_MILLIS: Double = 1_000.0
+
         /**
          * Announcing and loading weights takes about one second per engine; a long answer costs half of that.
          */
--- a/src/main/kotlin/lacewingweir/state/placement/EnginePlacement.kt
+++ b/src/main/kotlin/lacewingweir/state/placement/EnginePlacement.kt
@@ -14,8 +14,8 @@
  * An engine as seen at the time of a decision.
  *
  * [cachedTokens] of the prompt are known to be cached there, and [copyableTokens] more can be copied from another
- * engine. [backlogTokens] wait for prefill. [penaltyMillis] is the added cost of outdated weights, recent failures and
- * distance. Requests may begin there for the next [millisToBegin] only, which is infinite unless its weights are
+ * engine. [backlogTokens] wait for prefill. [penaltyMillis] is the added cost of recent failures and distance.
+ * [weightsPenaltyMillis] ranks engines with outdated weights behind others, and is no part of the wait. Requests may begin there for the next [millisToBegin] only, which is infinite unless its weights are
  * outdated.
  */
 internal data class EngineView(
@@ -27,17 +27,20 @@
     val cachedTokens: Double,
     val copyableTokens: Double,
     val penaltyMillis: Double,
+    val weightsPenaltyMillis: Double = 0.0,
     val millisToBegin: Double = Double.POSITIVE_INFINITY,
 )
 
 /**
  * The properties of a prompt that placement depends on: the number of its tokens, the number of tokens in the prefix
- * that other prompts may share, and the hash of that prefix, or null if it is empty.
+ * that other prompts may share, and the hash of that prefix, or null if it is empty. A longer wait than [usableMillis]
+ * is of no use.
  */
 internal data class PromptQuery(
     val inputTokens: Double,
     val sharedTokens: Double,
     val sharedHash: Long?,
+    val usableMillis: Double = Double.POSITIVE_INFINITY,
 )
 
 /** The chosen engine, the expected time to first token in milliseconds, and the tokens to prefill there. */
@@ -48,8 +51,8 @@
 )
 
 /**
- * Returns the engine of [engines] with the shortest expected time to first token, or null if the request is expected to
- * begin in time on none of them.
+ * Returns the engine of [engines] with the shortest expected time to first token, with a preference for new weights, or
+ * null if the request is expected to begin in time on none of them.
  *
  * [tokensPerMilli] is the prefill speed, [copyMillisPerToken] the time to copy a cached token from another engine.
  */
@@ -60,15 +63,19 @@
     copyMillisPerToken: Double,
 ): EngineChoice? {
     val home = query.sharedHash?.let { hash -> engines.maxByOrNull { rendezvousScore(hash, it.id) }?.id }
-    return engines
-        .mapNotNull { engine ->
+    val choices =
+        engines.mapNotNull { engine ->
             val assumed = if (engine.id == home) query.sharedTokens * ASSUMED_HOME_CACHED_SHARE else 0.0
             val copied = if (engine.cachedTokens < assumed) 0.0 else engine.copyableTokens
             val uncached = (query.inputTokens - maxOf(engine.cachedTokens, assumed) - copied).coerceAtLeast(0.0)
             val prefill = (engine.backlogTokens + uncached) / tokensPerMilli + copied * copyMillisPerToken
             val wait = prefill + queueMillis(engine)
-            EngineChoice(engine.id, wait + engine.penaltyMillis, uncached).takeIf { beginsInTime(wait, engine) }
-        }.minByOrNull { it.expectedMillis }
+            val choice = EngineChoice(engine.id, wait + engine.penaltyMillis, uncached)
+            if (beginsInTime(wait, engine)) choice to choice.expectedMillis + engine.weightsPenaltyMillis else null
+        }
+    // An engine with outdated weights is better than none that serves the request in time.
+    val usable = choices.filter { (choice) -> choice.expectedMillis <= query.usableMillis }.ifEmpty { choices }
+    return usable.minByOrNull { (_, cost) -> cost }?.first
 }
 
 private fun beginsInTime(
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -196,9 +196,16 @@
             state.refuseOrFail(RelayRefusal.CANNOT_CONTINUE, limits().cannotContinueRetryMillis)
             return null
         }
-        val request =
-            PlacementRequest(service, state.call.prompt, cacheIsolation, state.triedEndpoints, origin?.software)
         while (true) {
+            val request =
+                PlacementRequest(
+                    service,
+                    state.call.prompt,
+                    cacheIsolation,
+                    state.triedEndpoints,
+                    origin?.software,
+                    usableMillis(state),
+                )
             if (state.callerDisconnected) throw PeerClosedException("disconnected before the call was sent")
             val reservation =
                 tracker.place(request)
@@ -217,6 +224,8 @@
         }
     }
 
+    private fun usableMillis(state: CallState): Double = state.remainingMillis * limits().usableShareOfRemainingTime
+
     private fun canContinue(origin: StreamOrigin): Boolean =
         origin.software != null && tracker.serves(origin.service, origin.software)
 
@@ -235,7 +244,7 @@
         state: CallState,
         reservation: EndpointReservation,
     ): EndpointReservation? {
-        val usableMillis = state.remainingMillis * limits().usableShareOfRemainingTime
+        val usableMillis = usableMillis(state)
         // While the call waited, the key may have been withdrawn, the contact proof may have become too old, or the
         // request may have come under suspicion.
         val refused = admission.recheck(state)
