--- a/src/main/kotlin/lacewingweir/coordination/placement/WeightsAgePolicy.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/WeightsAgePolicy.kt
@@ -18,16 +18,19 @@
     fun isAllowed(
         weights: WeightsNumber?,
         target: WeightsTarget?,
-    ): Boolean = outdatedMillis(weights, target) < limitMillis() - LIMIT_MARGIN_MILLIS
+    ): Boolean = (remainingMillis(weights, target) ?: Long.MAX_VALUE) > 0
 
     /**
-     * Returns the milliseconds until calls may no longer begin on [weights], negative afterwards, or null if they are not
-     * outdated.
+     * Returns the milliseconds until calls may no longer begin on [weights], which are negative afterwards, or null if
+     * the weights are not outdated.
      */
     fun remainingMillis(
         weights: WeightsNumber?,
         target: WeightsTarget?,
-    ): Long? = target?.outdatedSince(weights)?.let { limitMillis() - LIMIT_MARGIN_MILLIS - clock.ageMillis(it) }
+    ): Long? =
+        target?.outdatedSince(weights)?.let { since ->
+            limitMillis() - LIMIT_MARGIN_MILLIS - clock.ageMillis(since)
+        }
 
     /** Returns the added cost of outdated weights, in milliseconds of waiting time. */
     fun penaltyMillis(
--- a/src/main/kotlin/lacewingweir/coordination/weights/WeightsRollout.kt
+++ b/src/main/kotlin/lacewingweir/coordination/weights/WeightsRollout.kt
@@ -2,8 +2,9 @@
  * Rolls out the weights announced by the operators to all engines.
  *
  * The holder of the rollout lease compares the weights of each engine with the announced ones and sends load commands
- * to a few engines at a time, or to all that calls may soon no longer be sent to. It always loads the newest weights, even if an older version has not reached every
- * engine. Peers learn from its digest which engines are loading and which have finished.
+ * to a few engines at a time, or to all that calls may soon no longer be sent to. It always loads the newest weights,
+ * even if an older version has not reached every engine. Peers learn from its digest which engines are loading and
+ * which have finished.
  */
 package lacewingweir.coordination.weights
 
