--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetDirectory.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetDirectory.kt
@@ -47,6 +47,8 @@
     private var blockList = StoredBlockList()
     private var targetMomentsKey: String? = null
     private var targetMoments = StoredTargetMoments()
+    private var servedVersionsKey: String? = null
+    private var servedVersions = StoredVersions()
     private var contactRestoredAt: ClockReading? = null
     private var initialListingApplied = false
 
@@ -60,7 +62,8 @@
 
     override fun onListed(changes: List<StoreChange>) {
         val present = changes.mapTo(HashSet()) { it.key }
-        val absent = (endpointsByKey.keys + peersByKey.keys + setOfNotNull(leaderKey)).filter { it !in present }
+        val known = endpointsByKey.keys + peersByKey.keys + setOfNotNull(leaderKey, servedVersionsKey)
+        val absent = known.filter { it !in present }
         absent.forEach(::itemRemoved)
         if (blockListKey !in present) blockList = StoredBlockList(removals = blockList.removals)
         if (targetMomentsKey !in present) targetMoments = StoredTargetMoments()
@@ -146,6 +149,10 @@
                 targetMomentsKey = key
                 targetMoments = StoredTargetMoments(update.moments, revisions.getValue(key))
             }
+            is FleetUpdate.ServedVersions -> {
+                servedVersionsKey = key
+                servedVersions = StoredVersions(update.versions, revisions.getValue(key))
+            }
             is FleetUpdate.Unreadable -> {
                 logger.warn { "directory: unreadable item key=$key reason=${update.reason}" }
                 endpointsByKey.remove(key)
@@ -198,6 +205,7 @@
 
     private fun itemRemoved(key: String) {
         if (key == leaderKey) leaderKey = null
+        if (key == servedVersionsKey) servedVersions = StoredVersions()
         peersByKey.remove(key)
         val entry = endpointsByKey[key] ?: return
         val graceMillis = contactRestoredAt?.let { EXPIRY_GRACE_MILLIS - clock.ageMillis(it) } ?: 0
@@ -231,6 +239,7 @@
                 hotCustomers,
                 blockList,
                 targetMoments,
+                servedVersions,
             )
         current.set(next)
         observers.forEach { it(next) }
--- a/src/main/kotlin/lacewingweir/platform/PlatformNames.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformNames.kt
@@ -115,6 +115,9 @@
     /** When target weights were set, as instances have observed it. */
     const val TARGET_MOMENTS = "lacewingweir/target-moments"
 
+    /** Software versions of endpoints, by service, that served lately. */
+    const val SERVED_VERSIONS = "lacewingweir/served-versions"
+
     /** Held by the instance that coordinates the loading of weights. */
     const val ROLLOUT_LEASE = "lacewingweir/rollout"
 }
