--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetSnapshot.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetSnapshot.kt
@@ -14,8 +14,8 @@
 import lacewingweir.state.time.ClockReading
 
 /**
- * The current target [weights] of a model, and the [dates] from which this and earlier targets count, in ascending order
- * of their numbers.
+ * The current target [weights] of a model, and the [dates] from which this and earlier targets count, in ascending
+ * order of their numbers.
  */
 internal data class WeightsTarget(
     val weights: WeightsNumber,
--- a/src/main/kotlin/lacewingweir/coordination/fleet/TargetDate.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/TargetDate.kt
@@ -42,7 +42,7 @@
     val moment: ClockReading?
         get() = latestObserved() ?: stored ?: assumed
 
-    /** A moment after [learnedAt] is wrong. A store restored from an older copy shows a target once more, for example. */
+    /** A moment after [learnedAt] is wrong: a store restored from an older copy may show a target once more. */
     private fun latestObserved(): ClockReading? =
         (told.values.filter { it.confirmed }.map { it.moment } + listOfNotNull(watchedAfter))
             .filter { it.monotonicMillis <= learnedAt.monotonicMillis }
--- a/src/main/kotlin/lacewingweir/platform/PlatformItemCodec.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformItemCodec.kt
@@ -52,24 +52,7 @@
         value: ByteArray,
     ): FleetUpdate? =
         try {
-            when {
-                key == PlatformKeys.CONFIG -> FleetUpdate.Config(config(parseObject(value)))
-                key.startsWith(PlatformKeys.TARGET_WEIGHTS_PREFIX) -> targetWeights(parseObject(value))
-                key.startsWith(PlatformKeys.ENDPOINT_PREFIX) ->
-                    FleetUpdate.Endpoint(
-                        endpoint(EndpointId(key.removePrefix(PlatformKeys.ENDPOINT_PREFIX)), parseObject(value)),
-                    )
-                key.startsWith(PlatformKeys.INSTANCE_PREFIX) ->
-                    FleetUpdate.Peer(peer(key.removePrefix(PlatformKeys.INSTANCE_PREFIX), parseObject(value)))
-                key == PlatformKeys.HOT_CUSTOMERS ->
-                    FleetUpdate.HotCustomers(
-                        parseObject(value).strings("customers").mapTo(HashSet()) { CustomerId(it) },
-                    )
-                key == PlatformKeys.BLOCK_LIST -> FleetUpdate.BlockList(blockList(parseObject(value)))
-                key == PlatformKeys.TARGET_MOMENTS -> FleetUpdate.TargetMoments(targetMoments(parseObject(value)))
-                key == PlatformKeys.ROLLOUT_LEASE -> FleetUpdate.RolloutLeader
-                else -> null
-            }
+            decodeItem(key, value)
         } catch (e: IllegalArgumentException) {
             FleetUpdate.Unreadable(e.message ?: "malformed")
         } catch (e: SerializationException) {
@@ -78,6 +61,29 @@
             FleetUpdate.Unreadable("not UTF-8: ${e.message}")
         }
 
+    private fun decodeItem(
+        key: String,
+        value: ByteArray,
+    ): FleetUpdate? =
+        when {
+            key == PlatformKeys.CONFIG -> FleetUpdate.Config(config(parseObject(value)))
+            key.startsWith(PlatformKeys.TARGET_WEIGHTS_PREFIX) -> targetWeights(parseObject(value))
+            key.startsWith(PlatformKeys.ENDPOINT_PREFIX) ->
+                FleetUpdate.Endpoint(
+                    endpoint(EndpointId(key.removePrefix(PlatformKeys.ENDPOINT_PREFIX)), parseObject(value)),
+                )
+            key.startsWith(PlatformKeys.INSTANCE_PREFIX) ->
+                FleetUpdate.Peer(peer(key.removePrefix(PlatformKeys.INSTANCE_PREFIX), parseObject(value)))
+            key == PlatformKeys.HOT_CUSTOMERS ->
+                FleetUpdate.HotCustomers(
+                    parseObject(value).strings("customers").mapTo(HashSet()) { CustomerId(it) },
+                )
+            key == PlatformKeys.BLOCK_LIST -> FleetUpdate.BlockList(blockList(parseObject(value)))
+            key == PlatformKeys.TARGET_MOMENTS -> FleetUpdate.TargetMoments(targetMoments(parseObject(value)))
+            key == PlatformKeys.ROLLOUT_LEASE -> FleetUpdate.RolloutLeader
+            else -> null
+        }
+
     /** Encodes the item with which an instance publishes its own address and failure domain. */
     fun encodePeer(
         host: String,
