--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetSnapshot.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetSnapshot.kt
@@ -15,8 +15,8 @@
 import lacewingweir.state.time.ClockReading
 
 /**
- * The current target [weights] of a model, and the [dates] from which this and earlier targets count, in ascending order
- * of their numbers.
+ * The current target [weights] of a model, and the [dates] from which this and earlier targets count, in ascending
+ * order of their numbers.
  */
 internal data class WeightsTarget(
     val weights: WeightsNumber,
