Follow detekt in the changes for outdated weights

Line lengths of three doc comments, and a destructuring of four values. No behaviour changes. `mvn verify -DskipTests` passes (it failed on these before).

--- a/src/main/kotlin/lacewingweir/cli/router/AdmissionReporter.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/AdmissionReporter.kt
@@ -35,8 +35,10 @@
         val current = figures()
         if (current != reported) {
             logger.info {
-                val (quarantine, limits, streams, outdated) = current
-                val (quarantineBefore, limitsBefore, streamsBefore, outdatedBefore) = reported
+                val (quarantine, limits, streams) = current
+                val (quarantineBefore, limitsBefore, streamsBefore) = reported
+                val outdated = current.outdated
+                val outdatedBefore = reported.outdated
                 "admission: blockedParts=${quarantine.blockedParts} blockedRequests=${quarantine.blockedRequests} " +
                     "requestsOnTrial=${quarantine.requestsOnTrial} " +
                     "blockedCalls=${quarantine.blockedCalls - quarantineBefore.blockedCalls} " +
--- a/src/main/kotlin/lacewingweir/coordination/placement/EngineChooser.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EngineChooser.kt
@@ -22,8 +22,8 @@
 
 /**
  * A chosen endpoint and the load to reserve there: [uncachedTokens] wait for prefill, and [memoryTokens] of KV cache
- * memory are used. [cacheSource] is the engine from which it should copy the cached prompt parts that it lacks. [model] is null
- * for requests without a prompt.
+ * memory are used. [cacheSource] is the engine from which it should copy the cached prompt parts that it lacks.
+ * [model] is null for requests without a prompt.
  */
 internal class EndpointChoice(
     val state: EndpointState,
--- a/src/main/kotlin/lacewingweir/coordination/placement/WeightsAgePolicy.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/WeightsAgePolicy.kt
@@ -8,8 +8,9 @@
  * Decides how long engines with outdated weights may still serve after newer target weights were set.
  *
  * At first, outdated weights have no penalty except for long answers. Then a penalty moves requests to engines that
- * have loaded the new weights. It grows with the age of the outdated weights. Shortly before the weights have been outdated for [limitMillis], calls may no longer
- * begin on them. A call begins with its first event, after its wait and its prefill at the engine.
+ * have loaded the new weights. It grows with the age of the outdated weights. Shortly before they have been outdated
+ * for [limitMillis], calls may no longer begin on them. A call begins with its first event, after its wait and its
+ * prefill at the engine.
  */
 internal class WeightsAgePolicy(
     private val clock: SuspendAwareClock,
--- a/src/main/kotlin/lacewingweir/state/placement/EnginePlacement.kt
+++ b/src/main/kotlin/lacewingweir/state/placement/EnginePlacement.kt
@@ -15,8 +15,8 @@
  *
  * [cachedTokens] of the prompt are known to be cached there, and [copyableTokens] more can be copied from another
  * engine. [backlogTokens] wait for prefill. [penaltyMillis] is the added cost of recent failures and distance.
- * [weightsPenaltyMillis] ranks engines with outdated weights behind others, and is no part of the wait. Requests may begin there for the next [millisToBegin] only, which is infinite unless its weights are
- * outdated.
+ * [weightsPenaltyMillis] ranks engines with outdated weights behind others, and is no part of the wait. Requests may
+ * begin there for the next [millisToBegin] only, which is infinite unless its weights are outdated.
  */
 internal data class EngineView(
     val id: EndpointId,
