--- a/src/main/kotlin/lacewingweir/platform/PlatformItemCodec.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformItemCodec.kt
@@ -63,14 +63,7 @@
                     )
                 key.startsWith(PlatformKeys.INSTANCE_PREFIX) ->
                     FleetUpdate.Peer(peer(key.removePrefix(PlatformKeys.INSTANCE_PREFIX), parseObject(value)))
-                key == PlatformKeys.HOT_CUSTOMERS ->
-                    FleetUpdate.HotCustomers(
-                        parseObject(value).strings("customers").mapTo(HashSet()) { CustomerId(it) },
-                    )
-                key == PlatformKeys.BLOCK_LIST -> FleetUpdate.BlockList(blockList(parseObject(value)))
-                key == PlatformKeys.SERVED_VERSIONS -> FleetUpdate.ServedVersions(servedVersions(parseObject(value)))
-                key == PlatformKeys.ROLLOUT_LEASE -> FleetUpdate.RolloutLeader
-                else -> null
+                else -> sharedItem(key, value)
             }
         } catch (e: IllegalArgumentException) {
             FleetUpdate.Unreadable(e.message ?: "malformed")
@@ -80,6 +73,22 @@
             FleetUpdate.Unreadable("not UTF-8: ${e.message}")
         }
 
+    /** Decodes the items in which the instances keep what all of them share. */
+    private fun sharedItem(
+        key: String,
+        value: ByteArray,
+    ): FleetUpdate? =
+        when {
+            key == PlatformKeys.HOT_CUSTOMERS ->
+                FleetUpdate.HotCustomers(
+                    parseObject(value).strings("customers").mapTo(HashSet()) { CustomerId(it) },
+                )
+            key == PlatformKeys.BLOCK_LIST -> FleetUpdate.BlockList(blockList(parseObject(value)))
+            key == PlatformKeys.SERVED_VERSIONS -> FleetUpdate.ServedVersions(servedVersions(parseObject(value)))
+            key == PlatformKeys.ROLLOUT_LEASE -> FleetUpdate.RolloutLeader
+            else -> null
+        }
+
     /** Encodes the item with which an instance publishes its own address and failure domain. */
     fun encodePeer(
         host: String,
--- a/src/main/kotlin/lacewingweir/state/stream/ServedVersion.kt
+++ b/src/main/kotlin/lacewingweir/state/stream/ServedVersion.kt
@@ -6,8 +6,8 @@
 /**
  * A software version that endpoints of [service] have served with, for the record in the store.
  *
- * [untilUnixMillis] is the time of day at which the last of them had left, or null if some serve now. [software] is null
- * if the endpoints don't say which version they are.
+ * [untilUnixMillis] is the time of day at which the last of them had left, or null if some serve now. [software] is
+ * null if the endpoints don't say which version they are.
  */
 internal data class ServedVersion(
     val service: ServiceName,
--- a/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
+++ b/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
@@ -53,7 +53,7 @@
         startInstances()
     }
 
-    /** Starts the first [count] instances and waits until each serves a call and has had the time to learn of the others. */
+    /** Starts the first [count] instances, and waits until each serves a call and has had time to learn of others. */
     suspend fun startInstances(count: Int = size) {
         repeat(count) { instances += startInstance(it) }
         repeat(count) { index ->
--- a/src/test/kotlin/lacewingweir/platform/StreamAfterFleetKillTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/StreamAfterFleetKillTest.kt
@@ -77,7 +77,7 @@
                 expectThat(broken.count { it.versions == setOf("old") }).isGreaterThan(10)
                 val continued =
                     coroutineScope {
-                        val tries = broken.mapIndexed { n, it -> async { fleet.stream(n % started, from = it) } }
+                        val tries = broken.mapIndexed { n, s -> async { fleet.stream(n % started, from = s) } }
                         tries.awaitAll()
                     }
                 expectThat(mixedStreams(continued)).isEmpty()
