--- a/src/main/kotlin/lacewingweir/coordination/weights/WeightsRollout.kt
+++ b/src/main/kotlin/lacewingweir/coordination/weights/WeightsRollout.kt
@@ -3,8 +3,8 @@
  *
  * The holder of the rollout lease compares the weights of each engine with the announced ones and sends load commands
  * to a few engines at a time, or to all that calls may soon no longer be sent to. It always loads the newest weights,
- * even if an older version has not reached every engine. Peers learn from its digest which engines are loading and which
- * have finished.
+ * even if an older version has not reached every engine. Peers learn from its digest which engines are loading and
+ * which have finished.
  */
 package lacewingweir.coordination.weights
 
