Remember only what is known of where a stream began, not what was inferred

What callers would see: a stream joined from two software versions. An instance that has not seen a new version yet, since its view may be 2.5 s old, infers the only version that it knows for a stream that a caller takes up. It kept the guess as knowledge, told it as such once it saw the second version, and so replaced the true fact at the peers that remember it.

Now an instance remembers streams that it began and facts that peers remember; a guess is made anew each time.

StreamVersionsTest `what an instance has inferred for a caller never replaces what others know` failed before (v1 instead of v2), and passes with the other eight. Cost: a stream that was taken up in quiet times is refused if it breaks off again after a new version has appeared and nobody remembers it.

--- a/src/main/kotlin/lacewingweir/coordination/stream/StreamVersions.kt
+++ b/src/main/kotlin/lacewingweir/coordination/stream/StreamVersions.kt
@@ -159,8 +159,6 @@
             return null
         }
         continued.increment()
-        // The caller may take the stream up once more, when this instance knows it only from others.
-        if (call != null) synchronized(this) { origins.put(call, origin, clock.nowMillis()) }
         return origin
     }
 
--- a/src/test/kotlin/lacewingweir/coordination/stream/StreamVersionsTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/stream/StreamVersionsTest.kt
@@ -155,6 +155,20 @@
         expectThat(originAt("a1", "s1")).isNull()
     }
 
+    /** Guards against an instance that has not seen the second version yet, and tells its guess as a fact later. */
+    @Test
+    fun `what an instance has inferred for a caller never replaces what others know`() {
+        startAll()
+        timers.advance(60_000)
+        snapshot = fleet("v1", "v2")
+        (running - "a2").values.forEach { it.onFleet(snapshot) }
+        repeat(50) { running.getValue("a0").onBegun(RequestId("s$it"), endpoint(1)) }
+        repeat(50) { originAt("a2", "s$it") }
+        running.getValue("a2").onFleet(snapshot)
+        running -= "a0"
+        repeat(50) { call -> running.keys.forEach { expectThat(originAt(it, "s$call")).isEqualTo("v2") } }
+    }
+
     /** Guards against losing more streams than instances when some end at once. */
     @Test
     fun `most streams are known when six of ten instances end at once`() {
