Load engines near the end of their time before idle ones

What callers would see: 502 for calls that wait at engines whose weights may no longer be used, since they are withdrawn there, while idle engines with time left take all places among the loads. A load command gives such calls back with a proof that they have not run.

LoadChoiceTest `engines near the end of their time go before idle ones` failed before and passes with the other four.

--- a/src/main/kotlin/lacewingweir/coordination/weights/LoadChoice.kt
+++ b/src/main/kotlin/lacewingweir/coordination/weights/LoadChoice.kt
@@ -30,8 +30,9 @@
 /**
  * Returns which engines of [waiting] are commanded to load now.
  *
- * Of all [engines], [loads] are loading already, and [maxLoads] may load at once. Idle engines go first and don't
- * take the places of others, as long as half of the engines serve.
+ * Of all [engines], [loads] are loading already, and [maxLoads] may load at once. Engines that calls may soon no longer
+ * be sent to go first. Then come idle engines, which don't take the places of others as long as half of the engines
+ * serve.
  */
 internal fun chooseLoads(
     waiting: List<OutdatedEngine>,
@@ -40,9 +41,9 @@
     loads: LoadsInProgress,
 ): List<OutdatedEngine> {
     val freePlaces = maxConcurrentLoadsWithIdle(engines, maxLoads) - loads.busy - loads.idle
-    val (idle, busy) = waiting.partition { it.isIdle }
-    val chosenIdle = idle.sortedBy { it.remainingMillis }.take(freePlaces.coerceAtLeast(0))
-    val busyPlaces = minOf(freePlaces - chosenIdle.size, maxLoads - loads.busy)
-    val order = compareBy<OutdatedEngine> { !isUrgent(it.remainingMillis) }.thenBy { it.running }
-    return chosenIdle + busy.sortedWith(order).take(busyPlaces.coerceAtLeast(0))
+    val (urgent, others) = waiting.sortedBy { it.remainingMillis }.partition { isUrgent(it.remainingMillis) }
+    val (idle, busy) = others.partition { it.isIdle }
+    val first = (urgent + idle).take(freePlaces.coerceAtLeast(0))
+    val busyPlaces = minOf(freePlaces - first.size, maxLoads - loads.busy - first.count { !it.isIdle })
+    return first + busy.sortedBy { it.running }.take(busyPlaces.coerceAtLeast(0))
 }
--- a/src/test/kotlin/lacewingweir/coordination/weights/LoadChoiceTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/weights/LoadChoiceTest.kt
@@ -37,6 +37,15 @@
         expectThat(choose(waiting, maxLoads = 1, LoadsInProgress(busy = 0, idle = 0))).containsExactly("b")
     }
 
+    /** Guards against idle engines that take all places while calls wait at engines whose time ends. */
+    @Test
+    fun `engines near the end of their time go before idle ones`() {
+        val idle = List(8) { engine("idle$it", running = 0) }
+        val urgent = List(4) { engine("urgent$it", running = 5, remainingMillis = 500) }
+        val chosen = choose(idle + urgent, maxLoads = 6, LoadsInProgress(busy = 0, idle = 0))
+        expectThat(chosen).containsExactly(List(4) { "urgent$it" } + listOf("idle0", "idle1"))
+    }
+
     private fun choose(
         waiting: List<OutdatedEngine>,
         maxLoads: Int,
