Don't date target weights back into an outage of the store

What callers would see: 503 for every prompt, when new weights are set as the store returns from an outage of six seconds or more. All instances dated the target from their last contact, so the weights of all engines counted as outdated for too long at once.

An instance whose calls failed before, and whose last contact is more than 3 s ago, now assumes the age of 3 s, unless peers or the store tell it.

TargetWeightsAgeTest: `weights that all instances find after an outage of the store aren't dated back into it` failed before (6,000 instead of 3,000 ms) and passes with the other eleven; `an instance that was cut off from the store takes the age from peers that were not` passes before and after. FleetDirectoryTest 11, TargetMomentsWriterTest 6: pass.

--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetDirectory.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetDirectory.kt
@@ -50,6 +50,9 @@
     private var servedVersionsKey: String? = null
     private var servedVersions = StoredVersions()
     private var contactRestoredAt: ClockReading? = null
+
+    /** Whether the changes that are applied now are the first ones after failed calls. */
+    private var afterFailures = false
     private var initialListingApplied = false
 
     val snapshot: FleetSnapshot
@@ -112,6 +115,7 @@
 
     override fun onContactRestored() {
         contactRestoredAt = clock.now()
+        afterFailures = true
     }
 
     private fun apply(change: StoreChange) {
@@ -182,7 +186,7 @@
         val known = targetDates.newest(update.model)
         if (known != null && known >= update.weights) return
         val knownAt = proof.moment
-        targetDates.add(update.model, update.weights, knownAt)
+        targetDates.add(update.model, update.weights, knownAt, afterFailures)
         logTarget("set", update.model, update.weights, source = if (knownAt == null) "assumed" else "watched")
     }
 
@@ -227,6 +231,7 @@
     }
 
     private fun publish() {
+        afterFailures = false
         val endpoints = endpointsByKey.values.associateBy { it.id }
         val peers = peersByKey.values.associateBy { it.name }
         val next =
--- a/src/main/kotlin/lacewingweir/coordination/fleet/TargetDates.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/TargetDates.kt
@@ -28,16 +28,27 @@
     /**
      * Adds a target that the store has shown. [knownAt] is the last moment at which this instance knew every item of
      * the store, or null if it has just started.
+     *
+     * After an outage of the store ([afterFailures]) that moment says little. Dating the target back into the outage
+     * would leave all instances without engines that they may use, although it may have been set only now.
      */
     fun add(
         model: ModelName,
         weights: WeightsNumber,
         knownAt: ClockReading?,
+        afterFailures: Boolean = false,
     ) {
         val now = clock.now()
-        addDate(model, weights, TargetDate(clock, now, knownAt, assumed = now.plus(-ASSUMED_AGE_MILLIS)))
+        val watchedAfter = knownAt?.takeUnless { afterFailures && isLongBefore(it, now) }
+        addDate(model, weights, TargetDate(clock, now, watchedAfter, assumed = now.plus(-ASSUMED_AGE_MILLIS)))
     }
 
+    private fun isLongBefore(
+        moment: ClockReading,
+        later: ClockReading,
+    ) = moment.wallMillis < later.wallMillis - ASSUMED_AGE_MILLIS ||
+        moment.monotonicMillis < later.monotonicMillis - ASSUMED_AGE_MILLIS
+
     private fun addDate(
         model: ModelName,
         weights: WeightsNumber,
@@ -82,12 +93,17 @@
         return dates[weights]
     }
 
-    /** Returns the youngest targets whose age this instance has observed itself, for its peers. */
+    /**
+     * Returns the youngest targets whose age this instance has observed itself, for its peers. One that it learned of
+     * long after its last contact isn't among them, since the age of such a target is known too badly.
+     */
     fun observedAges(): List<TargetAge> =
         byModel
             .flatMap { (model, dates) ->
                 dates.mapNotNull { (weights, date) ->
-                    date.watchedAfter?.let { TargetAge(model, weights.value, clock.ageMillis(it)) }
+                    date.watchedAfter
+                        ?.takeUnless { isLongBefore(it, date.learnedAt) }
+                        ?.let { TargetAge(model, weights.value, clock.ageMillis(it)) }
                 }
             }.filter { it.ageMillis < MAX_TOLD_AGE_MILLIS }
             .sortedBy { it.ageMillis }
--- a/src/test/kotlin/lacewingweir/coordination/fleet/TargetWeightsAgeTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/fleet/TargetWeightsAgeTest.kt
@@ -186,6 +186,39 @@
         expectThat(outdatedSince(2)).isNotNull().isLessThanOrEqualTo(setAt)
     }
 
+    /** Guards against fleets that refuse all calls when weights are set as the store returns from an outage. */
+    @Test
+    fun `weights that all instances find after an outage of the store aren't dated back into it`() {
+        mirror(
+            listOf(item(2)),
+            {
+                timers.advance(6_000)
+                WatchResult.Failed("outage")
+            },
+            { WatchResult.Changes(listOf(change(3)), 8) },
+        )
+        expectThat(outdatedSince(2)).isNotNull().isEqualTo(timers.nowMillis() - OUTAGE_AGE_MILLIS)
+        expectThat(directory.observedTargetAges()).isEmpty()
+    }
+
+    @Test
+    fun `an instance that was cut off from the store takes the age from peers that were not`() {
+        val setAt = timers.nowMillis() + 200
+        mirror(
+            listOf(item(2)),
+            {
+                timers.advance(6_000)
+                WatchResult.Failed("cut off")
+            },
+            { WatchResult.Changes(listOf(change(3)), 8) },
+        )
+        repeat(2) {
+            tell("peer", weights = 3, setAt)
+            timers.advance(250)
+        }
+        expectThat(outdatedSince(2)).isNotNull().isIn(setAt - ALLOWANCE_MILLIS..setAt)
+    }
+
     /** An instance that starts while the store lacks its latest items sees a target being set that was set before. */
     @Test
     fun `a peer that saw weights set once more by a restored store doesn't make them younger`() {
@@ -222,6 +255,9 @@
         const val TARGET_KEY = "weights"
         const val WAIT_MILLIS = 1_500L
 
+        /** The age of weights that is assumed after an outage. */
+        const val OUTAGE_AGE_MILLIS = 3_000L
+
         /** The time that a datagram may take. */
         const val ALLOWANCE_MILLIS = 50L
         const val END = "end of the script"
