Let the test of target moments read back what was really written

Its codec kept the last encoded moments on the side and returned them whatever the store held, so a refused write would have looked stored. It now encodes and decodes the value.

--- a/src/test/kotlin/lacewingweir/coordination/fleet/TargetMomentsWriterTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/fleet/TargetMomentsWriterTest.kt
@@ -29,7 +29,6 @@
     private val timers = ManualTimers()
     private val items = LinkedHashMap<String, StoreChange>()
     private val directories = ArrayList<FleetDirectory>()
-    private var written = ArrayList<TargetMoment>()
     private var revision = 0L
     private var commits = 0
 
@@ -77,9 +76,17 @@
         if (key == TARGET_KEY) {
             FleetUpdate.TargetWeights(MODEL, WeightsNumber(value.decodeToString().toLong()))
         } else {
-            FleetUpdate.TargetMoments(written.toList())
+            FleetUpdate.TargetMoments(value.decodeToString().split(',').map(::decodeMoment))
         }
 
+    private fun decodeMoment(text: String): TargetMoment {
+        val (weights, unixMillis) = text.split('@').map { it.toLong() }
+        return TargetMoment(MODEL, WeightsNumber(weights), unixMillis)
+    }
+
+    private fun encode(moments: List<TargetMoment>) =
+        moments.joinToString(",") { "${it.weights.value}@${it.unixMillis}" }.encodeToByteArray()
+
     /** Starts an instance that knows all items of the store from now on. */
     private fun startInstance(
         holdsLease: Boolean = false,
@@ -96,7 +103,7 @@
             store,
             timers,
             MOMENTS_KEY,
-            encode = { moments -> ByteArray(0).also { written = ArrayList(moments) } },
+            encode = ::encode,
             stored = { directory.snapshot.targetMoments },
             observed = directory::observedTargetMoments,
             holdsLease = { holdsLease },
@@ -140,7 +147,9 @@
         repeat(size) { startInstance(seed = it) }
         setTarget(3)
         timers.advance(10_000)
-        expectThat(written).isEqualTo(arrayListOf(TargetMoment(MODEL, WeightsNumber(3), START_UNIX_MILLIS + 1_000)))
+        val written = checkNotNull(items.getValue(MOMENTS_KEY).value)
+        val moment = TargetMoment(MODEL, WeightsNumber(3), START_UNIX_MILLIS + 1_000)
+        expectThat(decode(MOMENTS_KEY, written)).isEqualTo(FleetUpdate.TargetMoments(listOf(moment)))
         expectThat(commits).isEqualTo(1)
     }
 
