--- a/src/main/kotlin/lacewingweir/coordination/fleet/TargetDate.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/TargetDate.kt
@@ -11,7 +11,7 @@
  *
  * @property learnedAt when this instance learned of the target, and therefore not before it was set
  * @property watchedAfter the last moment before [learnedAt] at which this instance knew every item of the store, or
- *   null if it found the target when it started
+ *   null if it found the target when it started or after an outage of the store
  * @property assumed the moment that counts while no better one is known, if any
  */
 internal class TargetDate(
