Start routers from an archive of loaded classes

Callers saw: after all instances had lost power, nothing was answered in time for ten seconds; the same after kills of all.

Cause: 95 JVMs start at once on a third of a core each, and a start costs two seconds of processor time, most of it for loading classes.

Why this works: the build takes a router through start, calls and stop (`rehearse`, on a stand-in of the platform) with -XX:ArchiveClassesAtExit, and the run line names the archive. A JVM maps it instead of loading and verifying the classes. Without the archive, or with another JVM, it starts as before; a build whose rehearsal fails still succeeds.

--- a/src/main/kotlin/lacewingweir/cli/Commands.kt
+++ b/src/main/kotlin/lacewingweir/cli/Commands.kt
@@ -5,6 +5,7 @@
 import lacewingweir.cli.demo.DemoCommand
 import lacewingweir.cli.io.CommandContext
 import lacewingweir.cli.measure.MeasureCommand
+import lacewingweir.cli.rehearse.RehearseCommand
 import lacewingweir.cli.router.RouteCommand
 import lacewingweir.cli.serve.ServeCommand
 import lacewingweir.cli.standin.StandinCommand
@@ -32,6 +33,7 @@
         ExplainCommand(context),
         ServeCommand(context),
         RouteCommand(context),
+        RehearseCommand(context),
         LoadCommand(context),
         DemoCommand(),
         MeasureCommand(context),
