Don't send on calls of callers that left while the instance was starved

Cause: an event loop without processor time reads requests seconds after they arrived. It reads one part of a connection's input in each pass, so it sent the call on before it found the end of the connection in the next pass.

Evidence: the new test (20 callers leave while the loop is busy) fails without the wait and passes with it.

Why this works: an instance measures the lag of its event loop. If it lags or has just started, an admitted call waits for one further pass of the loop, which reads the closings that have arrived, before it is placed.

Also gives the crashing part's test the time in which a verdict reaches all instances before the store is restored.

--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -49,6 +49,7 @@
 import lacewingweir.state.time.MonotonicClock
 import lacewingweir.state.time.SuspendAwareClock
 import lacewingweir.transport.digest.DatagramDigestNetwork
+import lacewingweir.transport.http.EventLoopLag
 import lacewingweir.transport.http.HttpClient
 import lacewingweir.transport.http.HttpLimits
 import lacewingweir.transport.http.HttpServer
@@ -67,7 +68,9 @@
     private val settings: RouterSettings,
 ) : AutoCloseable {
     private val group = MultiThreadIoEventLoopGroup(settings.cores, NioIoHandler.newFactory())
-    private val scope = CoroutineScope(SupervisorJob() + group.next().asCoroutineDispatcher())
+    private val loop = group.next()
+    private val scope = CoroutineScope(SupervisorJob() + loop.asCoroutineDispatcher())
+    private val loopLag = EventLoopLag(loop)
     private val timers = CoroutineTimerService(scope)
     private val clock = MonotonicClock.SYSTEM
     private val ageClock = SuspendAwareClock()
@@ -163,6 +166,7 @@
             streamVersions,
             clock,
             { relayLimits },
+            awaitDisconnects = loopLag::awaitNextPass,
         )
     private val relayLimits = RelayLimits(maxKeyProofAgeMillis = bounds.keyWithdrawalMillis - KEY_CHECK_MARGIN_MILLIS)
     private val lease =
@@ -245,6 +249,7 @@
             quarantine.onFleet(snapshot)
             streamVersions.onFleet(snapshot)
         }
+        loopLag.start()
         digestNetwork.start()
         readinessServer.start()
         callerServer.start()
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/transport/http/EventLoopLag.kt
@@ -0,0 +1,56 @@
+/**
+ * Notices when an event loop gets too little processor time, as after the start of many instances at once.
+ *
+ * A loop that lags reads requests long after they have arrived, and often finds the end of their connections only in
+ * its next pass, since it reads one part of the input at a time. Their callers have left then, so the requests must not
+ * be sent on.
+ */
+package lacewingweir.transport.http
+
+import io.netty.channel.EventLoop
+import kotlinx.coroutines.delay
+import java.util.concurrent.TimeUnit
+
+/** Measures the lag of [loop], on which [awaitNextPass] has to be called. */
+internal class EventLoopLag(
+    private val loop: EventLoop,
+) {
+    private var nextTickNanos = 0L
+    private var laggedAtNanos: Long? = null
+
+    /** Begins to measure. The lag before counts as high, since a process that starts is short of processor time. */
+    fun start() {
+        laggedAtNanos = System.nanoTime()
+        scheduleTick()
+    }
+
+    private fun scheduleTick() {
+        nextTickNanos = System.nanoTime() + TICK_NANOS
+        loop.schedule(::tick, TICK_NANOS, TimeUnit.NANOSECONDS)
+    }
+
+    private fun tick() {
+        if (isLate()) laggedAtNanos = System.nanoTime()
+        scheduleTick()
+    }
+
+    private fun isLate() = System.nanoTime() - nextTickNanos > HIGH_LAG_NANOS
+
+    private fun hasLagged() = isLate() || laggedAtNanos?.let { System.nanoTime() - it < MEMORY_NANOS } ?: false
+
+    /** If the loop lags or has lagged lately, waits until it has read what had arrived on its connections by now. */
+    suspend fun awaitNextPass() {
+        if (hasLagged()) delay(PASS_MILLIS)
+    }
+
+    private companion object {
+        val TICK_NANOS: Long = TimeUnit.MILLISECONDS.toNanos(100)
+        val HIGH_LAG_NANOS: Long = TimeUnit.MILLISECONDS.toNanos(50)
+
+        /** Requests that arrived while the loop lagged are read within this time. */
+        val MEMORY_NANOS: Long = TimeUnit.SECONDS.toNanos(1)
+
+        /** The shortest wait after which the loop goes on only with a further pass over its connections. */
+        const val PASS_MILLIS: Long = 1
+    }
+}
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -34,7 +34,7 @@
  * Processes the calls of callers: checks route, key and rate limit, and sends the call to endpoints until one responds.
  *
  * Each send uses the newest configuration known when it starts. A call that can't be sent again ends immediately with
- * an error.
+ * an error. [awaitDisconnects] returns once the connections of callers that have left by now are known to be closed.
  */
 internal class CallRelay(
     private val directory: FleetDirectory,
@@ -48,6 +48,7 @@
     private val clock: MonotonicClock,
     private val limits: () -> RelayLimits,
     private val random: Random = Random.Default,
+    private val awaitDisconnects: suspend () -> Unit,
 ) {
     private val admission = CallAdmission(directory, proof, rateLimiter, quarantine, limits)
 
@@ -89,6 +90,7 @@
         state.deadlineAtMillis =
             state.call.arrivedAtMillis +
             minOf(state.call.callerTimeoutMillis ?: Long.MAX_VALUE, admitted.route.timeoutMillis)
+        awaitDisconnects()
         val service = chooseService(admitted.route)
         if (!findOrigin(state, service)) return
         repeatBudgets.onRequest(service)
--- a/src/test/kotlin/lacewingweir/platform/CrashingPromptPartTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/CrashingPromptPartTest.kt
@@ -88,6 +88,7 @@
                 fleet.start()
                 val copy = fleet.store.copy()
                 fleet.blockCrashingPart()
+                delay(NEWS_MILLIS)
                 fleet.store.down = true
                 fleet.store.restore(copy)
                 fleet.store.forgetHistory()
@@ -175,6 +176,9 @@
         /** Time that the platform gives the fleet to exchange knowledge. */
         const val CONTACT_MILLIS = 3_000L
 
+        /** Time in which instances tell each other of a verdict; well within [CONTACT_MILLIS]. */
+        const val NEWS_MILLIS = 500L
+
         /** Five ends, and one for each of the three calls that may still reach engines after that. */
         const val MAX_ENDS = 9
     }
--- a/src/test/kotlin/lacewingweir/platform/PlatformRelayTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/PlatformRelayTest.kt
@@ -1,8 +1,10 @@
 package lacewingweir.platform
 
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import lacewingweir.platform.RelayFixture.Companion.responseHeaders
@@ -196,6 +198,32 @@
             expectThat(endpoint.receivedRequests).isEmpty()
         }
 
+    /**
+     * Guards against calls that are sent on after their callers have left, because the instance got no processor time
+     * while they arrived, as after all instances lost power at once.
+     */
+    @Test
+    fun `calls whose callers left before they were read are not sent`(): Unit =
+        runBlocking {
+            var busyMillis = 0L
+            val endpoint =
+                relay.endpoint("i-1") {
+                    Thread.sleep(busyMillis)
+                    respondOk(it)
+                }
+            repeat(3) { relay.call("idempotent") }
+            delay(1_500)
+            busyMillis = 800
+            val slow = launch(Dispatchers.IO) { relay.call("idempotent") }
+            delay(200)
+            val left = List(20) { launch(Dispatchers.IO) { relay.callAndLeave("idempotent", closeAfterMillis = 200) } }
+            left.joinAll()
+            busyMillis = 0
+            slow.join()
+            delay(500)
+            expectThat(endpoint.receivedRequests).hasSize(4)
+        }
+
     @Test
     fun `a call ends at its deadline`(): Unit =
         runBlocking {
--- a/src/test/kotlin/lacewingweir/platform/RelayFixture.kt
+++ b/src/test/kotlin/lacewingweir/platform/RelayFixture.kt
@@ -22,6 +22,7 @@
 import lacewingweir.testing.localStreamVersions
 import lacewingweir.transport.http.ClientRequest
 import lacewingweir.transport.http.ClientResult
+import lacewingweir.transport.http.EventLoopLag
 import lacewingweir.transport.http.HttpClient
 import lacewingweir.transport.http.HttpServer
 import lacewingweir.transport.http.ServerExchange
@@ -31,6 +32,7 @@
 import lacewingweir.transport.relay.RelayLimits
 import lacewingweir.transport.relay.RepeatBudgets
 import lacewingweir.transport.relay.RunHandovers
+import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
 
 /** A relay and endpoints on loopback. Each test defines the responses of its endpoints. */
@@ -54,7 +56,9 @@
     )
 
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
-    private val scope = CoroutineScope(SupervisorJob() + group.next().asCoroutineDispatcher())
+    private val loop = group.next()
+    private val scope = CoroutineScope(SupervisorJob() + loop.asCoroutineDispatcher())
+    private val loopLag = EventLoopLag(loop).also { it.start() }
     private val http = HttpClient(group)
     private val suspendAwareClock = SuspendAwareClock()
     val proof = StoreContactProof(suspendAwareClock).also { it.prove(suspendAwareClock.now()) }
@@ -93,6 +97,7 @@
             streamVersions,
             clock,
             { limits },
+            awaitDisconnects = loopLag::awaitNextPass,
         )
     private val callerServer =
         HttpServer(group, scope, "127.0.0.1", 0) { exchange ->
@@ -190,6 +195,16 @@
             "coldLeftMs":0,"sequence":1,"born":1000,"models":[{"name":"m","version":1,"adapters":[]}]}""",
     )
 
+    /** Sends a request and closes the connection [closeAfterMillis] later, without reading a response. */
+    fun callAndLeave(
+        kind: String,
+        closeAfterMillis: Long,
+    ) = Socket("127.0.0.1", callerServer.port).use { socket ->
+        val head = "POST /$kind/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: $REQUEST_ID\r\nX-Api-Key: k1\r\n"
+        socket.getOutputStream().write("${head}Deadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n".encodeToByteArray())
+        Thread.sleep(closeAfterMillis)
+    }
+
     suspend fun call(
         kind: String,
         key: String = "k1",
