Find the sources of cached prompt parts for all engines in one pass

Large fleets: each placement looked for the best source once for each usable engine, over all engines again, so its cost grew with their square.

--- a/src/main/kotlin/lacewingweir/coordination/placement/EngineChooser.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EngineChooser.kt
@@ -64,9 +64,10 @@
                 .distinct()
                 .associateWith { prompt.prefixHashes(cacheSalt(it, request.cacheIsolation)) }
         val cached = usable.associateWith { it.prefixes.cachedTokens(prefixHashes.getValue(it.weights()), partTokens) }
+        val sources = CacheSources(cached, MIN_COPY_TOKENS)
         val views =
             usable.map {
-                val cachedAtSource = bestCacheSource(it, cached)?.let(cached::getValue) ?: 0.0
+                val cachedAtSource = sources.sourceFor(it)?.let(cached::getValue) ?: 0.0
                 val penalty = weightsAgePolicy.penaltyMillis(it.weights(), target, prompt.longAnswer)
                 val toBegin = weightsAgePolicy.remainingMillis(it.weights(), target)?.toDouble()
                 view(it, spec, penalty, toBegin ?: Double.POSITIVE_INFINITY)
@@ -90,7 +91,8 @@
             prefillSpeed = speed,
             cacheIsolation = request.cacheIsolation,
             cacheSource =
-                bestCacheSource(state, cached)
+                sources
+                    .sourceFor(state)
                     ?.takeIf { cached.getValue(it) > cached.getValue(state) }
                     ?.entry,
             model = prompt.model,
@@ -134,23 +136,6 @@
         second: EndpointEntry,
     ) = first.software != null && first.software == second.software
 
-    /**
-     * Returns the other engine with the same weights and software that caches most of the prompt, or null if none
-     * caches enough.
-     */
-    private fun bestCacheSource(
-        state: EndpointState,
-        cached: Map<EndpointState, Double>,
-    ): EndpointState? =
-        cached.entries
-            .filter { (other, tokens) ->
-                other !== state &&
-                    other.weights() == state.weights() &&
-                    hasSameSoftware(other.entry, state.entry) &&
-                    tokens >= MIN_COPY_TOKENS
-            }.maxByOrNull { it.value }
-            ?.key
-
     private fun view(
         state: EndpointState,
         spec: EngineSpec?,
