--- a/src/main/kotlin/lacewingweir/platform/PlatformEngineClient.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformEngineClient.kt
@@ -1,5 +1,6 @@
 package lacewingweir.platform
 
+import io.netty.handler.codec.http.HttpHeaders
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.JsonObject
 import lacewingweir.protocol.settings.HostPort
@@ -40,6 +41,8 @@
                     connectTimeoutMillis = PlatformEndpointProtocol.CONNECT_TIMEOUT_MILLIS,
                     headTimeoutMillis = responseTimeoutMillis,
                     headers = listOf(PlatformHeaders.EXPECTED_ENDPOINT to engine.id.value),
+                    // A response that names a call is a late copy of the answer to a call on the same connection.
+                    acceptsResponse = { !it.contains(PlatformHeaders.REQUEST_ID) },
                 ),
             )
         if (result is ClientResult.Answered) onStatement(engine, decodeStatement(result.response))
@@ -68,6 +71,7 @@
     connectTimeoutMillis: Long,
     headTimeoutMillis: Long,
     headers: List<Pair<String, String>> = emptyList(),
+    acceptsResponse: (HttpHeaders) -> Boolean = { true },
 ) = ClientRequest(
     host = address.host,
     port = address.port,
@@ -77,4 +81,5 @@
     body = body?.toString()?.encodeToByteArray() ?: ByteArray(0),
     connectTimeoutMillis = connectTimeoutMillis,
     headTimeoutMillis = headTimeoutMillis,
+    acceptsResponse = acceptsResponse,
 )
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/platform/DuplicateAnswerTest.kt
@@ -0,0 +1,183 @@
+package lacewingweir.platform
+
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.runBlocking
+import lacewingweir.state.fleet.EndpointEntry
+import lacewingweir.state.id.EndpointId
+import lacewingweir.state.id.FailureDomain
+import lacewingweir.state.id.ServiceName
+import lacewingweir.transport.http.ClientRequest
+import lacewingweir.transport.http.ClientResult
+import lacewingweir.transport.http.HttpClient
+import lacewingweir.transport.http.readAll
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isNotNull
+import java.io.BufferedReader
+import java.io.IOException
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
+
+/**
+ * Guards against a second copy of an answer that comes late, on a connection that is in use again, and is taken for the
+ * answer to the next request.
+ */
+internal class DuplicateAnswerTest {
+    private val relay = RelayFixture(repeatExtra = 100_000.0).also { it.configure("k1") }
+    private val duplicates = AtomicInteger()
+    private val server = ServerSocket(0)
+
+    @AfterEach
+    fun close() {
+        server.close()
+        relay.close()
+    }
+
+    private fun response(
+        id: String?,
+        body: String,
+    ): String {
+        val idHeader = id?.let { "Attempt-Id: $it\r\n" }.orEmpty()
+        return "HTTP/1.1 200 OK\r\n${idHeader}Server-Stamp: s\r\nContent-Length: ${body.length}\r\n\r\n$body"
+    }
+
+    /** Serves all connections. Before the response to a request, it sends that to the previous one once more. */
+    private fun startServer(duplicateOf: (id: String?) -> String?) =
+        thread(isDaemon = true) {
+            try {
+                while (true) {
+                    val socket = server.accept()
+                    thread(isDaemon = true) { serve(socket, duplicateOf) }
+                }
+            } catch (_: IOException) {
+                // The test has ended.
+            }
+        }
+
+    private fun serve(
+        socket: Socket,
+        duplicateOf: (id: String?) -> String?,
+    ) = try {
+        socket.tcpNoDelay = true
+        val input = socket.getInputStream().bufferedReader()
+        val out = socket.getOutputStream()
+        var previous: String? = null
+        while (true) {
+            val id = readRequest(input) ?: break
+            previous?.let {
+                out.write(it.encodeToByteArray())
+                duplicates.incrementAndGet()
+            }
+            out.write(response(id.ifEmpty { null }, answerTo(id)).encodeToByteArray())
+            out.flush()
+            previous = duplicateOf(id.ifEmpty { null })
+        }
+    } catch (_: IOException) {
+        // The instance has closed the connection.
+    }
+
+    private fun answerTo(id: String) = if (id.isEmpty()) STATUS else "answer to $id"
+
+    /** Returns the id of the next request, empty if it has none, or null at the end of the connection. */
+    private fun readRequest(input: BufferedReader): String? {
+        var id = ""
+        var length = 0
+        var line = input.readLine() ?: return null
+        while (line.isNotEmpty()) {
+            val (name, value) = line.split(": ", limit = 2) + ""
+            if (name.equals("Attempt-Id", ignoreCase = true)) id = value
+            if (name.equals("Content-Length", ignoreCase = true)) length = value.toInt()
+            line = input.readLine() ?: return null
+        }
+        repeat(length) { input.read() }
+        return id
+    }
+
+    /** Sends calls over several connections. Returns those that got another call's answer, and the number of answers. */
+    private fun sendCalls(): Pair<List<String>, Int> =
+        runBlocking {
+            relay.registerPlain("i-1", server.localPort)
+            // The fixture proves contact with the store only once.
+            relay.limits = relay.limits.copy(maxKeyProofAgeMillis = Long.MAX_VALUE)
+            val foreign = CopyOnWriteArrayList<String>()
+            val answered = AtomicInteger()
+            (0 until CALLERS)
+                .map { caller ->
+                    async {
+                        repeat(CALLS / CALLERS) {
+                            val id = "%016x".format(caller * 1_000_000L + it)
+                            val response = relay.call("idempotent", id = id)
+                            if (response.status == 200) answered.incrementAndGet()
+                            if (response.status == 200 && response.body != answerTo(id)) foreign += response.body
+                        }
+                    }
+                }.awaitAll()
+            foreign to answered.get()
+        }
+
+    @Test
+    fun `no caller gets the late copy of an answer to another`() {
+        startServer { id -> response(id, answerTo(id.orEmpty())) }
+        val (foreign, answered) = sendCalls()
+        expectThat(duplicates.get()).isGreaterThan(CALLS / 2)
+        expectThat(foreign).isEmpty()
+        expectThat(answered).isEqualTo(CALLS)
+    }
+
+    @Test
+    fun `no caller gets a late answer that names no request`() {
+        startServer { id -> response(id = null, body = answerTo(id.orEmpty())) }
+        val (foreign, _) = sendCalls()
+        expectThat(duplicates.get()).isGreaterThan(0)
+        expectThat(foreign).isEmpty()
+    }
+
+    /** Control requests share the connections of calls, and their responses carry no id. */
+    @Test
+    fun `the late copy of an answer is not taken for the status of an engine`(): Unit =
+        runBlocking {
+            startServer { id -> response(id, answerTo(id.orEmpty())) }
+            val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+            val http = HttpClient(group)
+            val control =
+                PlatformWeightsControl(PlatformEngineClient(http, isPaused = { false }, onStatement = { _, _ -> }))
+            val call =
+                ClientRequest("127.0.0.1", server.localPort, "GET", "/x", headers = listOf("Attempt-Id" to CALL_ID))
+            (http.open(call) as ClientResult.Answered).response.readAll(1_000)
+            expectThat(control.status(engine())).isNotNull()
+            expectThat(duplicates.get()).isEqualTo(1)
+            http.close()
+            group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS)
+        }
+
+    private fun engine() =
+        EndpointEntry(
+            id = EndpointId("i-1"),
+            service = ServiceName("engine"),
+            host = "127.0.0.1",
+            port = server.localPort,
+            domain = FailureDomain("z1"),
+            slots = 1,
+            leaving = false,
+            startedAtUnixMillis = 0,
+            weights = emptyMap(),
+        )
+
+    private companion object {
+        const val CALLS = 10_000
+        const val CALLERS = 8
+        const val CALL_ID = "00000000000000aa"
+        const val STATUS = """{"sequence":1,"busy":false,"models":[]}"""
+    }
+}
--- a/src/test/kotlin/lacewingweir/platform/RelayFixture.kt
+++ b/src/test/kotlin/lacewingweir/platform/RelayFixture.kt
@@ -205,11 +205,22 @@
         Thread.sleep(closeAfterMillis)
     }
 
+    /** Writes the item of an endpoint of the plain service that listens at [port] to the store. */
+    fun registerPlain(
+        id: String,
+        port: Int,
+    ) = write(
+        "servers/$id",
+        """{"service":"plain","address":"127.0.0.1:$port","zone":"z1","version":"v1","slots":4,"state":"ready",
+            "coldLeftMs":0,"sequence":1,"born":1000}""",
+    )
+
     suspend fun call(
         kind: String,
         key: String = "k1",
         headers: List<Pair<String, String>> = emptyList(),
         callerTimeoutMillis: Long = 2_000,
+        id: String = REQUEST_ID,
     ): CallerResponse {
         val request =
             ClientRequest(
@@ -220,7 +231,7 @@
                 headers =
                     listOf(
                         "Host" to "h.example",
-                        "Attempt-Id" to REQUEST_ID,
+                        "Attempt-Id" to id,
                         "X-Api-Key" to key,
                         "Deadline-Ms" to "$callerTimeoutMillis",
                     ) +
--- a/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
+++ b/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
@@ -87,6 +87,14 @@
         instances[index] = null
     }
 
+    /** Stops the instance at [index] as on SIGTERM, and ends it then. */
+    suspend fun stopInstance(index: Int) {
+        instances[index]?.shutdown()
+        killInstance(index)
+    }
+
+    fun isStopped(index: Int): Boolean = instances[index] == null
+
     /** Starts the instance at [index], which was ended, anew. */
     suspend fun restartInstance(index: Int) {
         instances[index] = startInstance(index)
