Watch the store in longer calls and gather changes for longer

Logs of two instances there: 5 responses in 5 s when nothing changes, 14 to 16 while endpoints come, go or load weights, since each change ends the watches of all instances.

A watch now waits for 1.7 s instead of 1.5 s, and changes that follow each other are gathered for 0.7 s instead of 0.4 s. A first change still arrives at once. After a change the contact proof gets as old as both together, 2.4 s, below the 2.5 s up to which unknown keys are refused for good.

--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -400,16 +400,17 @@
 
         /**
          * Time for which a watch call waits for changes. A longer wait reduces the number of calls, for which the
-         * platform charges, but the contact proof can become this old between two calls.
+         * platform charges, but the contact proof can become this old between two calls. Together with the mirror's
+         * interval between calls it stays below [RelayLimits.maxRefusalProofAgeMillis].
          */
-        const val WATCH_WAIT_MILLIS: Long = 1_500
+        const val WATCH_WAIT_MILLIS: Long = 1_700
 
         /** Time that a request may take to reach its endpoint after the last check of its key. */
         const val KEY_CHECK_MARGIN_MILLIS: Long = 500
 
         /**
-         * Slightly more than the waits of two watch calls. An instance that receives no response from the store for
-         * this time reports that it is not ready, before it has to refuse requests.
+         * Slightly more than a watch call takes that fails, with the retry after it. An instance that receives no
+         * response from the store for this time reports that it is not ready, before it has to refuse requests.
          */
         const val READY_MAX_PROOF_AGE_MILLIS: Long = 3_200
 
--- a/src/main/kotlin/lacewingweir/coordination/fleet/StoreMirror.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/StoreMirror.kt
@@ -143,8 +143,12 @@
     }
 
     private companion object {
-        /** Minimum time between the starts of two watch calls, and greatest delay of changes that are gathered. */
-        const val MIN_WATCH_INTERVAL_MILLIS: Long = 400
+        /**
+         * Minimum time between the starts of two watch calls, and greatest delay of changes that are gathered. Well
+         * below the two seconds in which a configuration or the leaving of an endpoint must be in force. After a
+         * change, the contact proof gets as old as this interval and a whole wait together.
+         */
+        const val MIN_WATCH_INTERVAL_MILLIS: Long = 700
 
         /**
          * Short compared to the maximum age of the contact proof, long compared to the store's response time of
