Show that no stream is taken up after all routers were killed beside two versions

Servers of two software versions serve before, during and after a kill of all eight routers. The version of each stream is lost with its instance and the three peers that were told, so every stream that its caller takes up is refused with 503 for half a minute, though both versions serve.

--- a/review/lab/Http.java
+++ b/review/lab/Http.java
@@ -187,11 +187,18 @@
         return request;
     }
 
-    /** Sends one request on a new connection. The status is 0 if no answer came. [onBytes] sees stream bytes. */
+    /** Sends one request on a new connection. The status is 0 if no answer came. */
     static Response call(String host, int port, String method, String target, Map<String, String> headers, byte[] body,
             int timeoutMillis) {
+        return call(host, port, method, target, headers, body, timeoutMillis, 0);
+    }
+
+    /** Closes the connection after [cutMillis], unless that is 0. */
+    static Response call(String host, int port, String method, String target, Map<String, String> headers, byte[] body,
+            int timeoutMillis, long cutMillis) {
         Response response = new Response();
         try (Socket socket = new Socket()) {
+            if (cutMillis > 0) Lab.daemon(() -> cut(socket, cutMillis));
             socket.connect(new InetSocketAddress(host, port), 1000);
             socket.setTcpNoDelay(true);
             socket.setSoTimeout(timeoutMillis);
@@ -214,6 +221,15 @@
         return response;
     }
 
+    private static void cut(Socket socket, long millis) {
+        Lab.sleep(millis);
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // It is closed.
+        }
+    }
+
     private static void readBody(InputStream in, Response response) throws IOException {
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         try {
--- a/review/lab/Lab.java
+++ b/review/lab/Lab.java
@@ -29,6 +29,10 @@
         int readyPort;
         Process process;
         File log;
+        private List<String> command;
+        private Path settings;
+        /** When the process started last, as in [millis]. */
+        long startedAt;
     }
 
     static void open(String recordFile) throws IOException {
@@ -97,15 +101,23 @@
         String run = Files.readAllLines(Path.of("deploy/system.toml")).stream()
             .filter(line -> line.startsWith("run = ")).findFirst().orElseThrow();
         List<String> command = Arrays.asList(run.substring(run.indexOf('"') + 1, run.lastIndexOf('"')).split(" "));
-        ProcessBuilder builder = new ProcessBuilder(command);
-        builder.environment().put("LACEWINGWEIR_CONFIG", file.toString());
+        router.command = command;
+        router.settings = file;
         router.log = folder.resolve(name + ".log").toFile();
-        builder.redirectErrorStream(true).redirectOutput(router.log);
+        start(router);
+        return router;
+    }
+
+    /** Starts the process of a router, also again after it was killed. */
+    static void start(Router router) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(router.command);
+        builder.environment().put("LACEWINGWEIR_CONFIG", router.settings.toString());
+        builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(router.log));
         router.process = builder.start();
+        router.startedAt = millis();
         synchronized (processes) {
             processes.add(router.process);
         }
-        return router;
     }
 
     /** Waits until each router says that it is ready. Ends the case with 2 if it doesn't. */
