Report the review, with second answers in spells of five seconds

The second copies of cases 1 and 4 come in spells of 5 s now, the longest in the site file, and the servers of case 1 have a queue.

--- a/review/lab/ControlCopy.java
+++ b/review/lab/ControlCopy.java
@@ -84,7 +84,7 @@
                 throws Exception {
             byte[] bytes = Http.encode(status, headers, body.getBytes(StandardCharsets.UTF_8));
             connection.write(bytes);
-            if (Lab.TROUBLE && faulty && random.nextDouble() < COPIES) {
+            if (faulty && Lab.inSpell() && random.nextDouble() < COPIES) {
                 connection.lateCopy = bytes;
                 Lab.record(id + " will send a second copy of " + status + " to " + to);
             }
--- a/review/lab/Lab.java
+++ b/review/lab/Lab.java
@@ -38,6 +38,10 @@
     static void open(String recordFile) throws IOException {
         record = new PrintWriter(Files.newBufferedWriter(Path.of(recordFile)), true);
         folder = Files.createTempDirectory("review");
+        Thread.currentThread().setUncaughtExceptionHandler((thread, e) -> {
+            e.printStackTrace();
+            cannotRun(e.toString());
+        });
         Runtime.getRuntime().addShutdownHook(new Thread(Lab::close));
         record("trouble=" + TROUBLE);
     }
@@ -46,6 +50,11 @@
         return System.nanoTime() / 1_000_000;
     }
 
+    /** Whether a spell of a disruption of 5 s is on, as long as in the site file. Spells are a second apart. */
+    static boolean inSpell() {
+        return TROUBLE && (System.nanoTime() - START) / 1_000_000 % 6_000 < 5_000;
+    }
+
     static synchronized void record(String line) {
         record.printf(Locale.ROOT, "%8.3f %s%n", (System.nanoTime() - START) / 1e9, line);
     }
--- a/review/lab/LateCopy.java
+++ b/review/lab/LateCopy.java
@@ -7,11 +7,13 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Bookings at services of two servers that are full at times, one of which sends a second copy of some of its answers. */
 final class LateCopy {
     private static final int SLOTS = 6;
+    private static final int QUEUE = 4;
     private static final int SECONDS = 90;
     private static final int SERVICES = 3;
     private static final int PER_SECOND = 375;
@@ -30,7 +32,8 @@
         final boolean faulty;
         final Http.Server http;
         private final Random random = new Random(7);
-        private int running;
+        private final Semaphore slots = new Semaphore(SLOTS, true);
+        private int accepted;
 
         Desk(String id, boolean faulty) throws Exception {
             this.id = id;
@@ -45,13 +48,13 @@
         }
 
         private synchronized boolean begin() {
-            if (running >= SLOTS) return false;
-            running++;
+            if (accepted >= SLOTS + QUEUE) return false;
+            accepted++;
             return true;
         }
 
         private synchronized void end() {
-            running--;
+            accepted--;
         }
 
         private synchronized boolean draw() {
@@ -85,17 +88,19 @@
                 Lab.record(id + " refuses " + call + " with Not-Executed");
             } else {
                 try {
+                    slots.acquire();
                     int count = runs.computeIfAbsent(call, key -> new AtomicInteger()).incrementAndGet();
                     Lab.record(id + " runs " + call + " run=" + count);
                     Lab.sleep(work());
                 } finally {
+                    slots.release();
                     end();
                 }
                 headers.put("Server-Stamp", id + "." + call);
                 answer = Http.encode(200, headers, ("booked " + call).getBytes(StandardCharsets.UTF_8));
             }
             connection.write(answer);
-            if (Lab.TROUBLE && faulty && draw()) {
+            if (faulty && Lab.inSpell() && draw()) {
                 connection.lateCopy = answer;
             }
         }
--- a/review/lab/OldView.java
+++ b/review/lab/OldView.java
@@ -6,7 +6,7 @@
 /** Streams that begin at a new software version, break off, and are taken up at a machine that the store ignores. */
 final class OldView {
     private static final int ROUTERS = 8;
-    private static final int STREAMS = 48;
+    private static final int STREAMS = 80;
     private static final int ROUNDS = 3;
     private static final int EVENTS = 40;
     private static final int EVENT_MILLIS = 25;
@@ -45,7 +45,7 @@
                     stream.attempt(next);
                 }
             }));
-            Lab.sleep(8);
+            Lab.sleep(5);
         }
         Lab.sleep(200);
         Lab.record("the servers of version " + version + " crash");
@@ -72,7 +72,7 @@
             + "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}");
         store.put("op/version/m", "{\"model\":\"m\",\"version\":1}");
         long born = System.currentTimeMillis() - 100_000;
-        for (int n = 1; n <= 2; n++) new StreamEngine("e-old-" + n, "v1", EVENTS, EVENT_MILLIS).register(store, born);
+        for (int n = 1; n <= 5; n++) new StreamEngine("e-old-" + n, "v1", EVENTS, EVENT_MILLIS).register(store, born);
         List<Lab.Router> routers = new ArrayList<>();
         List<Proxy> paths = new ArrayList<>();
         for (int n = 1; n <= ROUTERS; n++) {
