--- a/review/lab/Lab.java
+++ b/review/lab/Lab.java
@@ -17,7 +17,8 @@
 
 /** Starts routers as processes with the run line of the deploy file, and writes the record of a case. */
 final class Lab {
-    static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
+    /** Whether the disruption is played; run.sh passes on what it reads from the environment. */
+    static final boolean TROUBLE = !"0".equals(System.getProperty("trouble"));
     private static final long START = System.nanoTime();
     private static PrintWriter record;
     private static Path folder;
