Keep the view of the store beside items that can't be read

Cause: the JSON parser calls itself for each nested array and overflows the stack of 256 KB. The codec and the mirror caught exceptions only, so the StackOverflowError ended the coroutine of the mirror, and with it the configuration, the endpoints and the proof of contact. Nothing logged that in one line, counted it or started the mirror again.

Why it works, in two halves: - An item costs only itself. Nesting and the number of values are bounded before the parser sees the bytes; bytes that aren't UTF-8 are malformed like any others, also in answers of engines and of the store, where they escaped the handlers; numbers of slots out of range and ids that can't be sent in a header make an entry unreadable. The directory takes any failure of the decoder as that of one item, as a second line. A configuration that can't be read is named by its number in the log. - No long-lived part ends in silence. PartFailures logs and counts each end, by any Throwable or by a cancellation that isn't the part's own, and the part starts again in place: mirror, datagram receiver (which binds anew), timers, registration. Ending the process instead would cut all answers in progress and meet the same input again. A listener that was closed by a failure, as Netty does after an error in accept, listens again. Handlers of requests that end with an error answer. admission: lines have partFailures.

--- a/src/main/kotlin/lacewingweir/cli/router/AdmissionReporter.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/AdmissionReporter.kt
@@ -12,13 +12,14 @@
 
 /**
  * What an instance has kept away from endpoints because it would crash them, because of limits, because a stream
- * could not go on, or because the weights of engines were outdated.
+ * could not go on, or because the weights of engines were outdated, and how many of its own parts have failed.
  */
 internal data class AdmissionFigures(
     val quarantine: QuarantineFigures,
     val limits: LimitFigures,
     val streams: StreamFigures,
     val outdated: OutdatedWeightsFigures,
+    val partFailures: Long,
 )
 
 internal class AdmissionReporter(
@@ -53,7 +54,8 @@
                     "streamQuestions=${streams.asked - streamsBefore.asked} " +
                     "outdatedSends=${outdated.sends - outdatedBefore.sends} " +
                     "outdatedRefusals=${outdated.refusals - outdatedBefore.refusals} " +
-                    "withdrawn=${outdated.withdrawals - outdatedBefore.withdrawals}"
+                    "withdrawn=${outdated.withdrawals - outdatedBefore.withdrawals} " +
+                    "partFailures=${current.partFailures - reported.partFailures}"
             }
         }
         reported = current
--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -31,6 +31,8 @@
 import lacewingweir.coordination.stream.ServedVersionsWriter
 import lacewingweir.coordination.stream.StreamVersions
 import lacewingweir.coordination.time.CoroutineTimerService
+import lacewingweir.coordination.time.PartFailures
+import lacewingweir.coordination.time.keepRunning
 import lacewingweir.coordination.weights.RolloutLease
 import lacewingweir.coordination.weights.WeightsRollout
 import lacewingweir.platform.PlatformEndpointProtocol
@@ -69,9 +71,10 @@
 ) : AutoCloseable {
     private val group = MultiThreadIoEventLoopGroup(settings.cores, NioIoHandler.newFactory())
     private val loop = group.next()
-    private val scope = CoroutineScope(SupervisorJob() + loop.asCoroutineDispatcher())
+    private val failures = PartFailures()
+    private val scope = CoroutineScope(SupervisorJob() + loop.asCoroutineDispatcher() + failures.handler)
     private val loopLag = EventLoopLag(loop)
-    private val timers = CoroutineTimerService(scope)
+    private val timers = CoroutineTimerService(scope, failures = failures)
     private val clock = MonotonicClock.SYSTEM
     private val ageClock = SuspendAwareClock()
     private val bounds = settings.bounds
@@ -135,7 +138,7 @@
             { quarantine.blockList },
         )
     private val digestNetwork =
-        DatagramDigestNetwork(settings.host, settings.internalPorts.first(), scope, ::onDatagram)
+        DatagramDigestNetwork(settings.host, settings.internalPorts.first(), scope, failures, ::onDatagram)
     private val streamVersions =
         StreamVersions(settings.name, clock, scope, digestNetwork, { directory.snapshot }, proof::ageMillis)
     private val servedVersionsWriter =
@@ -234,6 +237,7 @@
                 tracker.limitFigures(),
                 streamVersions.figures,
                 tracker.outdatedWeightsFigures(),
+                failures.total,
             )
         }
     private val readinessServer = createServer(settings.readinessListen, ::answerReadiness)
@@ -253,7 +257,7 @@
         digestNetwork.start()
         readinessServer.start()
         callerServer.start()
-        scope.launch { mirror.run() }
+        scope.launch { failures.keepRunning("mirror") { mirror.run() } }
         scope.launch { registration.start() }
         digestSender.start()
         blockListWriter.start()
--- a/src/main/kotlin/lacewingweir/cli/serve/InstanceRuntime.kt
+++ b/src/main/kotlin/lacewingweir/cli/serve/InstanceRuntime.kt
@@ -9,14 +9,16 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import lacewingweir.coordination.time.CoroutineTimerService
+import lacewingweir.coordination.time.PartFailures
 import lacewingweir.coordination.time.TimerService
 import lacewingweir.state.time.MonotonicClock
 import lacewingweir.transport.http.HttpClient
 
 /** The threads, timers, clock, HTTP client and metrics registry that the components of an instance share. */
 internal class InstanceRuntime : AutoCloseable {
-    val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    val timers: TimerService = CoroutineTimerService(scope)
+    private val failures = PartFailures()
+    val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default + failures.handler)
+    val timers: TimerService = CoroutineTimerService(scope, failures = failures)
     val clock: MonotonicClock = MonotonicClock.SYSTEM
     val group: EventLoopGroup = MultiThreadIoEventLoopGroup(IO_THREADS, NioIoHandler.newFactory())
     val http = HttpClient(group)
--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetDirectory.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetDirectory.kt
@@ -170,7 +170,7 @@
         key: String,
         value: ByteArray,
     ) {
-        when (val update = decode(key, value)) {
+        when (val update = read(key, value)) {
             null -> Unit
             is FleetUpdate.Config -> applyConfig(update.config)
             is FleetUpdate.TargetWeights -> applyTargetWeights(update)
@@ -197,6 +197,20 @@
         }
     }
 
+    /** Decodes an item. Whatever it holds, a failure concerns this item only. */
+    private fun read(
+        key: String,
+        value: ByteArray,
+    ): FleetUpdate? =
+        try {
+            decode(key, value)
+        } catch (e: Exception) {
+            FleetUpdate.Unreadable("not decoded: $e")
+        } catch (e: VirtualMachineError) {
+            // The decoder bounds what it uses of the stack and the heap, but the rest of the process uses both too.
+            FleetUpdate.Unreadable("not decoded: $e")
+        }
+
     private fun endpointWritten(
         key: String,
         entry: EndpointEntry,
--- a/src/main/kotlin/lacewingweir/coordination/fleet/LeasedInstanceRegistration.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/LeasedInstanceRegistration.kt
@@ -28,8 +28,11 @@
     private var stopped = false
 
     suspend fun start() {
-        keepRegistered()
-        timers.every("registration", RENEW_MILLIS) { keepRegistered() }
+        try {
+            keepRegistered()
+        } finally {
+            timers.every("registration", RENEW_MILLIS) { keepRegistered() }
+        }
     }
 
     /** Ends the lease and with it the registration, so that peers stop counting this instance immediately. */
--- a/src/main/kotlin/lacewingweir/platform/JsonFields.kt
+++ b/src/main/kotlin/lacewingweir/platform/JsonFields.kt
@@ -10,16 +10,30 @@
 import kotlinx.serialization.json.booleanOrNull
 import kotlinx.serialization.json.doubleOrNull
 import kotlinx.serialization.json.longOrNull
+import lacewingweir.protocol.json.JsonNesting
 
 /**
  * Parses [bytes] as a JSON object.
  *
- * @throws IllegalArgumentException if the text is not a JSON object
- * @throws CharacterCodingException if [bytes] are not UTF-8
+ * The parser is recursive and creates an object for each value, so the text is bounded before it is parsed.
+ *
+ * @throws IllegalArgumentException if the text is not a JSON object within the limits
  */
-internal fun parseObject(bytes: ByteArray): JsonObject =
-    Json.parseToJsonElement(bytes.decodeToString(throwOnInvalidSequence = true)) as? JsonObject
-        ?: throw JsonFieldException("not a JSON object")
+internal fun parseObject(bytes: ByteArray): JsonObject {
+    val charAt = { index: Int -> bytes[index].toInt().toChar() }
+    if (JsonNesting.maxNestingDepth(bytes.size, charAt) > MAX_NESTING_DEPTH) {
+        throw JsonFieldException("nested deeper than $MAX_NESTING_DEPTH levels")
+    }
+    if (JsonNesting.maxValues(bytes.size, charAt) > MAX_VALUES) throw JsonFieldException("more than $MAX_VALUES values")
+    return Json.parseToJsonElement(decodeUtf8(bytes)) as? JsonObject ?: throw JsonFieldException("not a JSON object")
+}
+
+private fun decodeUtf8(bytes: ByteArray): String =
+    try {
+        bytes.decodeToString(throwOnInvalidSequence = true)
+    } catch (e: CharacterCodingException) {
+        throw JsonFieldException("not UTF-8: ${e.message}")
+    }
 
 /** Returns the field if it is a number, a boolean or a JSON null. A number in quotes is a string and isn't returned. */
 private fun JsonObject.unquoted(name: String): JsonPrimitive? =
@@ -35,6 +49,10 @@
 internal fun JsonObject.integer(name: String): Long =
     integerOrNull(name) ?: throw JsonFieldException("$name is missing or not an integer")
 
+/** Returns an integer that is not negative and fits in 32 bits. */
+internal fun JsonObject.count(name: String): Int =
+    integer(name).takeIf { it in 0..Int.MAX_VALUE }?.toInt() ?: throw JsonFieldException("$name is out of range")
+
 internal fun JsonObject.numberOrNull(name: String): Double? = unquoted(name)?.doubleOrNull
 
 internal fun JsonObject.number(name: String): Double =
@@ -57,3 +75,9 @@
         is JsonArray -> value
         else -> throw JsonFieldException("$name is not an array")
     }
+
+/** The platform's objects have fewer than ten levels. */
+private const val MAX_NESTING_DEPTH: Int = 64
+
+/** More than fit in an item with the longest configuration. Their objects take up a sixth of the heap. */
+private const val MAX_VALUES: Int = 200_000
--- a/src/main/kotlin/lacewingweir/platform/PlatformItemCodec.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformItemCodec.kt
@@ -1,6 +1,5 @@
 package lacewingweir.platform
 
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.add
@@ -45,6 +44,9 @@
 internal object PlatformItemCodec {
     private const val BITS_PER_BYTE = 8
     private const val BITS_PER_MILLI_AT_1_MBPS = 1_000
+    private const val MAX_DESCRIBED_BYTES = 4_096
+    private val CONFIG_NUMBER = Regex(""""version"\s*:\s*(\d{1,18})""")
+    private val ENDPOINT_ID = Regex("[\\x21-\\x7e]+")
 
     /**
      * Decodes one item. Returns null for keys that are not used here, and [FleetUpdate.Unreadable] for a value that
@@ -57,13 +59,20 @@
         try {
             decodeItem(key, value)
         } catch (e: IllegalArgumentException) {
-            FleetUpdate.Unreadable(e.message ?: "malformed")
-        } catch (e: SerializationException) {
-            FleetUpdate.Unreadable(e.message ?: "malformed")
-        } catch (e: CharacterCodingException) {
-            FleetUpdate.Unreadable("not UTF-8: ${e.message}")
+            FleetUpdate.Unreadable(describe(key, value) + (e.message ?: "malformed"))
         }
 
+    /** Names the number of a configuration that can't be read, as far as it can be found. */
+    private fun describe(
+        key: String,
+        value: ByteArray,
+    ): String {
+        if (key != PlatformKeys.CONFIG) return ""
+        val start = value.decodeToString(0, minOf(value.size, MAX_DESCRIBED_BYTES))
+        val number = CONFIG_NUMBER.find(start)?.groupValues?.get(1)
+        return "configuration ${number ?: "without a number"}: "
+    }
+
     private fun decodeItem(
         key: String,
         value: ByteArray,
@@ -183,6 +192,8 @@
         id: EndpointId,
         item: JsonObject,
     ): EndpointEntry {
+        // The id is sent in a header of each call.
+        if (!ENDPOINT_ID.matches(id.value)) throw JsonFieldException("id is not printable")
         val address = address(item)
         val state = item.string("state")
         if (state != "ready" && state != "draining") throw JsonFieldException("unknown state $state")
@@ -193,7 +204,7 @@
             port = address.port,
             // The failure domain is called `zone` for endpoints and `failureDomain` for instances.
             domain = FailureDomain(item.string("zone")),
-            slots = item.integer("slots").toInt(),
+            slots = item.count("slots"),
             leaving = state == "draining",
             // `born` is the time at which the endpoint's process started.
             startedAtUnixMillis = item.integerOrNull("born") ?: 0,
--- a/src/main/kotlin/lacewingweir/protocol/json/JsonNesting.kt
+++ b/src/main/kotlin/lacewingweir/protocol/json/JsonNesting.kt
@@ -28,4 +28,15 @@
         }
         return maxNestingDepth
     }
+
+    /**
+     * Returns the number of values in a text, or a higher number if it is malformed. Each value takes up several times
+     * its length when it is parsed.
+     */
+    inline fun maxValues(
+        length: Int,
+        charAt: (Int) -> Char,
+    ): Int = 1 + (0 until length).count { charAt(it) in VALUE_STARTS }
+
+    const val VALUE_STARTS: String = "[{,"
 }
--- a/src/main/kotlin/lacewingweir/transport/digest/DatagramDigestNetwork.kt
+++ b/src/main/kotlin/lacewingweir/transport/digest/DatagramDigestNetwork.kt
@@ -7,9 +7,11 @@
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.awaitClosed
+import io.ktor.network.sockets.isClosed
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
@@ -19,6 +21,9 @@
 import kotlinx.serialization.SerializationException
 import lacewingweir.coordination.gossip.DigestNetwork
 import lacewingweir.coordination.gossip.PeerDatagram
+import lacewingweir.coordination.time.PartFailures
+import lacewingweir.coordination.time.contain
+import lacewingweir.coordination.time.keepRunning
 import lacewingweir.transport.traffic.MessageCounter
 
 private val logger = KotlinLogging.logger {}
@@ -33,10 +38,14 @@
     private val host: String,
     private val port: Int,
     private val scope: CoroutineScope,
+    private val failures: PartFailures = PartFailures(),
     private val onDatagram: (PeerDatagram) -> Unit,
 ) : DigestNetwork,
     AutoCloseable {
     private val selector = SelectorManager(Dispatchers.IO)
+    private var receiver: Job? = null
+
+    @Volatile
     private var socket: BoundDatagramSocket? = null
 
     /** Datagrams handed to the socket, with the size of their headers. */
@@ -46,14 +55,20 @@
     val received = MessageCounter()
 
     suspend fun start() {
-        val boundSocket = aSocket(selector).udp().bind(InetSocketAddress(host, port))
-        socket = boundSocket
-        scope.launch {
-            while (true) {
-                val bytes = boundSocket.receive().packet.readByteArray()
-                received.add(bytes.size + DATAGRAM_HEADER_BYTES)
-                decode(bytes)?.let(onDatagram)
-            }
+        bind()
+        receiver = scope.launch { failures.keepRunning("datagram receiver") { receive() } }
+    }
+
+    private suspend fun bind(): BoundDatagramSocket =
+        aSocket(selector).udp().bind(InetSocketAddress(host, port)).also { socket = it }
+
+    private suspend fun receive() {
+        // A failure may have closed the socket.
+        val boundSocket = socket?.takeUnless { it.isClosed } ?: bind()
+        while (true) {
+            val bytes = boundSocket.receive().packet.readByteArray()
+            received.add(bytes.size + DATAGRAM_HEADER_BYTES)
+            failures.contain("datagram of ${bytes.size} bytes") { decode(bytes)?.let(onDatagram) }
         }
     }
 
@@ -71,6 +86,7 @@
 
     /** Closes the socket and waits until its port is free. */
     override fun close() {
+        receiver?.cancel()
         socket?.let {
             it.close()
             runBlocking { withTimeoutOrNull(CLOSE_TIMEOUT_MILLIS) { it.awaitClosed() } }
--- a/src/main/kotlin/lacewingweir/transport/http/HttpServer.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/HttpServer.kt
@@ -3,6 +3,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
@@ -18,6 +19,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import java.net.InetSocketAddress
+import java.net.SocketAddress
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 
@@ -44,7 +46,13 @@
     private val requestedPort = port
     private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
     private val inFlight = AtomicInteger()
-    private var listener: Channel? = null
+
+    @Volatile
+    internal var listener: Channel? = null
+        private set
+
+    @Volatile
+    private var stopped = false
 
     @Volatile
     private var draining = false
@@ -75,10 +83,32 @@
                         override fun initChannel(channel: SocketChannel) = initConnection(channel)
                     },
                 )
-        listener = bootstrap.bind(host, requestedPort).syncUninterruptibly().channel()
+        val channel = bootstrap.bind(host, requestedPort).syncUninterruptibly().channel()
+        listener = channel
+        channel.closeFuture().addListener { if (!stopped) listenAgain(bootstrap, channel.localAddress()) }
         return this
     }
 
+    /** Binds [address] again after its listener was closed by a failure, since callers would find no server there. */
+    private fun listenAgain(
+        bootstrap: ServerBootstrap,
+        address: SocketAddress,
+    ) {
+        logger.error { "http: listener at $address has failed; listening again" }
+        bootstrap.bind(address).addListener(
+            ChannelFutureListener { bound ->
+                val channel = bound.channel()
+                if (bound.isSuccess) {
+                    listener = channel
+                    if (stopped) channel.close()
+                    channel.closeFuture().addListener { if (!stopped) listenAgain(bootstrap, address) }
+                } else if (!stopped) {
+                    group.schedule({ listenAgain(bootstrap, address) }, LISTEN_RETRY_MILLIS, TimeUnit.MILLISECONDS)
+                }
+            },
+        )
+    }
+
     private fun initConnection(channel: SocketChannel) {
         connections.add(channel)
         val limits = limits()
@@ -105,7 +135,7 @@
                     throw e
                 } catch (e: PeerClosedException) {
                     logger.debug { "http: peer closed the connection: ${e.message}" }
-                } catch (e: Exception) {
+                } catch (e: Throwable) {
                     logger.warn(e) { "http: handler failed for ${exchange.method} ${exchange.path}" }
                     exchange.fail()
                 }
@@ -129,6 +159,7 @@
     /** Stops accepting connections. Open connections are closed after their next response. */
     public fun stopAccepting() {
         draining = true
+        stopped = true
         listener?.close()?.syncUninterruptibly()
     }
 
@@ -150,5 +181,6 @@
     private companion object {
         const val LISTEN_BACKLOG: Int = 1024
         const val IDLE_POLL_MILLIS: Long = 20
+        const val LISTEN_RETRY_MILLIS: Long = 200
     }
 }
--- a/src/test/kotlin/lacewingweir/platform/PlatformItemCodecTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/PlatformItemCodecTest.kt
@@ -18,6 +18,7 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
@@ -88,6 +89,43 @@
         expectThat(decode("servers/i-1", json)).isA<FleetUpdate.Unreadable>()
     }
 
+    /** Guards against items that overflow the stack or the heap when they are parsed. */
+    @ParameterizedTest
+    @ValueSource(
+        strings = [
+            "servers/i-1", "op/config", "op/version/m", "lacewingweir/instances/a", "lacewingweir/hot-customers",
+            "lacewingweir/blocked-parts", "lacewingweir/target-moments", "lacewingweir/served-versions",
+        ],
+    )
+    fun `a value that is nested too deeply or has too many values is unreadable`(key: String) {
+        for (part in listOf("[", "{\"a\":", "[{\"a\":", "0,")) {
+            expectThat(decode(key, "{\"version\":7,\"routes\":[" + part.repeat(1_000_000 / part.length)))
+                .isA<FleetUpdate.Unreadable>()
+        }
+    }
+
+    /** Guards against operators who can't see which configuration is not in force. */
+    @Test
+    fun `a configuration that can't be read is named by its number`() {
+        expectThat(decode("op/config", "{\"version\":7,\"routes\":" + "[".repeat(4_000)))
+            .isA<FleetUpdate.Unreadable>()
+            .get { reason }
+            .contains("configuration 7")
+    }
+
+    /** Guards against calls that fail since their endpoint's id can't be sent in a header. */
+    @Test
+    fun `an endpoint whose id is not printable is unreadable`() {
+        expectThat(decode("servers/i\n1", endpointItem)).isA<FleetUpdate.Unreadable>()
+    }
+
+    @Test
+    fun `numbers of slots beyond any range are unreadable`() {
+        for (slots in listOf("-1", "4294967297", "9".repeat(400), "1e400")) {
+            expectThat(decode("servers/i-1", endpointItem.replace("48", slots))).isA<FleetUpdate.Unreadable>()
+        }
+    }
+
     @Test
     fun `bytes that are not UTF-8 are unreadable`() {
         expectThat(
--- a/src/test/kotlin/lacewingweir/platform/StandinKeyValueStore.kt
+++ b/src/test/kotlin/lacewingweir/platform/StandinKeyValueStore.kt
@@ -94,7 +94,12 @@
     fun write(
         key: String,
         json: String,
-    ) = commit(listOf(Triple(key, json.encodeToByteArray(), 0L)), emptyList())
+    ) = write(key, json.encodeToByteArray())
+
+    fun write(
+        key: String,
+        value: ByteArray,
+    ) = commit(listOf(Triple(key, value, 0L)), emptyList())
 
     fun remove(key: String) = commit(emptyList(), listOf(key))
 
--- a/src/test/kotlin/lacewingweir/transport/http/HttpClientTest.kt
+++ b/src/test/kotlin/lacewingweir/transport/http/HttpClientTest.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
+import lacewingweir.testing.eventually
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -114,4 +115,24 @@
                 expectThat(disconnectSeen.get()).isTrue()
             }
         }
+
+    // Guards against a server that no caller reaches any more after its listener has failed.
+    @Test
+    fun `a listener that was closed by a failure listens again at the same port`() =
+        runBlocking<Unit> {
+            server { it.respond(200) }.use { server ->
+                val port = server.port
+                server.listener?.close()?.syncUninterruptibly()
+                eventually("the server answers again") { client.open(request(port)) is ClientResult.Answered }
+            }
+        }
+
+    // Guards against calls that never end because an error ended their handler.
+    @Test
+    fun `a request is answered although its handler overflows the stack`() =
+        runBlocking<Unit> {
+            server { throw StackOverflowError() }.use { server ->
+                expectThat(client.open(request(server.port))).isA<ClientResult.Answered>()
+            }
+        }
 }
