Prove the view again before a stream is taken for one of the only version

Cause: StreamVersions inferred where an unknown stream began from a view of up to 2.5 s. The view is proved for the time of its proof only; a version that came, began streams and crashed since then is not in it. The peers, which knew better, were asked only by instances that couldn't infer.

Why it works: what is inferred rests on a proof that begins after the caller took the stream up. The mirror gets it with a watch that doesn't wait, one call for all callers at that time and at most five a second, and applies what it finds. An instance that the store ignores asks its peers, which remember the stream or prove their own views first; a peer that knows of another version contradicts all others. If nobody can prove anything, the call is refused with a Retry-After of half a second. In quiet times this costs one call to the store for streams taken up within 200 ms, and no datagrams. Two more holes of the same kind: versions that came and went within one batch of changes, and what came and went before a listing that follows a lost history, count now.

--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -140,7 +140,15 @@
     private val digestNetwork =
         DatagramDigestNetwork(settings.host, settings.internalPorts.first(), scope, failures, ::onDatagram)
     private val streamVersions =
-        StreamVersions(settings.name, clock, scope, digestNetwork, { directory.snapshot }, proof::ageMillis)
+        StreamVersions(
+            settings.name,
+            clock,
+            scope,
+            digestNetwork,
+            { directory.snapshot },
+            proof::ageMillis,
+            provesView = mirror::proveCurrent,
+        )
     private val servedVersionsWriter =
         ServedVersionsWriter(
             settings.name,
--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetDirectory.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetDirectory.kt
@@ -67,7 +67,10 @@
 
     /** Whether the changes that are applied now are the first ones after failed calls. */
     private var afterFailures = false
-    private var initialListingApplied = false
+    private var listings = 0
+
+    /** Endpoints written since the last snapshot, by their keys. */
+    private val writtenEndpoints = ArrayList<Pair<String, EndpointEntry>>()
 
     val snapshot: FleetSnapshot
         get() = current.get()
@@ -86,8 +89,7 @@
         if (targetMomentsKey !in present) targetMoments = StoredTargetMoments()
         changes.forEach(::apply)
         applyTargetMoments()
-        if (!initialListingApplied) backdateLoadedTargets()
-        initialListingApplied = true
+        if (listings++ == 0) backdateLoadedTargets()
         listingRestored = false
         publish()
     }
@@ -221,6 +223,7 @@
             return
         }
         removedEndpoints.remove(entry.tag)
+        writtenEndpoints += key to entry
         val known = endpointsByKey.put(key, entry)
         if (known != entry) logger.info { "directory: endpoint ${describe(entry)}" }
     }
@@ -300,6 +303,8 @@
         afterFailures = false
         val endpoints = endpointsByKey.values.map(::withStatement).associateBy { it.id }
         val peers = peersByKey.values.associateBy { it.name }
+        val passed = writtenEndpoints.filter { (key, entry) -> endpointsByKey[key] !== entry }.map { it.second }
+        writtenEndpoints.clear()
         val next =
             FleetSnapshot(
                 config,
@@ -311,6 +316,8 @@
                 blockList,
                 targetMoments,
                 servedVersions,
+                passed,
+                listings,
             )
         current.set(next)
         observers.forEach { it(next) }
--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetSnapshot.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetSnapshot.kt
@@ -62,7 +62,12 @@
     val revision: Long = 0,
 )
 
-/** An immutable snapshot of the state of the fleet. [config] is null until the first configuration was read. */
+/**
+ * An immutable snapshot of the state of the fleet. [config] is null until the first configuration was read.
+ *
+ * [passedEndpoints] are those that were written and replaced or removed since the previous snapshot. What came and went
+ * between two [listings] that follow each other is not known.
+ */
 internal class FleetSnapshot(
     val config: FleetConfig?,
     val weights: Map<ModelName, WeightsTarget>,
@@ -73,6 +78,8 @@
     val blockList: StoredBlockList = StoredBlockList(),
     val targetMoments: StoredTargetMoments = StoredTargetMoments(),
     val servedVersions: StoredVersions = StoredVersions(),
+    val passedEndpoints: List<EndpointEntry> = emptyList(),
+    val listings: Int = 0,
 ) {
     private val byService: Map<ServiceName, List<EndpointEntry>> = endpoints.values.groupBy { it.service }
 
--- a/src/main/kotlin/lacewingweir/coordination/fleet/StoreMirror.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/StoreMirror.kt
@@ -6,6 +6,9 @@
  * response proves only that the listener knows all changes up to the time when the call was sent. Failed calls are
  * retried after a short delay, since a longer one would let the contact proof expire.
  *
+ * Between two proofs, something may have changed and changed back. Who must rule that out asks for a proof of now, which
+ * takes a call of its own.
+ *
  * Each change ends the watches of all instances. Changes that follow soon are gathered into one response, so that a
  * fleet that changes all the time doesn't exceed the store's rate of calls.
  */
@@ -14,6 +17,9 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.withTimeoutOrNull
 import lacewingweir.coordination.store.ClusterStore
 import lacewingweir.coordination.store.StoreChange
 import lacewingweir.coordination.store.StoreResult
@@ -51,6 +57,11 @@
     private var failures = 0
     private var listedEra: Long? = null
 
+    /** All changes up to this revision were applied; null before the first listing. */
+    private var appliedRevision: Long? = null
+    private val checks = Mutex()
+    private var checkedAt: ClockReading? = null
+
     /** Mirrors the store until cancelled. */
     suspend fun run(): Nothing {
         while (true) {
@@ -68,6 +79,36 @@
         }
     }
 
+    /**
+     * Returns whether the listener knows all changes that the store had acknowledged when this function was called. If
+     * the proof is older, the store is asked, for at most [CHECK_TIMEOUT_MILLIS]. Callers at the same time share the
+     * calls. Must be called on the thread of [run].
+     */
+    suspend fun proveCurrent(): Boolean {
+        val since = clock.now()
+        return withTimeoutOrNull(CHECK_TIMEOUT_MILLIS) {
+            while (!isProvedSince(since)) checks.withLock { if (!isProvedSince(since)) check() }
+            true
+        } ?: false
+    }
+
+    private fun isProvedSince(since: ClockReading): Boolean {
+        val provedAt = proof?.moment ?: return false
+        return provedAt.monotonicMillis >= since.monotonicMillis
+    }
+
+    private suspend fun check() {
+        checkedAt?.let { delay(MIN_CHECK_INTERVAL_MILLIS - clock.ageMillis(it)) }
+        val sentAt = clock.now()
+        checkedAt = sentAt
+        val revision = appliedRevision ?: return
+        val result = store.watch(prefix, revision, waitMillis = 0)
+        // After a listing of a restored store, a response from before it says nothing.
+        if (result is WatchResult.Changes && eraOf(result.revision) == eraOf(appliedRevision ?: revision)) {
+            applyChanges(result, provedAt = sentAt)
+        }
+    }
+
     private suspend fun list(): Long? {
         val sentAt = clock.now()
         return when (val result = store.range(prefix)) {
@@ -83,6 +124,7 @@
                     }
                     listedEra = era
                     listener.onListed(result.value.items.map { StoreChange(it.key, it.revision, it.value) })
+                    appliedRevision = result.value.revision
                 }
                 result.value.revision
             }
@@ -97,11 +139,9 @@
         return when (val result = store.watch(prefix, revision, waitMillis)) {
             is WatchResult.Changes -> {
                 val waitedInFull = result.changes.isEmpty() && clock.ageMillis(sentAt) >= waitMillis
-                handleResponse(if (waitedInFull) sentAt.plus(waitMillis) else sentAt) {
-                    if (result.changes.isNotEmpty()) listener.onChanged(result.changes)
-                }
+                applyChanges(result, provedAt = if (waitedInFull) sentAt.plus(waitMillis) else sentAt)
                 delay(MIN_WATCH_INTERVAL_MILLIS - clock.ageMillis(sentAt))
-                maxOf(revision, result.revision)
+                maxOf(revision, appliedRevision ?: revision)
             }
             WatchResult.HistoryGone -> {
                 logger.warn { "mirror: history after revision=$revision was compacted prefix=$prefix; listing again" }
@@ -119,6 +159,14 @@
         }
     }
 
+    private fun applyChanges(
+        result: WatchResult.Changes,
+        provedAt: ClockReading,
+    ) = handleResponse(provedAt) {
+        if (result.changes.isNotEmpty()) listener.onChanged(result.changes)
+        appliedRevision = maxOf(appliedRevision ?: 0, result.revision)
+    }
+
     private fun handleResponse(
         provedAt: ClockReading,
         apply: () -> Unit,
@@ -156,6 +204,12 @@
          */
         const val RETRY_MIN_MILLIS: Long = 200
 
+        /** Time for a response of the store when it is slow, short compared to the patience of callers. */
+        const val CHECK_TIMEOUT_MILLIS: Long = 500
+
+        /** Bounds the calls of an instance that is asked for a proof by many callers at once. */
+        const val MIN_CHECK_INTERVAL_MILLIS: Long = 200
+
         /** Spreads the retries of instances that lost the store at the same time. */
         const val RETRY_SPREAD_MILLIS: Long = 200
     }
--- a/src/main/kotlin/lacewingweir/coordination/gossip/StreamMessage.kt
+++ b/src/main/kotlin/lacewingweir/coordination/gossip/StreamMessage.kt
@@ -10,7 +10,8 @@
 /**
  * The stream begun by [call] began at an endpoint of [service] with the version [software].
  *
- * It is [inferred] if the instance doesn't know the stream, but knows of one version of the service only.
+ * It is [inferred] if the instance doesn't know the stream, but has proved, after it was asked, that the service has had
+ * one version only.
  */
 @Serializable
 internal data class StreamFact(
@@ -33,6 +34,7 @@
  * @property facts where streams began, for the receiver to remember or as the answer to a question
  * @property question a question that the receiver answers
  * @property unknown the call of a question that the instance can't answer
+ * @property severalVersions whether it can't answer because the service has or lately had several versions
  */
 @Serializable
 internal data class StreamMessage(
@@ -40,4 +42,5 @@
     @CborLabel(2) val facts: List<StreamFact> = emptyList(),
     @CborLabel(3) val question: StreamQuestion? = null,
     @CborLabel(4) val unknown: RequestId? = null,
+    @CborLabel(5) val severalVersions: Boolean = false,
 )
--- a/src/main/kotlin/lacewingweir/coordination/stream/StreamVersions.kt
+++ b/src/main/kotlin/lacewingweir/coordination/stream/StreamVersions.kt
@@ -3,7 +3,13 @@
  *
  * Each instance remembers its own streams. While a service has endpoints of several versions, or had them lately, the
  * version of each new stream is also told to a few peers, because the instance of a stream that its caller takes up may
- * have ended. An instance that doesn't know a stream asks all peers. If none knows it, the stream can't go on.
+ * have ended.
+ *
+ * A stream that an instance doesn't know began at the only version that the service has had, if there was only one. What
+ * the instance last saw is no proof of that: a version may have come, begun the stream and gone since then. The view is
+ * therefore proved again when the caller takes the stream up. An instance that can't do so, because the store ignores
+ * it, asks its peers, which do the same. If none of them knows the stream or can prove that there was one version, it
+ * can't go on.
  */
 package lacewingweir.coordination.stream
 
@@ -46,6 +52,7 @@
  * @property fleet returns the current snapshot
  * @property viewAgeMillis returns how old the snapshot may be, in milliseconds
  * @property unixMillis returns the time of day
+ * @property provesView brings the snapshot up to date, and returns whether it has all changes up to the call
  */
 internal class StreamVersions(
     private val self: String,
@@ -55,16 +62,43 @@
     private val fleet: () -> FleetSnapshot,
     private val viewAgeMillis: () -> Long,
     private val unixMillis: () -> Long = System::currentTimeMillis,
+    private val provesView: suspend () -> Boolean,
 ) {
+    /** Collects the answers of peers. [origin] is completed with that of a peer that knows the stream, or by the last. */
     private class Question(
-        val expectedAnswers: Int,
+        private val expectedAnswers: Int,
     ) {
         val origin = CompletableDeferred<StreamOrigin?>()
-        private val unknownTo = ConcurrentHashMap.newKeySet<String>()
+        private val answered = HashSet<String>()
+        private var inferred: StreamOrigin? = null
+        private var contradicted = false
+
+        @Synchronized
+        fun onInferred(
+            peer: String,
+            answer: StreamOrigin,
+        ) {
+            if (inferred != null && inferred != answer) contradicted = true
+            inferred = answer
+            onAnswer(peer)
+        }
 
-        fun onUnknown(peer: String) {
-            unknownTo += peer
-            if (unknownTo.size >= expectedAnswers) origin.complete(null)
+        @Synchronized
+        fun onUnknown(
+            peer: String,
+            contradicts: Boolean,
+        ) {
+            if (contradicts) contradicted = true
+            onAnswer(peer)
+        }
+
+        /** Returns what the answers so far agree on. */
+        @Synchronized
+        fun agreed(): StreamOrigin? = inferred.takeUnless { contradicted }
+
+        private fun onAnswer(peer: String) {
+            answered += peer
+            if (answered.size >= expectedAnswers) origin.complete(agreed())
         }
     }
 
@@ -72,6 +106,7 @@
     private val history = VersionHistory(RETENTION_MILLIS)
     private val questions = ConcurrentHashMap<RequestId, Question>()
     private var severalVersions: Set<ServiceName> = emptySet()
+    private var listings = 0
     private val asked = LongAdder()
     private val continued = LongAdder()
     private val refused = LongAdder()
@@ -90,6 +125,11 @@
         val facts =
             synchronized(this) {
                 val now = clock.nowMillis()
+                if (listings != 0 && snapshot.listings != listings) history.onGap(now)
+                listings = snapshot.listings
+                if (snapshot.passedEndpoints.isNotEmpty()) {
+                    history.onEndpoints(snapshot.endpoints.values + snapshot.passedEndpoints, now)
+                }
                 history.onEndpoints(snapshot.endpoints.values, now)
                 history.onRecord(snapshot.servedVersions.versions, now, unixMillis())
                 val services = snapshot.endpoints.values.mapTo(HashSet()) { it.service }
@@ -152,7 +192,7 @@
         call: RequestId?,
         service: ServiceName,
     ): StreamOrigin? {
-        val origin = known(call, service) ?: call?.let { ask(it, service) }
+        val origin = known(call, service) ?: call?.let { ask(it, service) ?: remembered(it) }
         if (origin?.software == null) {
             refused.increment()
             logger.info { "streams: version unknown call=$call service=$service viewAgeMs=${viewAgeMillis()}" }
@@ -165,19 +205,25 @@
     /** Counts a stream that can't go on because no endpoint has its version. */
     fun recordRefusal() = refused.increment()
 
-    private fun known(
+    private suspend fun known(
         call: RequestId?,
         service: ServiceName,
-    ): StreamOrigin? = call?.let(::remembered) ?: inferred(service)
+    ): StreamOrigin? {
+        call?.let(::remembered)?.let { return it }
+        val isProved = viewAgeMillis() <= MAX_VIEW_AGE_MILLIS && provesView()
+        return call?.let(::remembered) ?: if (isProved) inferred(service) else null
+    }
 
     private fun remembered(call: RequestId): StreamOrigin? = synchronized(this) { origins[call] }
 
+    /** Must be called with a view that has just been proved. */
     private fun inferred(service: ServiceName): StreamOrigin? {
-        if (viewAgeMillis() > MAX_VIEW_AGE_MILLIS) return null
         val only = synchronized(this) { history.onlyVersion(service, clock.nowMillis(), unixMillis()) }
         return only?.let { StreamOrigin(service, it) }
     }
 
+    private fun recentVersions(service: ServiceName) = synchronized(this) { history.recent(service, clock.nowMillis()) }
+
     private suspend fun ask(
         call: RequestId,
         service: ServiceName,
@@ -188,7 +234,7 @@
         val question = questions.computeIfAbsent(call) { Question(peers.size) }
         try {
             send(peers, StreamMessage(self, question = StreamQuestion(call, service)))
-            return withTimeoutOrNull(ANSWER_TIMEOUT_MILLIS) { question.origin.await() }
+            return withTimeoutOrNull(ANSWER_TIMEOUT_MILLIS) { question.origin.await() } ?: question.agreed()
         } finally {
             questions.remove(call, question)
         }
@@ -197,7 +243,7 @@
     /** Applies a message of a peer. */
     fun onMessage(message: StreamMessage) {
         message.facts.forEach { onFact(message.instance, it) }
-        message.unknown?.let { questions[it]?.onUnknown(message.instance) }
+        message.unknown?.let { questions[it]?.onUnknown(message.instance, message.severalVersions) }
         message.question?.let { answer(message.instance, it) }
     }
 
@@ -206,16 +252,15 @@
         fact: StreamFact,
     ) {
         val origin = StreamOrigin(fact.service, fact.software)
-        val isSure =
-            synchronized(this) {
-                // The peer may not have seen all versions that this instance knows of.
-                val isContradicted =
-                    fact.inferred && history.recent(fact.service, clock.nowMillis()).any { it != fact.software }
-                if (!fact.inferred) origins.put(fact.call, origin, clock.nowMillis())
-                !isContradicted
-            }
+        if (!fact.inferred) synchronized(this) { origins.put(fact.call, origin, clock.nowMillis()) }
         val question = questions[fact.call] ?: return
-        if (isSure) question.origin.complete(origin) else question.onUnknown(instance)
+        when {
+            !fact.inferred -> question.origin.complete(origin)
+            // The peer may not have seen all versions that this instance knows of.
+            recentVersions(fact.service).any { it != fact.software } ->
+                question.onUnknown(instance, contradicts = true)
+            else -> question.onInferred(instance, origin)
+        }
     }
 
     private fun answer(
@@ -223,15 +268,19 @@
         question: StreamQuestion,
     ) {
         val peer = fleet().peers[instance] ?: return
-        val remembered = remembered(question.call)
-        val origin = remembered ?: inferred(question.service)
-        val facts =
-            origin?.let {
-                listOf(StreamFact(question.call, it.service, it.software, inferred = remembered == null))
-            }
-        val message =
-            StreamMessage(self, facts = facts.orEmpty(), unknown = question.call.takeIf { origin == null })
-        scope.launch { send(listOf(peer), message) }
+        scope.launch {
+            val origin = known(question.call, question.service)
+            val isInferred = remembered(question.call) == null
+            val facts = origin?.let { listOf(StreamFact(question.call, it.service, it.software, isInferred)) }
+            val message =
+                StreamMessage(
+                    self,
+                    facts = facts.orEmpty(),
+                    unknown = question.call.takeIf { origin == null },
+                    severalVersions = recentVersions(question.service).size > 1,
+                )
+            send(listOf(peer), message)
+        }
     }
 
     private suspend fun send(
@@ -253,8 +302,8 @@
         /** Facts in one datagram, which fits in one packet. */
         const val MAX_FACTS: Int = 20
 
-        /** Several round trips, and time for instances that are busy. */
-        const val ANSWER_TIMEOUT_MILLIS: Long = 300
+        /** Time for peers to prove their views, several round trips, and time for instances that are busy. */
+        const val ANSWER_TIMEOUT_MILLIS: Long = 700
 
         /** Exceeds the wait of a watch call, after which the store confirms that nothing has changed. */
         const val MAX_VIEW_AGE_MILLIS: Long = 2_500
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -112,7 +112,9 @@
             state.progress.origin = origin
             return true
         }
-        state.refuse<Unit>(RelayRefusal.CANNOT_CONTINUE, limits().cannotContinueRetryMillis)
+        val retryMillis =
+            if (origin == null) limits().unknownOriginRetryMillis else limits().cannotContinueRetryMillis
+        state.refuse<Unit>(RelayRefusal.CANNOT_CONTINUE, retryMillis)
         return false
     }
 
--- a/src/main/kotlin/lacewingweir/transport/relay/RelayLimits.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/RelayLimits.kt
@@ -25,5 +25,6 @@
     val blockedRetryMillis: Long = 600_000,
     val suspectedRetryMillis: Long = 400,
     val cannotContinueRetryMillis: Long = 2_000,
+    val unknownOriginRetryMillis: Long = 500,
     val noShareRetryMillis: Long = 500,
 )
--- a/src/test/kotlin/lacewingweir/coordination/fleet/StoreMirrorTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/fleet/StoreMirrorTest.kt
@@ -1,9 +1,15 @@
 package lacewingweir.coordination.fleet
 
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.coroutines.yield
 import lacewingweir.coordination.store.ClusterStore
 import lacewingweir.coordination.store.CommitResult
 import lacewingweir.coordination.store.StoreChange
@@ -17,8 +23,10 @@
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
+import strikt.assertions.isTrue
 
 internal class StoreMirrorTest {
     private var monotonic = 0L
@@ -184,6 +192,77 @@
         expectThat(events).containsExactly("listed k", "listed k")
     }
 
+    /** Answers a watch without a wait at once, and any other one after the test. */
+    private inner class WaitingStore(
+        private val atOnce: () -> WatchResult,
+    ) : ClusterStore by ScriptedStore() {
+        var checks = 0
+
+        override suspend fun watch(
+            prefix: String,
+            revision: Long,
+            waitMillis: Long,
+        ): WatchResult {
+            if (waitMillis > 0) awaitCancellation()
+            checks++
+            return atOnce()
+        }
+    }
+
+    /** Runs a mirror whose proof is a second old, and then [test]. */
+    private fun withOldProof(
+        store: ClusterStore,
+        test: suspend CoroutineScope.(StoreMirror) -> Unit,
+    ) = runBlocking {
+        val mirror = StoreMirror(store, "", 1_500, clock, proof, listener)
+        val running = launch { mirror.run() }
+        yield()
+        advance(1_000)
+        test(mirror)
+        running.cancel()
+    }
+
+    /** Guards against decisions on a view of a second ago, in which something may have changed and changed back. */
+    @Test
+    fun `a proof of now needs a call that begins later`() {
+        val store = WaitingStore { WatchResult.Changes(emptyList(), 5) }
+        withOldProof(store) { mirror ->
+            expectThat(proof.ageMillis()).isEqualTo(1_000)
+            expectThat(mirror.proveCurrent()).isTrue()
+            expectThat(proof.ageMillis()).isEqualTo(0)
+            expectThat(store.checks).isEqualTo(1)
+        }
+    }
+
+    @Test
+    fun `changes that a proof of now finds are applied before it`() {
+        withOldProof(WaitingStore { WatchResult.Changes(listOf(StoreChange("b", 6, null)), 6) }) { mirror ->
+            expectThat(mirror.proveCurrent()).isTrue()
+            expectThat(events).containsExactly("listed k", "changed b")
+        }
+    }
+
+    /** Guards against calls of an instance to the store for each of many streams that are taken up at once. */
+    @Test
+    fun `callers at the same time share the calls for a proof of now`() {
+        val store =
+            WaitingStore {
+                advance(10)
+                WatchResult.Changes(emptyList(), 5)
+            }
+        withOldProof(store) { mirror ->
+            val proved = List(100) { async { mirror.proveCurrent() } }.awaitAll()
+            expectThat(proved.all { it }).isTrue()
+            expectThat(store.checks).isLessThan(3)
+        }
+    }
+
+    @Test
+    fun `a store that doesn't answer or has lost its history proves nothing`() {
+        withOldProof(WaitingStore { WatchResult.Failed("no answer") }) { expectThat(it.proveCurrent()).isFalse() }
+        withOldProof(WaitingStore { WatchResult.HistoryGone }) { expectThat(it.proveCurrent()).isFalse() }
+    }
+
     @Test
     fun `there is no proof before the first answer`() {
         expectThat(proof.ageMillis()).isGreaterThan(1_000_000_000)
--- a/src/test/kotlin/lacewingweir/coordination/stream/ServedVersionsWriterTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/stream/ServedVersionsWriterTest.kt
@@ -116,6 +116,7 @@
                     ::snapshot,
                     viewAgeMillis = { 0 },
                     ::unixMillis,
+                    provesView = { true },
                 )
             running[name] = agent
             agent.onFleet(snapshot())
--- a/src/test/kotlin/lacewingweir/coordination/stream/StreamVersionsTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/stream/StreamVersionsTest.kt
@@ -40,7 +40,11 @@
             }
         }
 
-    private fun fleet(vararg versions: String): FleetSnapshot {
+    private fun fleet(
+        vararg versions: String,
+        passed: List<String> = emptyList(),
+        listings: Int = 0,
+    ): FleetSnapshot {
         val ids = versions.indices.map { "i-$it" }
         val entries = engineFleet(*ids.toTypedArray(), startedAt = System.currentTimeMillis()).endpoints
         val endpoints =
@@ -48,7 +52,17 @@
                 entry.copy(software = SoftwareVersion(versions[ids.indexOf(id.value)]))
             }
         val peers = List(SIZE) { "a$it" }.associateWith { PeerEntry(it, it, 1, FLEET_DOMAIN) }
-        return FleetSnapshot(null, emptyMap(), endpoints, peers, false, emptySet())
+        val passedEndpoints = passed.map { endpoints.values.first().copy(software = SoftwareVersion(it)) }
+        return FleetSnapshot(
+            null,
+            emptyMap(),
+            endpoints,
+            peers,
+            false,
+            emptySet(),
+            passedEndpoints = passedEndpoints,
+            listings = listings,
+        )
     }
 
     private fun startAll() = repeat(SIZE) { start("a$it") }
@@ -62,6 +76,7 @@
                 network,
                 { snapshot },
                 { viewAges[name] ?: 0 },
+                provesView = { name !in viewAges },
             )
         running[name] = agent.also { it.onFleet(snapshot) }
     }
@@ -145,6 +160,70 @@
         expectThat(runBlocking { old.originOf(RequestId("s2"), FLEET_SERVICE) }).isNull()
     }
 
+    /**
+     * Guards against streams that go on at the old version, through an instance that the store has ignored since before
+     * the new version came.
+     */
+    @Test
+    fun `a view of a second ago doesn't tell where a stream began`() {
+        startAll()
+        timers.advance(60_000)
+        viewAges["a0"] = 1_000
+        snapshot = fleet("v1", "v2")
+        (running - "a0").values.forEach { it.onFleet(snapshot) }
+        repeat(50) { running.getValue("a1").onBegun(RequestId("s$it"), endpoint(1)) }
+        repeat(50) { expectThat(originAt("a0", "s$it")).isEqualTo("v2") }
+    }
+
+    /** Guards against the same when the instance of the stream and all that were told have ended. */
+    @Test
+    fun `one peer that has seen a new version rules out that the old one was the only one`() {
+        startAll()
+        timers.advance(60_000)
+        listOf("a0", "a1", "a2", "a3").forEach { viewAges[it] = 1_000 }
+        snapshot = fleet("v1", "v2")
+        running.getValue("a4").onFleet(snapshot)
+        expectThat(originAt("a0", "s1")).isNull()
+    }
+
+    /** Guards against instances that agree on an old view because the store ignores all of them. */
+    @Test
+    fun `nobody infers where a stream began while nobody can prove its view`() {
+        startAll()
+        timers.advance(60_000)
+        running.keys.forEach { viewAges[it] = 1_000 }
+        expectThat(originAt("a0", "s1")).isNull()
+    }
+
+    @Test
+    fun `an instance that the store ignores infers from a peer that can prove its view`() {
+        startAll()
+        timers.advance(60_000)
+        (running.keys - "a7").forEach { viewAges[it] = 1_000 }
+        expectThat(originAt("a0", "s1")).isEqualTo("v1")
+    }
+
+    /** Guards against a version that comes and goes between two looks at the fleet. */
+    @Test
+    fun `a version that came and went between two snapshots counts as a recent one`() {
+        startAll()
+        timers.advance(60_000)
+        publish(fleet("v1", "v1", passed = listOf("v2")))
+        expectThat(originAt("a0", "s1")).isNull()
+    }
+
+    /** Guards against a version that came and went while an instance saw nothing, before it listed all items again. */
+    @Test
+    fun `what was observed before a further listing doesn't count`() {
+        startAll()
+        timers.advance(60_000)
+        publish(fleet("v1", "v1", listings = 1))
+        timers.advance(1_000)
+        expectThat(originAt("a0", "s1")).isEqualTo("v1")
+        publish(fleet("v1", "v1", listings = 2))
+        expectThat(originAt("a0", "s1")).isNull()
+    }
+
     /** Guards against a peer that has not seen the second version yet and takes the first for the only one. */
     @Test
     fun `what a peer infers doesn't count at an instance that knows of several versions`() {
--- a/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
+++ b/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
@@ -27,6 +27,7 @@
     engines: Int,
     desks: Int = 0,
     private val repeatExtra: Double = 56.0,
+    private val pathToStore: (instance: Int, address: String) -> String = { _, address -> address },
 ) : AutoCloseable {
     class CallerResponse(
         val status: Int,
@@ -119,7 +120,7 @@
             callerListen = "${host(index)}:$CALLER_PORT",
             readinessListen = "${host(index)}:$READINESS_PORT",
             internalPorts = listOf(DIGEST_PORT),
-            storeAddress = store.address,
+            storeAddress = pathToStore(index, store.address),
             bounds = PlatformBounds(repeatRatio = 0.2, repeatExtra = repeatExtra),
         )
 
--- a/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
+++ b/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
@@ -130,6 +130,11 @@
             weights.control(exchange, id)
             return
         }
+        if (exchange.headers.get("Expect-Instance") != id) {
+            // The request is meant for an earlier run at this address.
+            exchange.respond(421, listOf("Attempt-Id" to exchange.headers.get("Attempt-Id")))
+            return
+        }
         val parts =
             exchange.headers
                 .get("Prompt-Prefix")
--- a/src/test/kotlin/lacewingweir/testing/LocalStreamVersions.kt
+++ b/src/test/kotlin/lacewingweir/testing/LocalStreamVersions.kt
@@ -19,4 +19,4 @@
     clock: MonotonicClock,
     scope: CoroutineScope,
     fleet: () -> FleetSnapshot,
-) = StreamVersions("a", clock, scope, NoNetwork, fleet, viewAgeMillis = { 0 })
+) = StreamVersions("a", clock, scope, NoNetwork, fleet, viewAgeMillis = { 0 }, provesView = { true })
