Tell second copies of responses from the answers to later sends

Cause: a server may send a response twice, the second time when the next response on the connection is due. The id in it is that of the call, not of the send. A call that was refused went to the same server again over the same connection, so the copy of the refusal passed for the answer to the second send. A response without an id passed for the answer to any call.

Why it works: it is a rule of the client, for any response and any reason for another send. A connection carries each id once, and remembers the ids of up to 256 requests; then it is closed, so that none is forgotten. A call finds another connection, or opens one. A response without an id counts only if the connection has carried nothing else, and ends the use of the connection; otherwise it is skipped like one to another request. ClientConnection lists what becomes of bytes in each of its states.

--- a/src/main/kotlin/lacewingweir/platform/PlatformEndpointProtocol.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformEndpointProtocol.kt
@@ -39,7 +39,8 @@
             body = call.body,
             connectTimeoutMillis = minOf(outbound.remainingMillis, CONNECT_TIMEOUT_MILLIS),
             headTimeoutMillis = outbound.headTimeoutMillis,
-            acceptsResponse = { it.get(PlatformHeaders.REQUEST_ID)?.let { id -> id == call.id.value } ?: true },
+            id = call.id.value,
+            responseId = { it.get(PlatformHeaders.REQUEST_ID) },
             preserveHostHeader = true,
         )
     }
--- a/src/main/kotlin/lacewingweir/platform/PlatformEngineClient.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformEngineClient.kt
@@ -42,7 +42,7 @@
                     headTimeoutMillis = responseTimeoutMillis,
                     headers = listOf(PlatformHeaders.EXPECTED_ENDPOINT to engine.id.value),
                     // A response that names a call is a late copy of the answer to a call on the same connection.
-                    acceptsResponse = { !it.contains(PlatformHeaders.REQUEST_ID) },
+                    responseId = { it.get(PlatformHeaders.REQUEST_ID) },
                 ),
             )
         if (result is ClientResult.Answered) onStatement(engine, decodeStatement(result.response))
@@ -71,7 +71,7 @@
     connectTimeoutMillis: Long,
     headTimeoutMillis: Long,
     headers: List<Pair<String, String>> = emptyList(),
-    acceptsResponse: (HttpHeaders) -> Boolean = { true },
+    responseId: (HttpHeaders) -> String? = { null },
 ) = ClientRequest(
     host = address.host,
     port = address.port,
@@ -81,5 +81,5 @@
     body = body?.toString()?.encodeToByteArray() ?: ByteArray(0),
     connectTimeoutMillis = connectTimeoutMillis,
     headTimeoutMillis = headTimeoutMillis,
-    acceptsResponse = acceptsResponse,
+    responseId = responseId,
 )
--- a/src/main/kotlin/lacewingweir/transport/http/ClientConnection.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ClientConnection.kt
@@ -20,6 +20,15 @@
 /**
  * A connection to a server that carries one request at a time.
  *
+ * A faulty server may send a response twice, and the second copy at any later time. What becomes of such bytes depends
+ * on when they arrive:
+ * - While the connection is idle, they close it.
+ * - During a later request, also while its body is being sent, a response that names another request is skipped.
+ * - A response that names no request is skipped too if its request has an id, unless the connection has carried nothing
+ *   else. That connection isn't used again.
+ * - A response that names the same request would pass for the answer to a second send of it, so no id is carried twice.
+ * - Behind the end of a body, before the connection is returned, they keep it from being used again.
+ *
  * Auto-read is off: while a response is in progress, the socket is read only after everything decoded so far has been
  * consumed. This bounds the memory that a slow reader of the response can take up.
  */
@@ -72,28 +81,44 @@
     @Volatile
     private var reusableUntilNanos = Long.MAX_VALUE
 
+    /** Hash codes of the ids of all requests on this connection. A collision costs no more than another connection. */
+    private val carriedIds = HashSet<Int>()
+    private var requests = 0
+
+    /** Whether all responses so far could be told apart from second copies of others. */
+    private var distinguishable = true
+
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         context = ctx
     }
 
-    internal fun send(request: HttpRequest) {
+    /** Returns whether a request with this [id] has been sent on this connection. */
+    internal fun hasCarried(id: String): Boolean = id.hashCode() in carriedIds
+
+    /** Sends [message], which has the given [id]. */
+    internal fun send(
+        message: HttpRequest,
+        id: String?,
+    ) {
         val ctx = checkNotNull(context)
+        requests++
+        if (id != null) carriedIds += id.hashCode()
         lastWrite =
-            ctx.writeAndFlush(request).addListener { if (!it.isSuccess) fail("write failed: ${it.cause()?.message}") }
+            ctx.writeAndFlush(message).addListener { if (!it.isSuccess) fail("write failed: ${it.cause()?.message}") }
     }
 
-    /** Waits for the head of the first response that [accept] accepts. Skips a few responses to earlier requests. */
-    internal suspend fun awaitHead(accept: (HttpHeaders) -> Boolean): Head {
-        repeat(MAX_SKIPPED_RESPONSES) { nextHead(accept)?.let { return it } }
+    /** Waits for the head of the response to [request]. Skips a few responses to other requests. */
+    internal suspend fun awaitHead(request: ClientRequest): Head {
+        repeat(MAX_SKIPPED_RESPONSES) { nextHead(request)?.let { return it } }
         return Head.Failed("too many responses to other requests")
     }
 
     /** Returns null if a response to another request was skipped. */
-    private suspend fun nextHead(accept: (HttpHeaders) -> Boolean): Head? =
+    private suspend fun nextHead(request: ClientRequest): Head? =
         when (val event = nextEvent()) {
             is Event.Start ->
                 when {
-                    accept(event.response.headers()) -> Head.Received(event.response)
+                    answers(request, event.response.headers()) -> Head.Received(event.response)
                     skipBody() -> null
                     else -> Head.Failed("connection not usable after a response to another request")
                 }
@@ -101,6 +126,16 @@
             else -> Head.Failed("body without a head")
         }
 
+    private fun answers(
+        request: ClientRequest,
+        headers: HttpHeaders,
+    ): Boolean {
+        val named = request.responseId(headers)
+        if (named != null || request.id == null) return named == request.id
+        distinguishable = false
+        return requests == 1
+    }
+
     /** Returns whether the connection can be used after the body. */
     private suspend fun skipBody(): Boolean {
         var skippedBytes = 0
@@ -205,7 +240,8 @@
         val requestSent = lastWrite?.isSuccess == true
         val persistent = keepAlive && !delimitedByClose
         val openAndDrained = ctx.channel().isActive && events.isEmpty
-        val reusable = requestSent && persistent && openAndDrained
+        val unambiguous = distinguishable && carriedIds.size < MAX_CARRIED_IDS
+        val reusable = requestSent && persistent && openAndDrained && unambiguous
         if (!reusable || !state.compareAndSet(BUSY, IDLE)) return false
         // Reads while idle in order to detect that the server closes the connection.
         ctx.read()
@@ -241,6 +277,9 @@
         /** At most one earlier request of a connection is still unanswered, but its server may respond repeatedly. */
         const val MAX_SKIPPED_RESPONSES: Int = 8
         const val MAX_INTERIM_RESPONSES: Int = 32
+
+        /** Bounds the memory for ids, which must not be forgotten, at the price of one new connection in so many. */
+        const val MAX_CARRIED_IDS: Int = 256
         const val MAX_SKIPPED_BODY_BYTES: Int = 1024 * 1024
         val BODYLESS_STATUS: Set<Int> = setOf(204, 304)
         val keepAliveTimeout = Regex("""timeout=(\d{1,6})""")
--- a/src/main/kotlin/lacewingweir/transport/http/HttpClient.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/HttpClient.kt
@@ -68,8 +68,8 @@
         connection: ClientConnection,
         request: ClientRequest,
     ): ClientResult {
-        connection.send(encode(request))
-        val head = withTimeoutOrNull(request.headTimeoutMillis) { connection.awaitHead(request.acceptsResponse) }
+        connection.send(encode(request), request.id)
+        val head = withTimeoutOrNull(request.headTimeoutMillis) { connection.awaitHead(request) }
         return when (head) {
             null -> {
                 connection.close()
@@ -99,14 +99,31 @@
     private suspend fun acquire(request: ClientRequest): ConnectResult {
         if (!request.freshConnection) {
             val pool = idleConnections[Address(request.host, request.port)]
-            while (pool != null) {
-                val pooled = pool.pollLast() ?: break
-                if (pooled.acquireFromPool()) return ConnectResult.Open(pooled)
-            }
+            pool?.let { acquireFrom(it, request.id) }?.let { return ConnectResult.Open(it) }
         }
         return connect(request)
     }
 
+    /** Takes an open connection that hasn't carried the request with this [id]. */
+    private fun acquireFrom(
+        pool: ConcurrentLinkedDeque<ClientConnection>,
+        id: String?,
+    ): ClientConnection? {
+        val ambiguous = ArrayList<ClientConnection>(0)
+        try {
+            while (true) {
+                val pooled = pool.pollLast() ?: return null
+                if (id != null && pooled.hasCarried(id)) {
+                    ambiguous += pooled
+                } else if (pooled.acquireFromPool()) {
+                    return pooled
+                }
+            }
+        } finally {
+            ambiguous.asReversed().forEach(pool::addLast)
+        }
+    }
+
     private suspend fun connect(request: ClientRequest): ConnectResult {
         val connection = ClientConnection(defaultIdleTimeoutMillis)
         val future = connect(request.host, request.port, request.connectTimeoutMillis, connection)
--- a/src/test/kotlin/lacewingweir/platform/DuplicateAnswerTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/DuplicateAnswerTest.kt
@@ -24,6 +24,7 @@
 import java.io.IOException
 import java.net.ServerSocket
 import java.net.Socket
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
@@ -47,27 +48,32 @@
     private fun response(
         id: String?,
         body: String,
+        status: String = "200 OK",
+        headers: String = "Server-Stamp: s\r\n",
     ): String {
         val idHeader = id?.let { "Attempt-Id: $it\r\n" }.orEmpty()
-        return "HTTP/1.1 200 OK\r\n${idHeader}Server-Stamp: s\r\nContent-Length: ${body.length}\r\n\r\n$body"
+        return "HTTP/1.1 $status\r\n$idHeader${headers}Content-Length: ${body.length}\r\n\r\n$body"
     }
 
     /** Serves all connections. Before the response to a request, it sends that to the previous one once more. */
-    private fun startServer(duplicateOf: (id: String?) -> String?) =
-        thread(isDaemon = true) {
-            try {
-                while (true) {
-                    val socket = server.accept()
-                    thread(isDaemon = true) { serve(socket, duplicateOf) }
-                }
-            } catch (_: IOException) {
-                // The test has ended.
+    private fun startServer(
+        answer: (id: String?) -> String = { id -> response(id, answerTo(id.orEmpty())) },
+        duplicateOf: (id: String?, answer: String) -> String? = { _, answer -> answer },
+    ) = thread(isDaemon = true) {
+        try {
+            while (true) {
+                val socket = server.accept()
+                thread(isDaemon = true) { serve(socket, answer, duplicateOf) }
             }
+        } catch (_: IOException) {
+            // The test has ended.
         }
+    }
 
     private fun serve(
         socket: Socket,
-        duplicateOf: (id: String?) -> String?,
+        answer: (id: String?) -> String,
+        duplicateOf: (id: String?, answer: String) -> String?,
     ) = try {
         socket.tcpNoDelay = true
         val input = socket.getInputStream().bufferedReader()
@@ -79,15 +85,16 @@
                 out.write(it.encodeToByteArray())
                 duplicates.incrementAndGet()
             }
-            out.write(response(id.ifEmpty { null }, answerTo(id)).encodeToByteArray())
+            val response = answer(id.ifEmpty { null })
+            out.write(response.encodeToByteArray())
             out.flush()
-            previous = duplicateOf(id.ifEmpty { null })
+            previous = duplicateOf(id.ifEmpty { null }, response)
         }
     } catch (_: IOException) {
         // The instance has closed the connection.
     }
 
-    private fun answerTo(id: String) = if (id.isEmpty()) STATUS else "answer to $id"
+    private fun answerTo(id: String) = "answer to $id"
 
     /** Returns the id of the next request, empty if it has none, or null at the end of the connection. */
     private fun readRequest(input: BufferedReader): String? {
@@ -120,6 +127,7 @@
                             val response = relay.call("idempotent", id = id)
                             if (response.status == 200) answered.incrementAndGet()
                             if (response.status == 200 && response.body != answerTo(id)) foreign += response.body
+                            if (response.status == FOREIGN_STATUS) foreign += "status $FOREIGN_STATUS"
                         }
                     }
                 }.awaitAll()
@@ -128,7 +136,7 @@
 
     @Test
     fun `no caller gets the late copy of an answer to another`() {
-        startServer { id -> response(id, answerTo(id.orEmpty())) }
+        startServer()
         val (foreign, answered) = sendCalls()
         expectThat(duplicates.get()).isGreaterThan(CALLS / 2)
         expectThat(foreign).isEmpty()
@@ -137,17 +145,50 @@
 
     @Test
     fun `no caller gets a late answer that names no request`() {
-        startServer { id -> response(id = null, body = answerTo(id.orEmpty())) }
-        val (foreign, _) = sendCalls()
+        startServer { id, _ -> response(id = null, body = answerTo(id.orEmpty())) }
+        val (foreign, answered) = sendCalls()
+        expectThat(duplicates.get()).isGreaterThan(0)
+        expectThat(foreign).isEmpty()
+        expectThat(answered).isEqualTo(CALLS)
+    }
+
+    /** Guards against callers that get the 404 of a control request, whose responses carry no id. */
+    @Test
+    fun `no caller gets a late error that names no request`() {
+        startServer { _, _ -> response(id = null, body = "", status = "$FOREIGN_STATUS Not Found", headers = "") }
+        val (foreign, answered) = sendCalls()
         expectThat(duplicates.get()).isGreaterThan(0)
         expectThat(foreign).isEmpty()
+        expectThat(answered).isEqualTo(CALLS)
     }
 
+    /** Guards against bookings that are answered 503 though they run, or run twice. */
+    @Test
+    fun `the late copy of a refusal is not taken for the answer to the next send of the same call`(): Unit =
+        runBlocking {
+            val sends = ConcurrentHashMap<String, AtomicInteger>()
+            startServer({ id ->
+                // Each call is refused at its first arrival, and runs at each later one.
+                if (sends.computeIfAbsent(id.orEmpty()) { AtomicInteger() }.incrementAndGet() == 1) {
+                    response(id, "", status = "503 Service Unavailable", headers = "Not-Executed: 1\r\n")
+                } else {
+                    response(id, answerTo(id.orEmpty()))
+                }
+            })
+            relay.registerPlain("i-1", server.localPort)
+            repeat(BOOKINGS) {
+                val id = "%016x".format(it + 1)
+                expectThat(relay.call("non_idempotent", id = id).status).isEqualTo(200)
+            }
+            expectThat(duplicates.get()).isGreaterThan(BOOKINGS / 2)
+            expectThat(sends.values.map { it.get() }.toSet()).isEqualTo(setOf(2))
+        }
+
     /** Control requests share the connections of calls, and their responses carry no id. */
     @Test
     fun `the late copy of an answer is not taken for the status of an engine`(): Unit =
         runBlocking {
-            startServer { id -> response(id, answerTo(id.orEmpty())) }
+            startServer({ id -> response(id, if (id == null) STATUS else answerTo(id)) })
             val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
             val http = HttpClient(group)
             val control =
@@ -179,5 +220,7 @@
         const val CALLERS = 8
         const val CALL_ID = "00000000000000aa"
         const val STATUS = """{"sequence":1,"busy":false,"models":[]}"""
+        const val BOOKINGS = 50
+        const val FOREIGN_STATUS = 404
     }
 }
--- a/src/test/kotlin/lacewingweir/transport/http/EndlessResponseTest.kt
+++ b/src/test/kotlin/lacewingweir/transport/http/EndlessResponseTest.kt
@@ -64,7 +64,8 @@
             "POST",
             "/",
             headTimeoutMillis = TIMEOUT_MILLIS,
-            acceptsResponse = { acceptsId == null || it.get("Id") == acceptsId },
+            id = acceptsId,
+            responseId = { it.get("Id") },
         ),
     )
 
