Keep in the store at which version streams began

Cause: the version of a stream was kept in the memory of its instance and of three peers, and ended with them.

Why it works: while a service has several versions, each new stream is also told to two of a few writers, chosen alike by all instances in different failure domains. All instances read them with the watch that they hold anyway, and an instance that starts reads them with its first listing, before it serves. Two writers hold each stream, so that one may be slow or have ended.

--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -28,6 +28,7 @@
 import lacewingweir.coordination.placement.WeightsAgePolicy
 import lacewingweir.coordination.store.StoreTransaction
 import lacewingweir.coordination.store.StoreWrite
+import lacewingweir.coordination.stream.BegunStreamsWriter
 import lacewingweir.coordination.stream.ServedVersionsWriter
 import lacewingweir.coordination.stream.StreamVersions
 import lacewingweir.coordination.time.CoroutineTimerService
@@ -139,6 +140,14 @@
         )
     private val digestNetwork =
         DatagramDigestNetwork(settings.host, settings.internalPorts.first(), scope, failures, ::onDatagram)
+    private val begunStreamsWriter =
+        BegunStreamsWriter(
+            store,
+            timers,
+            clock,
+            "${PlatformKeys.BEGUN_STREAMS_PREFIX}${settings.name}/",
+            PlatformItemCodec::encodeBegunStreams,
+        )
     private val streamVersions =
         StreamVersions(
             settings.name,
@@ -147,6 +156,7 @@
             digestNetwork,
             { directory.snapshot },
             proof::ageMillis,
+            toStore = begunStreamsWriter::add,
             provesView = mirror::proveCurrent,
         )
     private val servedVersionsWriter =
@@ -261,6 +271,7 @@
             quarantine.onFleet(snapshot)
             streamVersions.onFleet(snapshot)
         }
+        directory.observeBegunStreams(streamVersions::onStored)
         loopLag.start()
         digestNetwork.start()
         readinessServer.start()
@@ -272,6 +283,7 @@
         targetMomentsWriter.start()
         streamVersions.start(timers)
         servedVersionsWriter.start()
+        begunStreamsWriter.start()
         timers.every("hot customers", HOT_CUSTOMERS_PERIOD_MILLIS) { storeHotCustomers() }
         rollout.start()
         trafficReporter.start()
--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetDirectory.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetDirectory.kt
@@ -23,7 +23,9 @@
 import lacewingweir.state.id.CustomerId
 import lacewingweir.state.id.EndpointTag
 import lacewingweir.state.id.ModelName
+import lacewingweir.state.id.StreamTag
 import lacewingweir.state.id.WeightsNumber
+import lacewingweir.state.stream.StreamOrigin
 import lacewingweir.state.time.ClockReading
 import lacewingweir.state.time.MonotonicClock
 import lacewingweir.state.time.SuspendAwareClock
@@ -43,6 +45,7 @@
             FleetSnapshot(null, emptyMap(), emptyMap(), emptyMap(), rolloutLeaderPresent = false, emptySet()),
         )
     private val observers = ArrayList<(FleetSnapshot) -> Unit>()
+    private val streamObservers = ArrayList<(Map<StreamOrigin, List<StreamTag>>) -> Unit>()
     private val revisions = HashMap<String, Long>()
     private val endpointsByKey = HashMap<String, EndpointEntry>()
     private val peersByKey = HashMap<String, PeerEntry>()
@@ -80,6 +83,11 @@
         observers.add(observer)
     }
 
+    /** Calls [observer] with the streams of each item that tells of streams that began lately. */
+    fun observeBegunStreams(observer: (Map<StreamOrigin, List<StreamTag>>) -> Unit) {
+        streamObservers.add(observer)
+    }
+
     override fun onListed(changes: List<StoreChange>) {
         val present = changes.mapTo(HashSet()) { it.key }
         val known = endpointsByKey.keys + peersByKey.keys + setOfNotNull(leaderKey, servedVersionsKey)
@@ -192,6 +200,7 @@
                 servedVersionsKey = key
                 servedVersions = StoredVersions(update.versions, revisions.getValue(key))
             }
+            is FleetUpdate.BegunStreams -> streamObservers.forEach { it(update.streams) }
             is FleetUpdate.Unreadable -> {
                 logger.warn { "directory: unreadable item key=$key reason=${update.reason}" }
                 endpointsByKey.remove(key)
--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetUpdate.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetUpdate.kt
@@ -7,9 +7,11 @@
 import lacewingweir.state.fleet.TargetMoment
 import lacewingweir.state.id.CustomerId
 import lacewingweir.state.id.ModelName
+import lacewingweir.state.id.StreamTag
 import lacewingweir.state.id.SuspectId
 import lacewingweir.state.id.WeightsNumber
 import lacewingweir.state.stream.ServedVersion
+import lacewingweir.state.stream.StreamOrigin
 
 internal sealed interface FleetUpdate {
     class Config(
@@ -50,6 +52,11 @@
         val versions: Set<ServedVersion>,
     ) : FleetUpdate
 
+    /** Streams that began lately, while their service had several software versions. */
+    class BegunStreams(
+        val streams: Map<StreamOrigin, List<StreamTag>>,
+    ) : FleetUpdate
+
     /** An instance holds the lease for coordinating the loading of weights. */
     data object RolloutLeader : FleetUpdate
 
--- a/src/main/kotlin/lacewingweir/coordination/gossip/StreamMessage.kt
+++ b/src/main/kotlin/lacewingweir/coordination/gossip/StreamMessage.kt
@@ -34,6 +34,7 @@
  * @property facts where streams began, for the receiver to remember or as the answer to a question
  * @property question a question that the receiver answers
  * @property unknown the call of a question that the instance can't answer
+ * @property toStore whether the receiver also writes the facts to the store
  * @property severalVersions whether it can't answer because the service has or lately had several versions
  */
 @Serializable
@@ -43,4 +44,5 @@
     @CborLabel(3) val question: StreamQuestion? = null,
     @CborLabel(4) val unknown: RequestId? = null,
     @CborLabel(5) val severalVersions: Boolean = false,
+    @CborLabel(6) val toStore: Boolean = false,
 )
--- a/src/main/kotlin/lacewingweir/coordination/stream/StreamVersions.kt
+++ b/src/main/kotlin/lacewingweir/coordination/stream/StreamVersions.kt
@@ -3,7 +3,7 @@
  *
  * Each instance remembers its own streams. While a service has endpoints of several versions, or had them lately, the
  * version of each new stream is also told to a few peers, because the instance of a stream that its caller takes up may
- * have ended.
+ * have ended, and to others that write it to the store, because all of them may.
  *
  * A stream that an instance doesn't know began at the only version that the service has had, if there was only one. What
  * the instance last saw is no proof of that: a version may have come, begun the stream and gone since then. The view is
@@ -29,11 +29,13 @@
 import lacewingweir.state.fleet.PeerEntry
 import lacewingweir.state.id.RequestId
 import lacewingweir.state.id.ServiceName
+import lacewingweir.state.id.StreamTag
 import lacewingweir.state.stream.ServedVersion
 import lacewingweir.state.stream.StreamOrigin
 import lacewingweir.state.stream.StreamOrigins
 import lacewingweir.state.stream.VersionHistory
 import lacewingweir.state.stream.factHolders
+import lacewingweir.state.stream.factWriters
 import lacewingweir.state.time.MonotonicClock
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.LongAdder
@@ -52,6 +54,7 @@
  * @property fleet returns the current snapshot
  * @property viewAgeMillis returns how old the snapshot may be, in milliseconds
  * @property unixMillis returns the time of day
+ * @property toStore writes to the store where streams began
  * @property provesView brings the snapshot up to date, and returns whether it has all changes up to the call
  */
 internal class StreamVersions(
@@ -62,6 +65,7 @@
     private val fleet: () -> FleetSnapshot,
     private val viewAgeMillis: () -> Long,
     private val unixMillis: () -> Long = System::currentTimeMillis,
+    private val toStore: (Map<RequestId, StreamOrigin>) -> Unit = {},
     private val provesView: suspend () -> Boolean,
 ) {
     /** Collects the answers of peers. [origin] is completed with that of a peer that knows the stream, or by the last. */
@@ -102,7 +106,8 @@
         }
     }
 
-    private val origins = StreamOrigins(RETENTION_MILLIS)
+    private val origins = StreamOrigins<RequestId>(RETENTION_MILLIS, MAX_ORIGINS)
+    private val storedOrigins = StreamOrigins<StreamTag>(RETENTION_MILLIS, MAX_STORED_ORIGINS)
     private val history = VersionHistory(RETENTION_MILLIS)
     private val questions = ConcurrentHashMap<RequestId, Question>()
     private var severalVersions: Set<ServiceName> = emptySet()
@@ -171,19 +176,42 @@
     private fun replicate(facts: Map<RequestId, StreamOrigin>) {
         if (facts.isEmpty()) return
         val peers = peers()
-        val byHolder =
+        tell(facts, toStore = false) { factHolders(it, peers, HOLDERS) }
+        val writers = factWriters(fleet().peers.values)
+        // An instance may not be listed yet, nor know any that is.
+        if (writers.isEmpty()) toStore(facts) else tell(facts, toStore = true) { factHolders(it, writers, WRITERS) }
+    }
+
+    private fun tell(
+        facts: Map<RequestId, StreamOrigin>,
+        toStore: Boolean,
+        receivers: (RequestId) -> List<PeerEntry>,
+    ) {
+        val byReceiver =
             facts.entries
-                .flatMap { (call, origin) ->
-                    val fact = StreamFact(call, origin.service, origin.software)
-                    factHolders(call, peers, HOLDERS).map { it to fact }
-                }.groupBy({ it.first }, { it.second })
-        scope.launch {
-            for ((peer, held) in byHolder) {
-                held.chunked(MAX_FACTS).forEach { send(listOf(peer), StreamMessage(self, facts = it)) }
+                .flatMap { fact -> receivers(fact.key).map { it to fact } }
+                .groupBy({ it.first }, { it.second })
+        for ((receiver, told) in byReceiver) {
+            if (receiver.name == self) {
+                toStore(told.associate { it.key to it.value })
+                continue
             }
+            val messages =
+                told
+                    .map { (call, origin) -> StreamFact(call, origin.service, origin.software) }
+                    .chunked(MAX_FACTS)
+                    .map { StreamMessage(self, facts = it, toStore = toStore) }
+            scope.launch { messages.forEach { send(listOf(receiver), it) } }
         }
     }
 
+    /** Applies what the store tells of streams that began lately. */
+    fun onStored(streams: Map<StreamOrigin, List<StreamTag>>) =
+        synchronized(this) {
+            val now = clock.nowMillis()
+            for ((origin, tags) in streams) tags.forEach { storedOrigins.put(it, origin, now) }
+        }
+
     /**
      * Returns where the stream begun by [call] began, which its caller takes up on a route to [service]. Returns null
      * if that can't be found out.
@@ -214,7 +242,8 @@
         return call?.let(::remembered) ?: if (isProved) inferred(service) else null
     }
 
-    private fun remembered(call: RequestId): StreamOrigin? = synchronized(this) { origins[call] }
+    private fun remembered(call: RequestId): StreamOrigin? =
+        synchronized(this) { origins[call] ?: storedOrigins[StreamTag.of(call)] }
 
     /** Must be called with a view that has just been proved. */
     private fun inferred(service: ServiceName): StreamOrigin? {
@@ -243,6 +272,7 @@
     /** Applies a message of a peer. */
     fun onMessage(message: StreamMessage) {
         message.facts.forEach { onFact(message.instance, it) }
+        if (message.toStore) toStore(message.facts.associate { it.call to StreamOrigin(it.service, it.software) })
         message.unknown?.let { questions[it]?.onUnknown(message.instance, message.severalVersions) }
         message.question?.let { answer(message.instance, it) }
     }
@@ -299,6 +329,15 @@
         /** Peers that remember a stream besides its instance. */
         const val HOLDERS: Int = 3
 
+        /** Instances that write a stream to the store. */
+        const val WRITERS: Int = 2
+
+        /** Limits memory to about two megabytes. */
+        const val MAX_ORIGINS: Int = 8_192
+
+        /** Limits memory to about ten megabytes. */
+        const val MAX_STORED_ORIGINS: Int = 100_000
+
         /** Facts in one datagram, which fits in one packet. */
         const val MAX_FACTS: Int = 20
 
--- a/src/main/kotlin/lacewingweir/platform/PlatformItemCodec.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformItemCodec.kt
@@ -31,9 +31,13 @@
 import lacewingweir.state.id.RouteId
 import lacewingweir.state.id.ServiceName
 import lacewingweir.state.id.SoftwareVersion
+import lacewingweir.state.id.StreamTag
 import lacewingweir.state.id.SuspectId
 import lacewingweir.state.id.WeightsNumber
 import lacewingweir.state.stream.ServedVersion
+import lacewingweir.state.stream.StreamOrigin
+import java.nio.ByteBuffer
+import java.util.Base64
 
 /**
  * Decodes the items of the platform's store into the types of this project, and encodes the items of instances.
@@ -93,6 +97,8 @@
             key == PlatformKeys.BLOCK_LIST -> FleetUpdate.BlockList(blockList(parseObject(value)))
             key == PlatformKeys.TARGET_MOMENTS -> FleetUpdate.TargetMoments(targetMoments(parseObject(value)))
             key == PlatformKeys.SERVED_VERSIONS -> FleetUpdate.ServedVersions(servedVersions(parseObject(value)))
+            key.startsWith(PlatformKeys.BEGUN_STREAMS_PREFIX) ->
+                FleetUpdate.BegunStreams(begunStreams(parseObject(value)))
             key == PlatformKeys.ROLLOUT_LEASE -> FleetUpdate.RolloutLeader
             else -> null
         }
@@ -151,6 +157,30 @@
             }
         }.toString().encodeToByteArray()
 
+    /** Encodes an item that tells of [streams]. */
+    fun encodeBegunStreams(streams: Map<StreamOrigin, List<StreamTag>>): ByteArray =
+        buildJsonObject {
+            putJsonArray("streams") {
+                for ((origin, tags) in streams) {
+                    addJsonObject {
+                        put("service", origin.service.value)
+                        origin.software?.let { put("software", it.value) }
+                        val bytes = ByteBuffer.allocate(tags.size * Long.SIZE_BYTES)
+                        tags.forEach { bytes.putLong(it.value) }
+                        put("tags", Base64.getEncoder().encodeToString(bytes.array()))
+                    }
+                }
+            }
+        }.toString().encodeToByteArray()
+
+    private fun begunStreams(item: JsonObject): Map<StreamOrigin, List<StreamTag>> =
+        item.objects("streams").associate { stream ->
+            val bytes = ByteBuffer.wrap(Base64.getDecoder().decode(stream.string("tags")))
+            if (bytes.remaining() % Long.SIZE_BYTES != 0) throw JsonFieldException("tags have an odd length")
+            val tags = List(bytes.remaining() / Long.SIZE_BYTES) { StreamTag(bytes.getLong()) }
+            StreamOrigin(ServiceName(stream.string("service")), software(stream, "software")) to tags
+        }
+
     private fun targetMoments(item: JsonObject): List<TargetMoment> =
         item.objects("targets").map {
             TargetMoment(
--- a/src/main/kotlin/lacewingweir/platform/PlatformNames.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformNames.kt
@@ -124,6 +124,12 @@
     /** Software versions of endpoints, by service, that served lately. */
     const val SERVED_VERSIONS = "lacewingweir/served-versions"
 
+    /**
+     * Followed by the name of an instance, a slash and a number. Streams that began lately, while their service had
+     * several software versions.
+     */
+    const val BEGUN_STREAMS_PREFIX = "lacewingweir/streams/"
+
     /** Held by the instance that coordinates the loading of weights. */
     const val ROLLOUT_LEASE = "lacewingweir/rollout"
 }
--- a/src/main/kotlin/lacewingweir/state/stream/FactHolders.kt
+++ b/src/main/kotlin/lacewingweir/state/stream/FactHolders.kt
@@ -21,6 +21,23 @@
     return (firstOfDomains + (ranked - firstOfDomains.toSet())).take(count)
 }
 
+/**
+ * Returns those of [instances] that write to the store where streams began. They are few, so that each write has many
+ * streams, and in different failure domains as far as there are enough.
+ */
+internal fun factWriters(instances: Collection<PeerEntry>): List<PeerEntry> {
+    val byName = instances.sortedBy { it.name }
+    val firstOfDomains = byName.distinctBy { it.domain }
+    val count = maxOf(MIN_WRITERS, instances.size / INSTANCES_PER_WRITER)
+    return (firstOfDomains + (byName - firstOfDomains.toSet())).take(count)
+}
+
+/** One of them may be slow or have ended. */
+private const val MIN_WRITERS: Int = 2
+
+/** Bounds the datagrams that a writer receives in a large fleet to those of this many instances, twice. */
+private const val INSTANCES_PER_WRITER: Int = 16
+
 private fun score(
     call: RequestId,
     instance: String,
--- a/src/main/kotlin/lacewingweir/state/stream/StreamOrigins.kt
+++ b/src/main/kotlin/lacewingweir/state/stream/StreamOrigins.kt
@@ -1,47 +1,41 @@
 package lacewingweir.state.stream
 
-import lacewingweir.state.id.RequestId
-
 /**
- * Where streams began, by the call that brought their first event. Entries are kept for [retentionMillis].
+ * Where streams began, by what identifies them. Entries are kept for [retentionMillis], and at most [maxEntries].
  *
  * Not thread-safe; the owner synchronizes. Times are of the monotonic clock.
  */
-internal class StreamOrigins(
+internal class StreamOrigins<K : Any>(
     private val retentionMillis: Long,
+    private val maxEntries: Int,
 ) {
     private class Entry(
         val origin: StreamOrigin,
         val atMillis: Long,
     )
 
-    private val entries = LinkedHashMap<RequestId, Entry>()
+    private val entries = LinkedHashMap<K, Entry>()
 
     val size: Int
         get() = entries.size
 
     fun put(
-        call: RequestId,
+        stream: K,
         origin: StreamOrigin,
         nowMillis: Long,
     ) {
-        entries.remove(call)
-        entries[call] = Entry(origin, nowMillis)
+        entries.remove(stream)
+        entries[stream] = Entry(origin, nowMillis)
         val oldest = entries.values.iterator()
         while (oldest.hasNext()) {
-            if (nowMillis - oldest.next().atMillis <= retentionMillis && entries.size <= MAX_ENTRIES) break
+            if (nowMillis - oldest.next().atMillis <= retentionMillis && entries.size <= maxEntries) break
             oldest.remove()
         }
     }
 
-    operator fun get(call: RequestId): StreamOrigin? = entries[call]?.origin
+    operator fun get(stream: K): StreamOrigin? = entries[stream]?.origin
 
     /** Returns the entries that [selects] accepts. */
-    fun filter(selects: (StreamOrigin) -> Boolean): Map<RequestId, StreamOrigin> =
+    fun filter(selects: (StreamOrigin) -> Boolean): Map<K, StreamOrigin> =
         entries.filterValues { selects(it.origin) }.mapValues { it.value.origin }
-
-    private companion object {
-        /** Limits memory to about two megabytes. */
-        const val MAX_ENTRIES: Int = 8_192
-    }
 }
--- a/src/test/kotlin/lacewingweir/coordination/stream/StreamVersionsTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/stream/StreamVersionsTest.kt
@@ -10,6 +10,8 @@
 import lacewingweir.state.id.EndpointId
 import lacewingweir.state.id.RequestId
 import lacewingweir.state.id.SoftwareVersion
+import lacewingweir.state.id.StreamTag
+import lacewingweir.state.stream.StreamOrigin
 import lacewingweir.testing.FLEET_DOMAIN
 import lacewingweir.testing.FLEET_SERVICE
 import lacewingweir.testing.ManualTimers
@@ -25,6 +27,7 @@
     private val timers = ManualTimers()
     private val running = HashMap<String, StreamVersions>()
     private val viewAges = HashMap<String, Long>()
+    private val stored = HashMap<RequestId, StreamOrigin>()
     private var sent = 0
     private var snapshot = fleet("v1", "v1")
 
@@ -76,6 +79,7 @@
                 network,
                 { snapshot },
                 { viewAges[name] ?: 0 },
+                toStore = { stored += it },
                 provesView = { name !in viewAges },
             )
         running[name] = agent.also { it.onFleet(snapshot) }
@@ -248,6 +252,19 @@
         repeat(50) { call -> running.keys.forEach { expectThat(originAt(it, "s$call")).isEqualTo("v2") } }
     }
 
+    /** Guards against streams that nobody knows any more after all instances have ended. */
+    @Test
+    fun `instances that start after all have ended know streams from the store`() {
+        snapshot = fleet("v1", "v2")
+        startAll()
+        repeat(50) { running.getValue("a${it % SIZE}").onBegun(RequestId("s$it"), endpoint(it % 2)) }
+        running.clear()
+        startAll()
+        val items = stored.entries.groupBy({ it.value }, { StreamTag.of(it.key) })
+        running.values.forEach { it.onStored(items) }
+        repeat(50) { expectThat(originAt("a${it % SIZE}", "s$it")).isEqualTo("v${it % 2 + 1}") }
+    }
+
     /** Guards against losing more streams than instances when some end at once. */
     @Test
     fun `most streams are known when six of ten instances end at once`() {
--- a/src/test/kotlin/lacewingweir/platform/PlatformItemCodecTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/PlatformItemCodecTest.kt
@@ -9,11 +9,14 @@
 import lacewingweir.state.id.ModelName
 import lacewingweir.state.id.PartId
 import lacewingweir.state.id.RequestFingerprint
+import lacewingweir.state.id.RequestId
 import lacewingweir.state.id.ServiceName
 import lacewingweir.state.id.SoftwareVersion
+import lacewingweir.state.id.StreamTag
 import lacewingweir.state.id.SuspectId
 import lacewingweir.state.id.WeightsNumber
 import lacewingweir.state.stream.ServedVersion
+import lacewingweir.state.stream.StreamOrigin
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
@@ -95,6 +98,7 @@
         strings = [
             "servers/i-1", "op/config", "op/version/m", "lacewingweir/instances/a", "lacewingweir/hot-customers",
             "lacewingweir/blocked-parts", "lacewingweir/target-moments", "lacewingweir/served-versions",
+            "lacewingweir/streams/a/1",
         ],
     )
     fun `a value that is nested too deeply or has too many values is unreadable`(key: String) {
@@ -192,6 +196,21 @@
         expectThat(decoded).isEqualTo(FleetUpdate.TargetMoments(moments))
     }
 
+    @Test
+    fun `begun streams are decoded as they were encoded`() {
+        val streams =
+            mapOf(
+                StreamOrigin(
+                    ServiceName("s"),
+                    SoftwareVersion("v1"),
+                ) to listOf(StreamTag(1), StreamTag(Long.MIN_VALUE)),
+                StreamOrigin(ServiceName("t"), software = null) to listOf(StreamTag.of(RequestId("9c41d07be2a35f68"))),
+            )
+        val decoded =
+            PlatformItemCodec.decode("lacewingweir/streams/a/7", PlatformItemCodec.encodeBegunStreams(streams))
+        expectThat(decoded).isA<FleetUpdate.BegunStreams>().get { this.streams }.isEqualTo(streams)
+    }
+
     @Test
     fun `served versions are decoded as they were encoded`() {
         val versions =
--- a/src/test/kotlin/lacewingweir/platform/StandinKeyValueStore.kt
+++ b/src/test/kotlin/lacewingweir/platform/StandinKeyValueStore.kt
@@ -103,6 +103,10 @@
 
     fun remove(key: String) = commit(emptyList(), listOf(key))
 
+    /** Removes all items under [prefix]. */
+    @Synchronized
+    fun removeAll(prefix: String) = commit(emptyList(), items.keys.filter { it.startsWith(prefix) })
+
     /** Returns the current items, for [restore]. */
     @Synchronized
     fun copy() = Copy(items.values.toList(), revision.value)
--- a/src/test/kotlin/lacewingweir/platform/StreamAcrossVersionsTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/StreamAcrossVersionsTest.kt
@@ -106,6 +106,8 @@
                         fleet.killInstances()
                         begun.awaitAll()
                     }
+                // The record in the store is lost as well.
+                fleet.store.removeAll("lacewingweir/streams/")
                 fleet.startInstances()
                 val broken = streams.filter { !it.complete && it.events.isNotEmpty() }
                 expectThat(broken.size).isGreaterThan(10)
--- a/src/test/kotlin/lacewingweir/platform/StreamAfterFleetKillTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/StreamAfterFleetKillTest.kt
@@ -32,15 +32,25 @@
     @Test
     fun `a stream is not joined after a second kill`() = playKill(instances = 8, kills = 2)
 
+    /** Guards against streams that are refused since all instances that remembered them were killed. */
     @Test
-    fun `a stream is not joined if both versions still serve after the kill`() =
+    fun `a stream goes on at its version after a fleet was killed while both versions serve`() =
         playKill(instances = 8, oldLeaves = false)
 
+    @Test
+    fun `a stream goes on after a fleet was killed whose first instance had ended before`() =
+        playKill(instances = 8, oldLeaves = false, endedBefore = 1)
+
+    @Test
+    fun `a stream goes on after a fleet was killed twice while both versions serve`() =
+        playKill(instances = 4, oldLeaves = false, kills = 2)
+
     private fun playKill(
         instances: Int,
         oldLeaves: Boolean = true,
         leavesBeforeKill: Boolean = false,
         kills: Int = 1,
+        endedBefore: Int = 0,
     ): Unit =
         runBlocking {
             val started = minOf(instances, STARTED_AFTER_KILL)
@@ -50,11 +60,13 @@
                     engine.streamSlowly()
                 }
                 fleet.start()
+                repeat(endedBefore) { fleet.killInstance(it) }
+                val first = endedBefore
                 var killedAtMillis = 0L
                 val old = fleet.engines.filter { it.software == "old" }
                 val streams =
                     coroutineScope {
-                        val begun = List(STREAMS) { n -> async { fleet.stream(n % instances) } }
+                        val begun = List(STREAMS) { n -> async { fleet.stream(first + n % (instances - first)) } }
                         delay(KILL_AFTER_MILLIS)
                         if (leavesBeforeKill) {
                             old.forEach { it.leave(fleet.store) }
@@ -81,6 +93,14 @@
                         tries.awaitAll()
                     }
                 expectThat(mixedStreams(continued)).isEmpty()
+                if (!oldLeaves) {
+                    val begun = List(NEW_STREAMS) { n -> fleet.stream(n % started) }.count { it.events.isNotEmpty() }
+                    val wentOn = continued.count { it.complete }
+                    expectThat(wentOn.toDouble() / broken.size)
+                        .describedAs("share that went on")
+                        .isGreaterThan(MIN_SHARE_OF_NEW * begun / NEW_STREAMS)
+                    return@runBlocking
+                }
                 val refused = continued.filter { "old" in it.versions }.count { it.status == REFUSED }
                 expectThat(refused).isEqualTo(broken.count { "old" in it.versions })
             }
@@ -88,6 +108,10 @@
 
     private companion object {
         const val STREAMS = 60
+        const val NEW_STREAMS = 6
+
+        /** The share of streams that go on, as a part of the share of new ones that begin. */
+        const val MIN_SHARE_OF_NEW = 0.5
 
         /** Some events of each stream have arrived by then. */
         const val KILL_AFTER_MILLIS = 400L
