Give control requests to engines connections of their own

Control requests and their responses have no id and shared the connections of calls, so the late copy of a 404 to a kv-move was taken for the answer to a call. The copy of one control response could be taken for that to another: a handle for another run's memory, or the status before a load.

Why it works: a control request opens a connection and closes it after the response, so nothing else can have produced the response. Errors without an id can't reach a caller on a reused connection since.

--- a/src/main/kotlin/lacewingweir/platform/PlatformEngineClient.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformEngineClient.kt
@@ -1,6 +1,5 @@
 package lacewingweir.platform
 
-import io.netty.handler.codec.http.HttpHeaders
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.JsonObject
 import lacewingweir.protocol.settings.HostPort
@@ -15,6 +14,9 @@
 /**
  * Sends control requests of this instance to engines. They do not occupy a slot of the engine.
  *
+ * Neither these requests nor their responses have an id. A late copy of a response could be taken for the one to any
+ * other request on the same connection, so each control request has a connection of its own.
+ *
  * [isPaused] returns whether an engine has asked for no requests now. [onStatement] is called with what an engine says
  * about itself in a response.
  */
@@ -41,8 +43,7 @@
                     connectTimeoutMillis = PlatformEndpointProtocol.CONNECT_TIMEOUT_MILLIS,
                     headTimeoutMillis = responseTimeoutMillis,
                     headers = listOf(PlatformHeaders.EXPECTED_ENDPOINT to engine.id.value),
-                    // A response that names a call is a late copy of the answer to a call on the same connection.
-                    responseId = { it.get(PlatformHeaders.REQUEST_ID) },
+                    freshConnection = true,
                 ),
             )
         if (result is ClientResult.Answered) onStatement(engine, decodeStatement(result.response))
@@ -71,7 +72,7 @@
     connectTimeoutMillis: Long,
     headTimeoutMillis: Long,
     headers: List<Pair<String, String>> = emptyList(),
-    responseId: (HttpHeaders) -> String? = { null },
+    freshConnection: Boolean = false,
 ) = ClientRequest(
     host = address.host,
     port = address.port,
@@ -81,5 +82,5 @@
     body = body?.toString()?.encodeToByteArray() ?: ByteArray(0),
     connectTimeoutMillis = connectTimeoutMillis,
     headTimeoutMillis = headTimeoutMillis,
-    responseId = responseId,
+    freshConnection = freshConnection,
 )
--- a/src/test/kotlin/lacewingweir/platform/DuplicateAnswerTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/DuplicateAnswerTest.kt
@@ -19,7 +19,6 @@
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
-import strikt.assertions.isNotNull
 import java.io.BufferedReader
 import java.io.IOException
 import java.net.ServerSocket
@@ -184,20 +183,26 @@
             expectThat(sends.values.map { it.get() }.toSet()).isEqualTo(setOf(2))
         }
 
-    /** Control requests share the connections of calls, and their responses carry no id. */
+    /** Guards against orders on the strength of a status that an engine sent earlier, to another control request. */
     @Test
     fun `the late copy of an answer is not taken for the status of an engine`(): Unit =
         runBlocking {
-            startServer({ id -> response(id, if (id == null) STATUS else answerTo(id)) })
+            val commands = AtomicInteger()
+            startServer(
+                { id -> response(id, """{"sequence":${commands.incrementAndGet()},"busy":false,"models":[]}""") },
+            )
             val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
             val http = HttpClient(group)
             val control =
                 PlatformWeightsControl(PlatformEngineClient(http, isPaused = { false }, onStatement = { _, _ -> }))
             val call =
                 ClientRequest("127.0.0.1", server.localPort, "GET", "/x", headers = listOf("Attempt-Id" to CALL_ID))
-            (http.open(call) as ClientResult.Answered).response.readAll(1_000)
-            expectThat(control.status(engine())).isNotNull()
-            expectThat(duplicates.get()).isEqualTo(1)
+            repeat(5) {
+                (http.open(call) as ClientResult.Answered).response.readAll(1_000)
+                repeat(2) {
+                    expectThat(control.status(engine())?.commandCount).isEqualTo(commands.get().toLong())
+                }
+            }
             http.close()
             group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS)
         }
@@ -219,7 +224,6 @@
         const val CALLS = 10_000
         const val CALLERS = 8
         const val CALL_ID = "00000000000000aa"
-        const val STATUS = """{"sequence":1,"busy":false,"models":[]}"""
         const val BOOKINGS = 50
         const val FOREIGN_STATUS = 404
     }
