--- a/src/main/kotlin/lacewingweir/coordination/fleet/StoreMirror.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/StoreMirror.kt
@@ -6,8 +6,8 @@
  * response proves only that the listener knows all changes up to the time when the call was sent. Failed calls are
  * retried after a short delay, since a longer one would let the contact proof expire.
  *
- * Between two proofs, something may have changed and changed back. Who must rule that out asks for a proof of now, which
- * takes a call of its own.
+ * Between two proofs, something may have changed and changed back. Who must rule that out asks for a proof of now,
+ * which takes a call of its own.
  *
  * Each change ends the watches of all instances. Changes that follow soon are gathered into one response, so that a
  * fleet that changes all the time doesn't exceed the store's rate of calls.
--- a/src/main/kotlin/lacewingweir/coordination/gossip/StreamMessage.kt
+++ b/src/main/kotlin/lacewingweir/coordination/gossip/StreamMessage.kt
@@ -10,8 +10,8 @@
 /**
  * The stream begun by [call] began at an endpoint of [service] with the version [software].
  *
- * It is [inferred] if the instance doesn't know the stream, but has proved, after it was asked, that the service has had
- * one version only.
+ * It is [inferred] if the instance doesn't know the stream, but has proved, after it was asked, that the service has
+ * had one version only.
  */
 @Serializable
 internal data class StreamFact(
--- a/src/main/kotlin/lacewingweir/coordination/stream/StreamVersions.kt
+++ b/src/main/kotlin/lacewingweir/coordination/stream/StreamVersions.kt
@@ -5,11 +5,11 @@
  * version of each new stream is also told to a few peers, because the instance of a stream that its caller takes up may
  * have ended, and to others that write it to the store, because all of them may.
  *
- * A stream that an instance doesn't know began at the only version that the service has had, if there was only one. What
- * the instance last saw is no proof of that: a version may have come, begun the stream and gone since then. The view is
- * therefore proved again when the caller takes the stream up. An instance that can't do so, because the store ignores
- * it, asks its peers, which do the same. If none of them knows the stream or can prove that there was one version, it
- * can't go on.
+ * A stream that an instance doesn't know began at the only version that the service has had, if there was only one.
+ * What the instance last saw is no proof of that: a version may have come, begun the stream and gone since then. The
+ * view is therefore proved again when the caller takes the stream up. An instance that can't do so, because the store
+ * ignores it, asks its peers, which do the same. If none of them knows the stream or can prove that there was one
+ * version, it can't go on.
  */
 package lacewingweir.coordination.stream
 
@@ -68,7 +68,7 @@
     private val toStore: (Map<RequestId, StreamOrigin>) -> Unit = {},
     private val provesView: suspend () -> Boolean,
 ) {
-    /** Collects the answers of peers. [origin] is completed with that of a peer that knows the stream, or by the last. */
+    /** Collects the answers of peers. [origin] is completed by a peer that knows the stream, or by the last answer. */
     private class Question(
         private val expectedAnswers: Int,
     ) {
--- a/src/main/kotlin/lacewingweir/platform/JsonFields.kt
+++ b/src/main/kotlin/lacewingweir/platform/JsonFields.kt
@@ -20,11 +20,10 @@
  * @throws IllegalArgumentException if the text is not a JSON object within the limits
  */
 internal fun parseObject(bytes: ByteArray): JsonObject {
-    val charAt = { index: Int -> bytes[index].toInt().toChar() }
-    if (JsonNesting.maxNestingDepth(bytes.size, charAt) > MAX_NESTING_DEPTH) {
-        throw JsonFieldException("nested deeper than $MAX_NESTING_DEPTH levels")
-    }
-    if (JsonNesting.maxValues(bytes.size, charAt) > MAX_VALUES) throw JsonFieldException("more than $MAX_VALUES values")
+    val depth = JsonNesting.maxNestingDepth(bytes.size) { bytes[it].toInt().toChar() }
+    require(depth <= MAX_NESTING_DEPTH) { "nested deeper than $MAX_NESTING_DEPTH levels" }
+    val values = JsonNesting.maxValues(bytes.size) { bytes[it].toInt().toChar() }
+    require(values <= MAX_VALUES) { "more than $MAX_VALUES values" }
     return Json.parseToJsonElement(decodeUtf8(bytes)) as? JsonObject ?: throw JsonFieldException("not a JSON object")
 }
 
@@ -32,7 +31,7 @@
     try {
         bytes.decodeToString(throwOnInvalidSequence = true)
     } catch (e: CharacterCodingException) {
-        throw JsonFieldException("not UTF-8: ${e.message}")
+        throw IllegalArgumentException("not UTF-8: ${e.message}", e)
     }
 
 /** Returns the field if it is a number, a boolean or a JSON null. A number in quotes is a string and isn't returned. */
--- a/src/main/kotlin/lacewingweir/transport/http/ClientRequest.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ClientRequest.kt
@@ -8,10 +8,10 @@
  * @property freshConnection whether to open a new connection, because the server may have closed a pooled one meanwhile
  * @property connectTimeoutMillis the longest wait for a new connection to be established
  * @property headTimeoutMillis the longest wait for the head of the response after the request was sent
- * @property id identifies the request to a server that names it in the response, or null if the server doesn't. It may be
- *   that of an earlier send of the same call, so a connection carries it once only
- * @property responseId returns the id that the headers of a response name, or null if they name none. Responses to other
- *   requests on the same connection are skipped
+ * @property id identifies the request to a server that names it in the response, or null if the server doesn't. It may
+ *   be that of an earlier send of the same call, so a connection carries it once only
+ * @property responseId returns the id that the headers of a response name, or null if they name none. Responses to
+ *   other requests on the same connection are skipped
  * @property preserveHostHeader whether to send the `Host` header of [headers] rather than one made from [host] and
  *   [port]
  */
--- a/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
+++ b/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
@@ -128,13 +128,18 @@
     ) {
         if (exchange.path.startsWith("/lacewingweir/")) {
             weights.control(exchange, id)
-            return
-        }
-        if (exchange.headers.get("Expect-Instance") != id) {
+        } else if (exchange.headers.get("Expect-Instance") == id) {
+            handleCall(exchange, ended)
+        } else {
             // The request is meant for an earlier run at this address.
             exchange.respond(421, listOf("Attempt-Id" to exchange.headers.get("Attempt-Id")))
-            return
         }
+    }
+
+    private suspend fun handleCall(
+        exchange: ServerExchange,
+        ended: AtomicBoolean,
+    ) {
         val parts =
             exchange.headers
                 .get("Prompt-Prefix")
