Log and count closed connections of callers, and outcomes behind skipped responses

Now there are lines for - each connection of a caller that is closed before a complete response: the reason, the request and its age, the use of the connection; with a counter by reason in the report of repeats, - a failed connection of a caller, which was closed without a line, - a response that is skipped: whether the connection had carried its id, - the outcome of a request behind skipped responses, and how long it waited, - a send to an endpoint that was tried before (again=true).

No decision is changed.

--- a/src/main/kotlin/lacewingweir/cli/router/RepeatReporter.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RepeatReporter.kt
@@ -3,12 +3,14 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import lacewingweir.coordination.time.TimerService
 import lacewingweir.state.id.ServiceName
+import lacewingweir.transport.http.CloseReason
 import lacewingweir.transport.relay.RepeatFigures
 
 private val logger = KotlinLogging.logger {}
 
 /**
- * Logs periodically the repeats of calls, and the responses to other requests that were skipped, by status.
+ * Logs periodically the repeats of calls, the responses to other requests that were skipped, by status, and the
+ * connections of callers that were closed before a complete response, by reason.
  *
  * Totals count from the start of the process. Services without changes are left out.
  */
@@ -16,9 +18,11 @@
     private val timers: TimerService,
     private val repeats: () -> Map<ServiceName, RepeatFigures>,
     private val skippedResponses: () -> Map<Int, Long>,
+    private val unansweredCloses: () -> Map<CloseReason, Long>,
 ) {
     private var reportedRepeats = emptyMap<ServiceName, RepeatFigures>()
     private var reportedSkipped = emptyMap<Int, Long>()
+    private var reportedCloses = emptyMap<CloseReason, Long>()
 
     fun start() {
         timers.every("repeat report", REPORT_PERIOD_MILLIS) { report() }
@@ -38,6 +42,9 @@
         val skipped = skippedResponses()
         if (skipped != reportedSkipped) logger.info { "responses: skipped=$skipped" }
         reportedSkipped = skipped
+        val closes = unansweredCloses()
+        if (closes != reportedCloses) logger.info { "connections: closed before a complete response=$closes" }
+        reportedCloses = closes
     }
 
     private companion object {
--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -263,7 +263,8 @@
                 failures.total,
             )
         }
-    private val repeatReporter = RepeatReporter(timers, repeatBudgets::figures, endpointClient::skippedResponses)
+    private val repeatReporter =
+        RepeatReporter(timers, repeatBudgets::figures, endpointClient::skippedResponses, callerServer::unansweredCloses)
     private val readinessServer = createServer(settings.readinessListen, ::answerReadiness)
 
     @Volatile
--- a/src/main/kotlin/lacewingweir/transport/http/ClientConnection.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ClientConnection.kt
@@ -91,6 +91,8 @@
     private val carriedIds = HashSet<Int>()
     private var requests = 0
     private val createdAtNanos = System.nanoTime()
+    private var skipped = 0
+    private var skippedAtNanos = 0L
 
     /** How the connection has been used so far. */
     internal val use: ConnectionUse
@@ -120,7 +122,11 @@
 
     /** Waits for the head of the response to [request]. Skips a few responses to other requests. */
     internal suspend fun awaitHead(request: ClientRequest): Head {
-        repeat(MAX_SKIPPED_RESPONSES) { nextHead(request)?.let { return it } }
+        val skippedBefore = skipped
+        repeat(MAX_SKIPPED_RESPONSES) {
+            val head = nextHead(request)
+            if (head != null) return head.also { if (skipped > skippedBefore) logOutcomeAfterSkipped(request, head) }
+        }
         return Head.Failed("too many responses to other requests")
     }
 
@@ -156,11 +162,27 @@
         onSkipped(status)
         logger.info {
             val named = request.responseId(response.headers())
-            "http: skipped response status=$status names=$named awaited=${request.id} connection=$use"
+            "http: skipped response status=$status names=$named carried=${named?.let(::hasCarried)} " +
+                "awaited=${request.id} connection=$use"
         }
+        skipped++
+        skippedAtNanos = System.nanoTime()
         return skipBody()
     }
 
+    private fun logOutcomeAfterSkipped(
+        request: ClientRequest,
+        head: Head,
+    ) = logger.info {
+        val waitedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - skippedAtNanos)
+        val outcome =
+            when (head) {
+                is Head.Received -> "status=${head.response.status().code()}"
+                is Head.Failed -> "failed: ${head.reason}"
+            }
+        "http: after skipped responses id=${request.id} waitedMs=$waitedMillis $outcome connection=$use"
+    }
+
     /** Returns whether the connection can be used after the body. */
     private suspend fun skipBody(): Boolean {
         var skippedBytes = 0
--- a/src/main/kotlin/lacewingweir/transport/http/HttpServer.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/HttpServer.kt
@@ -46,6 +46,7 @@
     private val requestedPort = port
     private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
     private val inFlight = AtomicInteger()
+    private val closes = UnansweredCloses()
 
     @Volatile
     internal var listener: Channel? = null
@@ -69,6 +70,10 @@
     public val requestsInFlight: Int
         get() = inFlight.get()
 
+    /** The number of connections that were closed before a complete response so far, by reason. */
+    public val unansweredCloses: Map<CloseReason, Long>
+        get() = closes.totals
+
     /** Binds the address and accepts connections. */
     public fun start(): HttpServer {
         val bootstrap =
@@ -120,7 +125,7 @@
             .pipeline()
             .addLast(IdleStateHandler(limits.idleReadMillis, 0, 0, TimeUnit.MILLISECONDS))
             .addLast(HttpServerCodec(decoder))
-            .addLast(ServerConnectionHandler(limits, { draining }, this::dispatch))
+            .addLast(ServerConnectionHandler(limits, { draining }, closes, this::dispatch))
     }
 
     private fun dispatch(exchange: NettyServerExchange) {
--- a/src/main/kotlin/lacewingweir/transport/http/NettyServerExchange.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/NettyServerExchange.kt
@@ -22,7 +22,10 @@
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicReference
 
-/** A [ServerExchange] on a Netty connection. Calls [onComplete] once, when the next request can be handled. */
+/**
+ * A [ServerExchange] on a Netty connection. Calls [onComplete] once, when the next request can be handled, and
+ * [onUnanswered] before it closes the connection without a complete response.
+ */
 internal class NettyServerExchange(
     private val ctx: ChannelHandlerContext,
     request: HttpRequest,
@@ -30,12 +33,14 @@
     override val arrivedAtNanos: Long,
     private val limits: HttpLimits,
     private val draining: () -> Boolean,
+    private val onUnanswered: (NettyServerExchange, CloseReason) -> Unit,
     private val onComplete: () -> Unit,
 ) : ServerExchange {
     private val decoder = QueryStringDecoder(request.uri())
     private val keepAlive = HttpUtil.isKeepAlive(request)
     private val disconnectAction = AtomicReference<(() -> Unit)?>(null)
     private val handlerDone = AtomicBoolean()
+    private val unansweredReported = AtomicBoolean()
     private val writableSignal = AtomicReference(CompletableDeferred<Unit>())
 
     @Volatile
@@ -122,14 +127,17 @@
             if (ctx.channel().isWritable || disconnected) break
             withTimeoutOrNull(limits.writeStallMillis) { signal.await() } ?: run {
                 pending.cancel(false)
-                abort()
+                close(CloseReason.WRITE_STALLED)
                 throw PeerClosedException("peer read nothing for ${limits.writeStallMillis} ms")
             }
         }
         if (disconnected) throw PeerClosedException("connection is closed")
     }
 
-    override fun abort() {
+    override fun abort() = close(CloseReason.ABORTED)
+
+    private fun close(reason: CloseReason) {
+        if (!disconnected && unansweredReported.compareAndSet(false, true)) onUnanswered(this, reason)
         ctx.close()
     }
 
@@ -144,6 +152,11 @@
         writableSignal.getAndSet(CompletableDeferred()).complete(Unit)
     }
 
+    /** Reports that the connection has failed in the middle of the response. */
+    internal fun connectionFailed() {
+        if (!finished) close(CloseReason.CONNECTION_FAILED)
+    }
+
     internal fun channelInactive() {
         disconnected = true
         writabilityChanged()
@@ -154,7 +167,7 @@
     internal fun fail() {
         if (finished) return
         if (responseStarted) {
-            abort()
+            close(CloseReason.HANDLER_FAILED)
             return
         }
         responseStarted = true
@@ -176,7 +189,7 @@
 
     internal fun handlerCompleted() {
         if (!handlerDone.compareAndSet(false, true)) return
-        if (!finished) ctx.close()
+        if (!finished) close(CloseReason.NOT_ANSWERED)
         onComplete()
     }
 }
--- a/src/main/kotlin/lacewingweir/transport/http/ServerConnectionHandler.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ServerConnectionHandler.kt
@@ -1,5 +1,6 @@
 package lacewingweir.transport.http
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.CompositeByteBuf
 import io.netty.buffer.Unpooled
@@ -22,6 +23,8 @@
 import io.netty.handler.timeout.IdleStateEvent
 import java.util.concurrent.TimeUnit
 
+private val logger = KotlinLogging.logger {}
+
 /**
  * Assembles the requests of a connection and passes them to [dispatch] one at a time.
  *
@@ -30,6 +33,7 @@
 internal class ServerConnectionHandler(
     private val limits: HttpLimits,
     private val draining: () -> Boolean,
+    private val closes: UnansweredCloses,
     private val dispatch: (NettyServerExchange) -> Unit,
 ) : SimpleChannelInboundHandler<HttpObject>() {
     private val pipelined = ArrayDeque<NettyServerExchange>()
@@ -41,6 +45,13 @@
     /** When the client became idle: at the last response, because a request may take much longer than the limit. */
     private var idleSinceNanos = System.nanoTime()
     private var headReceivedAtNanos = 0L
+    private val createdAtNanos = System.nanoTime()
+
+    @Volatile
+    private var requests = 0
+
+    private val use: ConnectionUse
+        get() = ConnectionUse(requests, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - createdAtNanos))
 
     override fun channelRead0(
         ctx: ChannelHandlerContext,
@@ -97,6 +108,7 @@
         buffer: CompositeByteBuf,
     ) {
         val request = checkNotNull(requestHead)
+        requests++
         val body = ByteBufUtil.getBytes(buffer)
         buffer.release()
         requestHead = null
@@ -109,6 +121,7 @@
                 headReceivedAtNanos,
                 limits,
                 draining,
+                onUnanswered = { exchange, reason -> closes.record(reason, exchange, use) },
             ) { ctx.executor().execute { startNext(ctx) } }
         when {
             current == null -> startExchange(exchange)
@@ -201,6 +214,8 @@
         ctx: ChannelHandlerContext,
         cause: Throwable,
     ) {
+        logger.info { "http: connection failed requests=$requests: $cause" }
+        current?.connectionFailed()
         ctx.close()
     }
 
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -295,6 +295,7 @@
         val toEngine = state.call.prompt != null
         state.sends++
         state.connection = null
+        val triedBefore = reservation.endpoint.id in state.triedEndpoints
         state.triedEndpoints += reservation.endpoint.id
         state.lastEndpoint = reservation.endpoint.id
         val mayUseAnother =
@@ -322,7 +323,7 @@
                 },
             )
         logger.info {
-            "relay: id=${state.call.id} sent to=${reservation.endpoint.id} try=${state.sends} leftMs=$timeoutMillis " +
+            "relay: id=${state.call.id} sent to=${reservation.endpoint.id} try=${state.sends} again=$triedBefore leftMs=$timeoutMillis " +
                 "expectedMs=${reservation.expectedMillis.toLong()} missed=${reservation.uncachedTokens.toLong()} " +
                 "weights=${reservation.weights} outdatedMs=${reservation.outdatedMillis} repeat=${state.repeatCause} " +
                 "fetch=${reservation.cacheSource?.id} continues=${cacheCopy?.handle} " +
