--- /dev/null
+++ b/src/test/kotlin/lacewingweir/platform/SuccessForFailedCallTest.kt
@@ -0,0 +1,195 @@
+package lacewingweir.platform
+
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Tag
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.Timeout
+import strikt.api.expectThat
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.atomic.AtomicInteger
+
+/**
+ * Guards against successes for calls whose server answered with a failure, because the failure was skipped as a response
+ * to another request, or because an extra success came on another connection than its request.
+ */
+@Timeout(20)
+internal class SuccessForFailedCallTest {
+    private val extras = AtomicInteger()
+    private val servers = ArrayList<RawServer>()
+
+    /** Every third call fails wherever it runs. */
+    private fun isFailing(id: String) = id.toLong(radix = 16) % 3 == 0L
+
+    private fun answerTo(id: String) = "answer to $id"
+
+    private fun streamOf(id: String) = (1..3).joinToString("") { "id: $it\ndata: $id-$it\n\n" }
+
+    @AfterEach
+    fun close() = servers.forEach { it.close() }
+
+    private fun response(
+        body: String,
+        status: String = "200 OK",
+        headers: String = "",
+    ) = "HTTP/1.1 $status\r\n${headers}Server-Stamp: s\r\nContent-Length: ${body.length}\r\n\r\n$body"
+
+    private fun named(id: String) = "Attempt-Id: $id\r\n"
+
+    private fun success(
+        id: String,
+        body: String = answerTo(id),
+    ) = response(body, headers = named(id))
+
+    private fun events(
+        id: String,
+        body: String,
+    ) = response(body, headers = "${named(id)}Content-Type: text/event-stream\r\n")
+
+    private fun refusal(id: String) =
+        response("", "503 Service Unavailable", "${named(id)}Not-Executed: 1\r\n")
+
+    private fun startServers(
+        count: Int,
+        server: () -> RawServer,
+    ): List<RawServer> = List(count) { server().also(servers::add) }
+
+    /** A server whose failures have the id headers [failureId], and are followed by an extra success with the id. */
+    private fun misnamingServer(
+        failureId: (id: String) -> String,
+        status: String = "500 Internal Server Error",
+        extra: (id: String) -> String = { success(it, EXTRA) },
+        answer: (id: String) -> String = ::success,
+    ) = RawServer { request ->
+        if (isFailing(request.id)) {
+            write(response("own failure", status, failureId(request.id)))
+            extras.incrementAndGet()
+            write(extra(request.id))
+        } else {
+            write(answer(request.id))
+        }
+    }
+
+    private fun playMisnamed(
+        kind: String,
+        count: Int,
+        server: () -> RawServer,
+        served: (id: String) -> String = ::answerTo,
+    ) = CallerPlay(kind, startServers(count, server)).use { play ->
+        play.run(::isFailing, served)
+        expectThat(extras.get()).isGreaterThan(0)
+    }
+
+    @Test
+    @Tag("known-red")
+    fun `no booking takes a success behind a failure that names no request`() {
+        playMisnamed("non_idempotent", 3, { misnamingServer({ "" }) })
+    }
+
+    @Test
+    @Tag("known-red")
+    fun `no look-up takes a success behind a failure that names no request`() {
+        playMisnamed("idempotent", 2, { misnamingServer({ "" }, status = "504 Gateway Timeout") })
+    }
+
+    @Test
+    @Tag("known-red")
+    fun `no stream takes a success behind a failure that names no request`() {
+        val server = { misnamingServer({ "" }, extra = { events(it, "id: 1\ndata: $EXTRA\n\n") }, answer = ::stream) }
+        playMisnamed("stream", 2, server, ::streamOf)
+    }
+
+    private fun stream(id: String) = events(id, streamOf(id))
+
+    @Test
+    @Tag("known-red")
+    fun `no call takes a success behind a refusal that names no request`() {
+        val server = { misnamingServer({ "Not-Executed: 1\r\n" }, status = "503 Service Unavailable") }
+        playMisnamed("non_idempotent", 2, server)
+    }
+
+    @Test
+    @Tag("known-red")
+    fun `no call takes a success behind a failure that names an unknown request`() {
+        playMisnamed("non_idempotent", 1, { misnamingServer({ named("ffffffffffffffff") }) })
+    }
+
+    @Test
+    @Tag("known-red")
+    fun `no call takes a success behind a failure that names two requests`() {
+        playMisnamed("non_idempotent", 1, { misnamingServer({ named("ffffffffffffffff") + named(it) }) })
+    }
+
+    @Test
+    @Tag("known-red")
+    fun `no call takes a success behind a failure with another spelling of its id`() {
+        playMisnamed("idempotent", 1, { misnamingServer({ named(it.uppercase() + "-") }) })
+    }
+
+    /** Without the success behind it, the call waited for its deadline. */
+    @Test
+    @Tag("known-red")
+    fun `no call waits for an answer behind a failure that names no request`() {
+        val server = {
+            RawServer { request ->
+                extras.incrementAndGet()
+                write(if (isFailing(request.id)) response("", "500 Internal Server Error") else success(request.id))
+            }
+        }
+        CallerPlay("non_idempotent", startServers(3, server), calls = 120).use { play ->
+            play.run(::isFailing, ::answerTo)
+            expectThat(play.longestMillis).isLessThan(DEADLINE_MILLIS / 2)
+        }
+    }
+
+    /**
+     * A server that keeps an extra success for each call that it [fails][failure], and sends it on the connection on
+     * which it answers next.
+     */
+    private fun crossingServer(
+        extra: (id: String) -> String = { success(it, EXTRA) },
+        failure: (id: String) -> String = { response("", "500 Internal Server Error", named(it)) },
+        answer: (id: String) -> String = ::success,
+    ): RawServer {
+        val pending = ConcurrentLinkedQueue<String>()
+        return RawServer { request ->
+            pending.poll()?.let {
+                extras.incrementAndGet()
+                write(it)
+            }
+            write(if (isFailing(request.id)) failure(request.id) else answer(request.id))
+            if (isFailing(request.id)) pending += extra(request.id)
+        }
+    }
+
+    @Test
+    @Tag("known-red")
+    fun `no refused booking takes a success from another connection`() {
+        for (count in 1..3) playMisnamed("non_idempotent", count, { crossingServer(failure = ::refusal) })
+    }
+
+    @Test
+    @Tag("known-red")
+    fun `no failed look-up takes a success from another connection`() {
+        for (count in 1..3) playMisnamed("idempotent", count, { crossingServer() })
+    }
+
+    @Test
+    @Tag("known-red")
+    fun `no failed stream takes a success from another connection`() {
+        val server = { crossingServer({ events(it, "id: 1\ndata: $EXTRA\n\n") }, answer = ::stream) }
+        for (count in 1..2) playMisnamed("stream", count, server, ::streamOf)
+    }
+
+    @Test
+    fun `no refused stream takes a success from another connection`() {
+        val server = { crossingServer({ events(it, "id: 1\ndata: $EXTRA\n\n") }, ::refusal, ::stream) }
+        for (count in 1..2) playMisnamed("stream", count, server, ::streamOf)
+    }
+
+    private companion object {
+        const val EXTRA = "extra"
+        const val DEADLINE_MILLIS = 2_000L
+    }
+}
