Show requests that lose their connection before they are answered

A request that was still being received when its instance stopped is cut off (LOST): the stop waits for requests in flight, which don't include those whose body isn't complete. If the body ends while the instance removes itself from the store, the request is even sent on and then cut; with a store that takes a second that is so in each run.

Requests on a connection are also cut when another one behind them is malformed, too large, or one too many.

--- a/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
+++ b/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
@@ -110,7 +110,7 @@
         instances.clear()
     }
 
-    private fun host(index: Int) = "127.$subnet.$processSubnet.${index + 1}"
+    fun host(index: Int) = "127.$subnet.$processSubnet.${index + 1}"
 
     private fun settings(index: Int) =
         RouterSettings(
@@ -246,7 +246,7 @@
     }
 
     internal companion object {
-        private const val CALLER_PORT = 8_606
+        const val CALLER_PORT = 8_606
         private const val READINESS_PORT = 8_605
         private const val DIGEST_PORT = 7_600
 
--- a/src/test/kotlin/lacewingweir/platform/StandinKeyValueStore.kt
+++ b/src/test/kotlin/lacewingweir/platform/StandinKeyValueStore.kt
@@ -69,6 +69,10 @@
     @Volatile
     var down = false
 
+    /** Time before each call is handled, in milliseconds. */
+    @Volatile
+    var responseMillis = 0L
+
     init {
         scope.launch {
             while (isActive) {
@@ -148,6 +152,7 @@
     private fun eraHeader() = listOf("Store-Era" to era.toString())
 
     private suspend fun handle(exchange: ServerExchange) {
+        delay(responseMillis)
         if (down) {
             exchange.respond(503, eraHeader())
             return
