Name the request in the refusals of stand-ins

Endpoints name the request in every response, but some stand-ins of the tests didn't in refusals. Their expectations stay; a new test expects that a booking isn't sent again after a nameless refusal.

--- a/src/test/kotlin/lacewingweir/platform/PausedEndpointTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/PausedEndpointTest.kt
@@ -26,7 +26,8 @@
     @AfterEach
     fun close() = relay.close()
 
-    private fun refusal(retryAfter: String) = listOf("Not-Executed" to "1", "Retry-After" to retryAfter)
+    private fun refusal(retryAfter: String) =
+        responseHeaders + listOf("Not-Executed" to "1", "Retry-After" to retryAfter)
 
     /** Guards against instances that go on sending to an endpoint that can't take calls. */
     @Test
--- a/src/test/kotlin/lacewingweir/platform/PlatformRelayTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/PlatformRelayTest.kt
@@ -69,13 +69,23 @@
     @Test
     fun `a call that an endpoint did not run is sent to another endpoint`(): Unit =
         runBlocking {
-            val full = relay.endpoint("i-1") { it.respond(503, listOf("Not-Executed" to "1")) }
+            val full = relay.endpoint("i-1") { it.respond(503, responseHeaders + ("Not-Executed" to "1")) }
             val free = relay.endpoint("i-2", handler = respondOk)
             repeat(4) { expectThat(relay.call("non_idempotent").status).isEqualTo(200) }
             expectThat(free.receivedRequests).hasSize(4)
             expectThat(full.receivedRequests.size).isLessThan(5)
         }
 
+    /** It may be the response to another call, so the booking may have been made. */
+    @Test
+    fun `a non-idempotent call isn't sent again after a refusal that names no request`(): Unit =
+        runBlocking {
+            val endpoint1 = relay.endpoint("i-1") { it.respond(503, listOf("Not-Executed" to "1")) }
+            val endpoint2 = relay.endpoint("i-2") { it.respond(503, listOf("Not-Executed" to "1")) }
+            expectThat(relay.call("non_idempotent").status).isEqualTo(502)
+            expectThat(endpoint1.receivedRequests.size + endpoint2.receivedRequests.size).isEqualTo(1)
+        }
+
     /** A booking whose response was lost may have been made. A second attempt could make it twice. */
     @Test
     fun `a non-idempotent call is sent only once and fails with 502 if it may have run`(): Unit =
--- a/src/test/kotlin/lacewingweir/platform/PlatformRunHandoverTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/PlatformRunHandoverTest.kt
@@ -186,7 +186,7 @@
                 if (firstTarget == null) firstTarget = target
                 if (target == firstTarget) exchange.respond(503) else respondCopied(exchange, request)
             }
-            relay.endpoint("i-3", "engine") { it.respond(503, listOf("Not-Executed" to "1")) }
+            relay.endpoint("i-3", "engine") { it.respond(503, responseHeaders + ("Not-Executed" to "1")) }
             val response =
                 whileStreaming(handleCopy = failFirstTarget) { handover ->
                     handover.drainSource()
--- a/src/test/kotlin/lacewingweir/platform/RequestCutByStopTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/RequestCutByStopTest.kt
@@ -38,7 +38,8 @@
                         delay(restMillis)
                         socket.send("0\r\n\r\n")
                         stop.await()
-                        println("stop: the request was sent on=" + fleet.desks.any { it.arrivals.any { a -> a.body == "body" } })
+                        val sentOn = fleet.desks.any { desk -> desk.arrivals.any { it.body == "body" } }
+                        println("stop: the request was sent on=$sentOn")
                         socket
                             .getInputStream()
                             .bufferedReader()
--- a/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
+++ b/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
@@ -149,7 +149,8 @@
         val body = exchange.body.decodeToString()
         arrivals += Arrival(nowMillis(), parts, body)
         pauseSeconds?.let {
-            exchange.respond(503, listOf("Not-Executed" to "1", "Retry-After" to it))
+            val id = exchange.headers.get("Attempt-Id")
+            exchange.respond(503, listOf("Attempt-Id" to id, "Not-Executed" to "1", "Retry-After" to it))
             return
         }
         val run = Run(exchange, parts, body, ended)
