Send a call to each endpoint once

Callers got successes for calls that their server had refused or failed (MIXED). Cause: the call was sent to the same server again, over another connection, and an extra success for its first send came there and passed for the answer to the second. An id names the call of a caller and not a send, so no connection can tell them apart.

Now an endpoint that has received a call doesn't get it again, in the same run of the endpoint. If no other is left, the call ends at once: it is refused if no endpoint ran it. A call doesn't give up waiting for an answer either if there is no other endpoint to try. A stream may go back to an endpoint once events were forwarded, since an answer to an earlier send would repeat those and is told by their numbers. A stream that is continued with something else than events is broken instead of ending in an exception.

ExtraResponseTest had one server, to which calls were repeated. It now plays each case with one server, which must not get a call twice, and with two, between which calls are repeated. The case of a call that was given up needs two: with one, its extra success precedes the failure of the only send, which no router can tell.

--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
@@ -231,7 +231,8 @@
         fleet
             ?.usable(request.service)
             .orEmpty()
-            .filter { it.id !in request.excluded && (request.software == null || it.software == request.software) }
+            .filter { it.id !in request.excluded && it.tag !in request.received }
+            .filter { request.software == null || it.software == request.software }
             .mapNotNull { states[it.id] }
 
     /** Returns whether the service has an endpoint with this version that accepts new requests in general. */
@@ -241,6 +242,10 @@
         software: SoftwareVersion,
     ): Boolean = fleet?.usable(service).orEmpty().any { it.software == software }
 
+    /** Returns whether the request might be placed now or later, as far as exclusions and versions go. */
+    @Synchronized
+    fun hasUsable(request: PlacementRequest): Boolean = usableStates(request).isNotEmpty()
+
     /** Chooses an endpoint and reserves load there. Returns null if no endpoint accepts the request now. */
     @Synchronized
     fun place(request: PlacementRequest): EndpointReservation? {
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -21,6 +21,7 @@
 import lacewingweir.state.fleet.EndpointEntry
 import lacewingweir.state.fleet.RequestKind
 import lacewingweir.state.fleet.RoutePolicy
+import lacewingweir.state.id.EndpointTag
 import lacewingweir.state.id.ServiceName
 import lacewingweir.state.retry.RepeatCause
 import lacewingweir.state.stream.StreamOrigin
@@ -209,11 +210,6 @@
         service: ServiceName,
     ): EndpointReservation? {
         val waitUntil = clock.nowMillis() + minOf(state.remainingMillis / 3, limits().placementWaitMillis)
-        val cacheIsolation =
-            admitted.customer
-                ?.takeIf { it.isolated }
-                ?.id
-                ?.value
         val origin = state.progress.origin
         if (origin != null && !canContinue(origin)) {
             streamVersions.recordRefusal()
@@ -221,15 +217,11 @@
             return null
         }
         while (true) {
-            val request =
-                PlacementRequest(
-                    service,
-                    state.call.prompt,
-                    cacheIsolation,
-                    state.triedEndpoints,
-                    origin?.software,
-                    usableMillis(state),
-                )
+            val request = placementRequest(state, admitted, service)
+            if (state.receivedBy.isNotEmpty() && !tracker.hasUsable(request.withoutExclusions())) {
+                state.fail()
+                return null
+            }
             if (state.callerDisconnected) throw PeerClosedException("disconnected before the call was sent")
             val reservation =
                 tracker.place(request)
@@ -248,6 +240,25 @@
         }
     }
 
+    private fun placementRequest(
+        state: CallState,
+        admitted: Admitted,
+        service: ServiceName,
+        received: Set<EndpointTag> = state.receivedBy,
+    ) = PlacementRequest(
+        service = service,
+        prompt = state.call.prompt,
+        cacheIsolation =
+            admitted.customer
+                ?.takeIf { it.isolated }
+                ?.id
+                ?.value,
+        excluded = state.triedEndpoints,
+        received = received,
+        software = state.progress.origin?.software,
+        usableMillis = usableMillis(state),
+    )
+
     private fun usableMillis(state: CallState): Double = state.remainingMillis * limits().usableShareOfRemainingTime
 
     private fun canContinue(origin: StreamOrigin): Boolean =
@@ -299,7 +310,10 @@
         state.triedEndpoints += reservation.endpoint.id
         state.lastEndpoint = reservation.endpoint.id
         val mayUseAnother =
-            route.repeatable && state.possibleRuns + 1 < route.maxEndpoints && repeatBudgets.canRepeat(service)
+            route.repeatable &&
+                state.possibleRuns + 1 < route.maxEndpoints &&
+                repeatBudgets.canRepeat(service) &&
+                hasAnother(state, admitted, service, reservation.endpoint)
         // Trying another endpoint costs a second run, so a busy endpoint gets its expected time in addition to a share
         // of the remaining time.
         val timeoutBeforeRepeat = timeoutMillis * HEAD_TIMEOUT_SHARE + reservation.expectedMillis
@@ -325,22 +339,40 @@
                 },
             )
         logger.info {
-            "relay: id=${state.call.id} sent to=${reservation.endpoint.id} try=${state.sends} again=$triedBefore leftMs=$timeoutMillis " +
+            "relay: id=${state.call.id} sent to=${reservation.endpoint.id} try=${state.sends} again=$triedBefore " +
+                "leftMs=$timeoutMillis " +
                 "expectedMs=${reservation.expectedMillis.toLong()} missed=${reservation.uncachedTokens.toLong()} " +
                 "weights=${reservation.weights} outdatedMs=${reservation.outdatedMillis} repeat=${state.repeatCause} " +
                 "fetch=${reservation.cacheSource?.id} continues=${cacheCopy?.handle} " +
                 "software=${reservation.endpoint.software} after=${outbound.resumeAfter} resumes=${state.call.resumes}"
         }
         try {
-            return withTimeoutOrNull(timeoutMillis) {
-                sender.send(outbound, reservation, state.exchange, state.progress)
-            } ?: SendOutcome.Broken("out of time", outOfTime = true)
+            val lastEvent = state.progress.lastNumber
+            val outcome =
+                withTimeoutOrNull(timeoutMillis) {
+                    sender.send(outbound, reservation, state.exchange, state.progress)
+                } ?: SendOutcome.Broken("out of time", outOfTime = true)
+            if (outcome !is SendOutcome.NotRun || outcome.refused) {
+                val streamContinued = state.progress.lastNumber != lastEvent
+                state.onReceived(reservation.endpoint.tag, streamContinued)
+            }
+            return outcome
         } finally {
             // If the caller disconnected or the time ran out, the sender may not have ended the reservation.
             reservation.end(ReservationOutcome.NOT_COUNTED)
         }
     }
 
+    private fun hasAnother(
+        state: CallState,
+        admitted: Admitted,
+        service: ServiceName,
+        endpoint: EndpointEntry,
+    ): Boolean {
+        val request = placementRequest(state, admitted, service, received = state.receivedBy + endpoint.tag)
+        return tracker.hasUsable(request.withoutExclusions())
+    }
+
     /** Records the outcome of a send and returns whether the call is finished. */
     private suspend fun recordOutcome(
         state: CallState,
--- a/src/main/kotlin/lacewingweir/transport/relay/CallState.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallState.kt
@@ -7,6 +7,7 @@
 import lacewingweir.state.fleet.RoutePolicy
 import lacewingweir.state.id.CustomerId
 import lacewingweir.state.id.EndpointId
+import lacewingweir.state.id.EndpointTag
 import lacewingweir.state.id.RequestFingerprint
 import lacewingweir.state.retry.RepeatCause
 import lacewingweir.state.time.MonotonicClock
@@ -50,6 +51,22 @@
     var triedEndpoints: Set<EndpointId> = emptySet()
     var lastEndpoint: EndpointId? = null
 
+    /**
+     * The endpoints that may send a success for an earlier send of the call, which would pass for the answer to another
+     * one: those that have received the call since the last event of its stream. An answer to an earlier send would
+     * repeat that event.
+     */
+    var receivedBy: Set<EndpointTag> = emptySet()
+        private set
+
+    /** Records that [endpoint] has received the call, and whether its answer has continued the stream. */
+    fun onReceived(
+        endpoint: EndpointTag,
+        streamContinued: Boolean,
+    ) {
+        receivedBy = if (streamContinued) emptySet() else receivedBy + endpoint
+    }
+
     /** Why the next send is a repeat, or null if no endpoint has received the call yet. */
     var repeatCause: RepeatCause? = null
 
--- a/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
@@ -98,6 +98,9 @@
             return SendOutcome.NotRun("status ${head.status}", refused = true)
         }
         if (!isEndpointResponse(head)) return brokenAfterHead("response is not the endpoint's own")
+        if (head.success && !head.eventStream && progress.started) {
+            return brokenAfterHead("a stream is continued without events")
+        }
         return if (head.success && head.eventStream) {
             relayEvents(outbound, response, head, reservation, exchange, progress)
         } else {
--- a/src/main/kotlin/lacewingweir/transport/relay/StreamProgress.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/StreamProgress.kt
@@ -11,6 +11,10 @@
     var lastId: String? = null
         private set
 
+    /** The number in [lastId], by which events before it can be told, or null if it is none. */
+    val lastNumber: Long?
+        get() = lastId?.toLongOrNull()
+
     /** Time of [System.nanoTime] at which the first event was forwarded, or zero before. */
     var firstEventAtNanos: Long = 0
         private set
