Answer the requests before one that can't be handled

Cause: an error of the input ended the connection, not the input. Now the input is ignored from there on, the requests before are answered, and then the error is. The one too many is refused with 503, since it doesn't run.

A request behind a response that ends its connection isn't handled, also if that response is still being written. By reading, it could have been: no test failed.

--- a/src/main/kotlin/lacewingweir/transport/http/HttpLimits.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/HttpLimits.kt
@@ -10,8 +10,8 @@
  *   answered with 408; between requests, the connection is closed
  * @property writeStallMillis the longest wait for the client to read enough of a response that more can be written;
  *   after that it is disconnected
- * @property maxPipelinedRequests the largest number of requests that wait for the current one of their connection; the
- *   connection is closed if there are more
+ * @property maxPipelinedRequests the largest number of requests that wait for the current one of their connection; if
+ *   there are more, the first of them is answered with 503 and the connection is closed
  */
 public data class HttpLimits(
     val maxBodyBytes: Int = 4 * 1024 * 1024,
--- a/src/main/kotlin/lacewingweir/transport/http/ServerConnectionHandler.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ServerConnectionHandler.kt
@@ -28,6 +28,8 @@
 /**
  * Assembles the requests of a connection and passes them to [dispatch] one at a time.
  *
+ * Input that can't be handled ends the connection after the responses to all requests before it.
+ *
  * Runs on the event loop of the connection only, so its fields need no synchronization.
  */
 internal class ServerConnectionHandler(
@@ -40,7 +42,10 @@
     private var current: NettyServerExchange? = null
     private var requestHead: HttpRequest? = null
     private var content: CompositeByteBuf? = null
-    private var rejected = false
+
+    /** Whether further input is ignored, because the connection ends. */
+    private var ignoring = false
+    private var pendingRejection: DefaultFullHttpResponse? = null
 
     /** When the client became idle: at the last response, because a request may take much longer than the limit. */
     private var idleSinceNanos = System.nanoTime()
@@ -57,7 +62,7 @@
         ctx: ChannelHandlerContext,
         message: HttpObject,
     ) {
-        if (rejected) return
+        if (ignoring) return
         if (message.decoderResult().isFailure) {
             rejectMalformed(ctx, message.decoderResult().cause())
             return
@@ -126,7 +131,7 @@
         when {
             current == null -> startExchange(exchange)
             pipelined.size < limits.maxPipelinedRequests -> pipelined.addLast(exchange)
-            else -> ctx.close()
+            else -> reject(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, "too many requests wait on the connection")
         }
     }
 
@@ -136,10 +141,18 @@
     }
 
     private fun startNext(ctx: ChannelHandlerContext) {
+        val connectionEnds = current?.endsConnection == true
         current = null
         idleSinceNanos = System.nanoTime()
         if (!ctx.channel().isActive) return
-        pipelined.removeFirstOrNull()?.let(::startExchange)
+        if (connectionEnds) {
+            // The response may still be in the buffers, so the connection may be open.
+            ignoring = true
+            pipelined.clear()
+            return
+        }
+        val next = pipelined.removeFirstOrNull()
+        if (next != null) startExchange(next) else pendingRejection?.let { sendRejection(ctx, it) }
     }
 
     private fun rejectMalformed(
@@ -157,20 +170,16 @@
     }
 
     /**
-     * Responds with an error object and closes the connection, because its further input can't be parsed reliably. Only
-     * closes the connection if an earlier request is still being handled.
+     * Responds with an error object, after the responses to earlier requests, and closes the connection, because its
+     * further input can't be parsed reliably.
      */
     private fun reject(
         ctx: ChannelHandlerContext,
         status: HttpResponseStatus,
         message: String,
     ) {
-        rejected = true
+        ignoring = true
         releaseContent()
-        if (current != null) {
-            ctx.close()
-            return
-        }
         val json = """{"error":{"message":"$message","type":"invalid_request_error","code":"${status.code()}"}}"""
         val body = Unpooled.copiedBuffer(json, Charsets.UTF_8)
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
@@ -180,6 +189,13 @@
             .set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
             .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
             .set(RUN_STATE_HEADER, RUN_STATE_NOT_RUN)
+        if (current == null) sendRejection(ctx, response) else pendingRejection = response
+    }
+
+    private fun sendRejection(
+        ctx: ChannelHandlerContext,
+        response: DefaultFullHttpResponse,
+    ) {
         ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
     }
 
@@ -187,7 +203,7 @@
         ctx: ChannelHandlerContext,
         event: Any,
     ) {
-        if (rejected || current != null) return
+        if (ignoring || current != null) return
         if (event === CloseIfIdle && requestHead == null) ctx.close()
         if (event !is IdleStateEvent) return
         if (requestHead != null) {
--- a/src/test/kotlin/lacewingweir/transport/http/RequestWithoutAnswerTest.kt
+++ b/src/test/kotlin/lacewingweir/transport/http/RequestWithoutAnswerTest.kt
@@ -8,7 +8,6 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import org.junit.jupiter.api.AfterEach
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
 import strikt.api.expectThat
@@ -56,7 +55,6 @@
     private fun paths(received: String) = Regex("Path: (/\\w+)").findAll(received).map { it.groupValues[1] }.toList()
 
     @Test
-    @Tag("known-red")
     fun `a request before a malformed one is answered`() {
         val received = exchange(get("/first") + "GET / HTTP/1.1\r\nbad header\r\n\r\n")
         expectThat(paths(received)).containsExactly("/first")
@@ -64,7 +62,6 @@
     }
 
     @Test
-    @Tag("known-red")
     fun `a request before one with a too large body is answered`() {
         val received = exchange(get("/first") + get("/large", "Content-Length: 99999999\r\n"))
         expectThat(paths(received)).containsExactly("/first")
@@ -72,7 +69,6 @@
     }
 
     @Test
-    @Tag("known-red")
     fun `requests before too many pipelined ones are answered`() {
         val received = exchange((1..PIPELINED).joinToString("") { get("/r$it") })
         expectThat(paths(received)).isEqualTo(handled)
