--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -318,8 +318,8 @@
 
     /**
      * Fails the readiness probes until the platform's load balancer sends no more requests, and waits until all
-     * requests that have begun to arrive have ended. Returns before the platform kills the process; requests that still run at that
-     * time are cut off.
+     * requests that have begun to arrive have ended. Returns before the platform kills the process; requests that still
+     * run at that time are cut off.
      */
     suspend fun shutdown() {
         logger.info { "router: stopping, requests in flight=${callerServer.requestsInFlight}" }
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -218,26 +218,33 @@
         }
         while (true) {
             val request = placementRequest(state, admitted, service)
-            if (state.receivedBy.isNotEmpty() && !tracker.hasUsable(request.withoutExclusions())) {
-                state.fail()
-                return null
-            }
             if (state.callerDisconnected) throw PeerClosedException("disconnected before the call was sent")
             val reservation =
                 tracker.place(request)
                     ?: if (state.triedEndpoints.isEmpty()) null else tracker.place(request.withoutExclusions())
             if (reservation != null) return accept(state, reservation)
-            tracker.closedMillis(request.withoutExclusions())?.let { closedMillis ->
-                state.refuseOrFail(RelayRefusal.LIMITED, limitedRetryMillis(closedMillis))
-                return null
-            }
-            if (clock.nowMillis() >= waitUntil) {
-                tracker.onRefused(request.withoutExclusions())
+            if (endUnplaced(state, request.withoutExclusions(), waitUntil)) return null
+            delay(PLACEMENT_POLL_MILLIS)
+        }
+    }
+
+    /** Responds to the caller and returns true if it is useless to wait longer for an endpoint. */
+    private suspend fun endUnplaced(
+        state: CallState,
+        request: PlacementRequest,
+        waitUntilMillis: Long,
+    ): Boolean {
+        val closedMillis = tracker.closedMillis(request)
+        when {
+            state.receivedBy.isNotEmpty() && !tracker.hasUsable(request) -> state.fail()
+            closedMillis != null -> state.refuseOrFail(RelayRefusal.LIMITED, limitedRetryMillis(closedMillis))
+            clock.nowMillis() >= waitUntilMillis -> {
+                tracker.onRefused(request)
                 state.refuseOrFail(RelayRefusal.NO_ENDPOINT, limits().noEndpointRetryMillis)
-                return null
             }
-            delay(PLACEMENT_POLL_MILLIS)
+            else -> return false
         }
+        return true
     }
 
     private fun placementRequest(
--- a/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
@@ -92,15 +92,11 @@
         if (head.statement != EndpointStatement.NONE) onStatement(outbound.endpoint, head.statement)
         head.weights?.let(reservation::recordWeights)
         if (head.matchesRequest) reservation.recordRequestLimit(head.requestLimit)
-        if (head.notRun) {
-            if (!head.matchesRequest) return brokenAfterHead("a refusal names another request or none")
+        if (head.notRun && head.matchesRequest) {
             response.readAll(MAX_REFUSAL_BYTES)
             return SendOutcome.NotRun("status ${head.status}", refused = true)
         }
-        if (!isEndpointResponse(head)) return brokenAfterHead("response is not the endpoint's own")
-        if (head.success && !head.eventStream && progress.started) {
-            return brokenAfterHead("a stream is continued without events")
-        }
+        violation(head, progress)?.let { return brokenAfterHead(it) }
         return if (head.success && head.eventStream) {
             relayEvents(outbound, response, head, reservation, exchange, progress)
         } else {
@@ -108,6 +104,18 @@
         }
     }
 
+    /** Returns why the response with this [head] can't be passed on to the caller, or null if it may be. */
+    private fun violation(
+        head: ResponseHead,
+        progress: StreamProgress,
+    ): String? =
+        when {
+            head.notRun -> "a refusal names another request or none"
+            !isEndpointResponse(head) -> "response is not the endpoint's own"
+            head.success && !head.eventStream && progress.started -> "a stream is continued without events"
+            else -> null
+        }
+
     /** Records the first event of an answer. Returns false if the call was withdrawn before. */
     private fun recordEvent(
         outbound: OutboundCall,
--- a/src/test/kotlin/lacewingweir/platform/ExtraResponseTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/ExtraResponseTest.kt
@@ -91,8 +91,8 @@
         sends = RawServer.Sends()
         val started = List(count) { server() }
         this.servers += started
-        started.forEachIndexed { i, it ->
-            if (kind == "stream") relay.registerEngine("i-$i", it.port) else relay.registerPlain("i-$i", it.port)
+        started.forEachIndexed { i, raw ->
+            if (kind == "stream") relay.registerEngine("i-$i", raw.port) else relay.registerPlain("i-$i", raw.port)
         }
         // The fixture proves contact with the store only once.
         relay.limits = relay.limits.copy(maxKeyProofAgeMillis = Long.MAX_VALUE)
--- a/src/test/kotlin/lacewingweir/platform/SuccessForFailedCallTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/SuccessForFailedCallTest.kt
@@ -10,8 +10,8 @@
 import java.util.concurrent.atomic.AtomicInteger
 
 /**
- * Guards against successes for calls whose server answered with a failure, because the failure was skipped as a response
- * to another request, or because an extra success came on another connection than its request.
+ * Guards against successes for calls whose server answered with a failure, because the failure was skipped as a
+ * response to another request, or because an extra success came on another connection than its request.
  */
 @Timeout(20)
 internal class SuccessForFailedCallTest {
