--- a/src/test/kotlin/lacewingweir/platform/DuplicateAnswerTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/DuplicateAnswerTest.kt
@@ -126,6 +126,7 @@
             relay.limits = relay.limits.copy(maxKeyProofAgeMillis = Long.MAX_VALUE)
             val foreign = CopyOnWriteArrayList<String>()
             val answered = AtomicInteger()
+            val failures = ConcurrentHashMap<Int, AtomicInteger>()
             (0 until CALLERS)
                 .map { caller ->
                     async {
@@ -133,11 +134,15 @@
                             val id = "%016x".format(caller * 1_000_000L + it)
                             val response = relay.call("idempotent", id = id)
                             if (response.status == 200) answered.incrementAndGet()
+                            if (response.status != 200) {
+                                failures.computeIfAbsent(response.status) { AtomicInteger() }.incrementAndGet()
+                            }
                             if (response.status == 200 && response.body != answerTo(id)) foreign += response.body
                             if (response.status == FOREIGN_STATUS) foreign += "status $FOREIGN_STATUS"
                         }
                     }
                 }.awaitAll()
+            println("duplicates=$duplicates answered=$answered failures=$failures")
             foreign to answered.get()
         }
 
