--- /dev/null
+++ b/src/test/kotlin/lacewingweir/platform/FailedHandoverTest.kt
@@ -0,0 +1,134 @@
+package lacewingweir.platform
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import lacewingweir.platform.RelayFixture.Companion.responseHeaders
+import lacewingweir.transport.http.ServerExchange
+import org.junit.jupiter.api.Tag
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.Timeout
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
+import java.util.concurrent.CopyOnWriteArrayList
+
+/** Guards against streams that are cut because the handover of their run fails, though their engines are sound. */
+@Timeout(20)
+internal class FailedHandoverTest {
+    /** What an engine does when it is told to stop the run. */
+    private enum class Stop {
+        STOPPED,
+        ENDED_WITHOUT_RESPONSE,
+    }
+
+    /**
+     * An engine that streams three events and goes on when it is told to stop the run. It refuses to continue runs that
+     * were copied to it, and continues those that it has stopped, and other streams.
+     */
+    private class Engine(
+        private val id: String,
+        private val log: MutableList<String>,
+        private val stop: Stop,
+    ) {
+        val started = CompletableDeferred<Unit>()
+        private val stopped = CompletableDeferred<Unit>()
+
+        suspend fun serve(exchange: ServerExchange) {
+            val path = exchange.rawPath
+            val from = exchange.headers.get("Kv-From")
+            val after = exchange.headers.get("Last-Event-Id")
+            log += "$id $path from=$from after=$after"
+            when {
+                path == "/lacewingweir/kv-move" -> copy(exchange)
+                path.startsWith("/lacewingweir/") -> exchange.respond(200)
+                from != null && !started.isCompleted ->
+                    exchange.respond(503, responseHeaders + listOf("Not-Executed" to "1"))
+                after != null -> continueStream(exchange)
+                else -> stream(exchange)
+            }
+        }
+
+        private suspend fun copy(exchange: ServerExchange) {
+            val last = "\"last\":true" in exchange.body.decodeToString()
+            if (last) stopped.complete(Unit)
+            if (last && stop == Stop.ENDED_WITHOUT_RESPONSE) {
+                delay(100)
+                exchange.abort()
+            } else {
+                exchange.respond(200, JSON, """{"handle":"c7","createRev":3}""".encodeToByteArray())
+            }
+        }
+
+        private suspend fun stream(exchange: ServerExchange) {
+            exchange.startStream(200, responseHeaders + EVENT_STREAM)
+            exchange.write(event(1) + event(2) + event(3))
+            started.complete(Unit)
+            stopped.await()
+            if (stop == Stop.STOPPED) {
+                exchange.abort()
+            } else {
+                exchange.write(event(4) + event(5))
+                exchange.finish()
+            }
+        }
+
+        private suspend fun continueStream(exchange: ServerExchange) {
+            exchange.startStream(200, responseHeaders + EVENT_STREAM)
+            exchange.write(event(4) + event(5))
+            exchange.finish()
+        }
+    }
+
+    /** Drains the engine of a stream, and returns the response that the caller receives. */
+    private fun play(
+        resumable: Boolean,
+        stop: Stop = Stop.STOPPED,
+    ): RelayFixture.CallerResponse =
+        runBlocking {
+            RelayFixture(resumable = resumable).use { relay ->
+                relay.configure("k1")
+                val log = CopyOnWriteArrayList<String>()
+                val engines = listOf("i-1", "i-2").map { Engine(it, log, stop) }
+                val endpoints =
+                    engines.mapIndexed { i, engine -> relay.endpoint("i-${i + 1}", "engine", handler = engine::serve) }
+                coroutineScope {
+                    val headers = listOf("Model" to "m", "Token-Counts" to "100,400")
+                    val response = async { relay.call("stream", headers = headers) }
+                    while (engines.none { it.started.isCompleted }) delay(5)
+                    relay.register(endpoints[engines.indexOfFirst { it.started.isCompleted }], "engine", "draining")
+                    response.await().also { println("handover: resumable=$resumable stop=$stop $log") }
+                }
+            }
+        }
+
+    private fun expectComplete(response: RelayFixture.CallerResponse) {
+        expectThat(response.complete).isTrue()
+        expectThat(response.body).isEqualTo((1..5).joinToString("") { event(it).decodeToString() })
+    }
+
+    @Tag("known-red")
+    @Test
+    fun `a resumable stream goes on if the engine with the copy refuses its run`() =
+        expectComplete(play(resumable = true))
+
+    /** An engine keeps the KV cache of a run that it has stopped, so that the run can go on there. */
+    @Tag("known-red")
+    @Test
+    fun `a stream that may not be resumed goes on if the engine with the copy refuses its run`() =
+        expectComplete(play(resumable = false))
+
+    @Tag("known-red")
+    @Test
+    fun `a stream that has ended is complete if its engine doesn't respond to the order to stop it`() =
+        expectComplete(play(resumable = false, stop = Stop.ENDED_WITHOUT_RESPONSE))
+
+    private companion object {
+        val EVENT_STREAM = listOf("Content-Type" to "text/event-stream")
+        val JSON = listOf("Content-Type" to "application/json")
+
+        fun event(id: Int) = "id: $id\ndata: $id\n\n".encodeToByteArray()
+    }
+}
