--- a/src/main/kotlin/lacewingweir/transport/http/ServerConnectionHandler.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ServerConnectionHandler.kt
@@ -4,7 +4,6 @@
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.CompositeByteBuf
 import io.netty.buffer.Unpooled
-import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.handler.codec.TooLongFrameException
@@ -196,7 +195,7 @@
         ctx: ChannelHandlerContext,
         response: DefaultFullHttpResponse,
     ) {
-        ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
+        ctx.writeAndFlush(response).addListener(LingeringClose)
     }
 
     override fun userEventTriggered(
@@ -204,7 +203,7 @@
         event: Any,
     ) {
         if (ignoring || current != null) return
-        if (event === CloseIfIdle && requestHead == null) ctx.close()
+        if (event === CloseIfIdle && requestHead == null && isFlushed(ctx)) ctx.close()
         if (event !is IdleStateEvent) return
         if (requestHead != null) {
             reject(ctx, HttpResponseStatus.REQUEST_TIMEOUT, "request was not sent in time")
@@ -213,6 +212,14 @@
         }
     }
 
+    /** A close would drop responses that wait for the client to read. */
+    private fun isFlushed(ctx: ChannelHandlerContext) =
+        ctx
+            .channel()
+            .unsafe()
+            .outboundBuffer()
+            ?.isEmpty != false
+
     override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
         current?.writabilityChanged()
         ctx.fireChannelWritabilityChanged()
@@ -241,7 +248,7 @@
         requestHead = null
     }
 
-    /** An event that closes the connection unless a request is being read or handled. */
+    /** An event that closes the connection unless a request is being read or handled, or a response being sent. */
     internal object CloseIfIdle
 
     internal companion object {
