Skip responses that name a call on connections of control requests

A control request took any first response for its answer, also an extra one that names a call: a refused load command counted as loaded, a status was read from a foreign body, a copy had an unknown outcome. Cause: requests without an id gave no way to read the id that a response names. Four of the five cases of AnswerToControlRequestTest failed on for it and pass now.

--- a/src/main/kotlin/lacewingweir/platform/PlatformEngineClient.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformEngineClient.kt
@@ -82,5 +82,7 @@
     body = body?.toString()?.encodeToByteArray() ?: ByteArray(0),
     connectTimeoutMillis = connectTimeoutMillis,
     headTimeoutMillis = headTimeoutMillis,
+    // A response that names a call isn't the answer to a request without an id.
+    responseId = { it.get(PlatformHeaders.REQUEST_ID) },
     freshConnection = freshConnection,
 )
