Skip a response to another request only if that request is over

An extra response comes behind the answer to its request, so one that names a request in progress can't be one. Now ids count as known once their request is over, from the moment its answer is decoded.

--- a/src/main/kotlin/lacewingweir/transport/http/ClientConnection.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ClientConnection.kt
@@ -27,8 +27,8 @@
  * on when they arrive:
  * - While the connection is idle, they close it.
  * - During a later request, also while its body is being sent, a response that names another request of this client to
- *   the same server is skipped.
- * - A response that names no request, or an unknown one, could be the answer as well as a response to another request.
+ *   the same server is skipped if that request is over.
+ * - A response that names no request, or any other one, could be the answer as well as a response to another request.
  *   It ends the connection, since a later response with the right id might be an extra one. Only on a connection that
  *   has carried nothing else is a response without an id taken for the answer. That connection isn't used again.
  * - A response that names the same request would pass for the answer to a second send of it, so no id is carried twice.
@@ -37,12 +37,13 @@
  * Auto-read is off: while a response is in progress, the socket is read only after everything decoded so far has been
  * consumed. This bounds the memory that a slow reader of the response can take up.
  *
- * [wasSent] tells whether this client has sent a request with the id to the server. [onSkipped] is called with the
- * status of each response that is skipped.
+ * [hasEnded] tells whether a request of this client with the id to the same server is over. [onAnswered] is called with
+ * the id of a request as soon as a response names it, and [onSkipped] with the status of each response that is skipped.
  */
 internal class ClientConnection(
     private val defaultIdleTimeoutMillis: Long,
-    private val wasSent: (id: String) -> Boolean = { false },
+    private val hasEnded: (id: String) -> Boolean = { false },
+    private val onAnswered: (id: String) -> Unit = {},
     private val onSkipped: (status: Int) -> Unit = {},
 ) : SimpleChannelInboundHandler<HttpObject>() {
     internal sealed interface Head {
@@ -94,6 +95,9 @@
     /** Hash codes of the ids of all requests on this connection. A collision costs no more than another connection. */
     private val carriedIds = HashSet<Int>()
     private var requests = 0
+
+    @Volatile
+    private var current: ClientRequest? = null
     private val createdAtNanos = System.nanoTime()
     private var skipped = 0
     private var skippedAtNanos = 0L
@@ -112,14 +116,15 @@
     /** Returns whether a request with this [id] has been sent on this connection. */
     internal fun hasCarried(id: String): Boolean = id.hashCode() in carriedIds
 
-    /** Sends [message], which has the given [id]. */
+    /** Sends [message], which encodes [request]. */
     internal fun send(
         message: HttpRequest,
-        id: String?,
+        request: ClientRequest,
     ) {
         val ctx = checkNotNull(context)
         requests++
-        if (id != null) carriedIds += id.hashCode()
+        current = request
+        request.id?.let { carriedIds += it.hashCode() }
         lastWrite =
             ctx.writeAndFlush(message).addListener { if (!it.isSuccess) fail("write failed: ${it.cause()?.message}") }
     }
@@ -170,7 +175,7 @@
             request.id == null -> Attribution.OTHER_REQUEST
             named == null && requests == 1 -> Attribution.ANSWER.also { distinguishable = false }
             named == null -> Attribution.UNKNOWN
-            hasCarried(named) || wasSent(named) -> Attribution.OTHER_REQUEST
+            hasCarried(named) || hasEnded(named) -> Attribution.OTHER_REQUEST
             else -> Attribution.UNKNOWN
         }
     }
@@ -274,6 +279,9 @@
 
     private fun onHead(response: HttpResponse) {
         interimResponses = 0
+        current?.let { request ->
+            request.id?.takeIf { it == request.responseId(response.headers()) }?.let(onAnswered)
+        }
         keepAlive = HttpUtil.isKeepAlive(response)
         reusableUntilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(maxIdleMillis(response))
         delimitedByClose = !response.hasFraming() && response.status().code() !in BODYLESS_STATUS
--- a/src/main/kotlin/lacewingweir/transport/http/SentRequests.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/EndedRequests.kt
@@ -1,10 +1,12 @@
 package lacewingweir.transport.http
 
 /**
- * Remembers the ids of the requests that were sent to each address, so that a response to another request can be told
- * from an answer with a wrong id. The oldest ids are forgotten.
+ * Remembers the ids of the requests to each address that are over, so that an extra response to one of them can be told
+ * from an answer with a wrong id: there is none to a request that hasn't been answered yet.
+ *
+ * The oldest ids are forgotten.
  */
-internal class SentRequests(
+internal class EndedRequests(
     private val capacity: Int = DEFAULT_CAPACITY,
 ) {
     private val hashes = LinkedHashSet<Int>()
--- a/src/main/kotlin/lacewingweir/transport/http/HttpClient.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/HttpClient.kt
@@ -50,7 +50,7 @@
     private val idleConnections = ConcurrentHashMap<Address, ConcurrentLinkedDeque<ClientConnection>>()
     private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
     private val skipped = ConcurrentHashMap<Int, LongAdder>()
-    private val sentRequests = SentRequests()
+    private val endedRequests = EndedRequests()
 
     /** The number of responses to other requests that were skipped so far, by status. */
     internal val skippedResponses: Map<Int, Long>
@@ -76,9 +76,13 @@
         request: ClientRequest,
     ): ClientResult {
         request.onSend(connection.use)
-        request.id?.let { sentRequests.add(request.address, it) }
-        connection.send(encode(request), request.id)
-        val head = withTimeoutOrNull(request.headTimeoutMillis) { connection.awaitHead(request) }
+        val head =
+            try {
+                connection.send(encode(request), request)
+                withTimeoutOrNull(request.headTimeoutMillis) { connection.awaitHead(request) }
+            } finally {
+                request.id?.let { endedRequests.add(request.address, it) }
+            }
         return when (head) {
             null -> {
                 connection.close()
@@ -137,7 +141,8 @@
         val connection =
             ClientConnection(
                 defaultIdleTimeoutMillis,
-                wasSent = { id -> sentRequests.contains(request.address, id) },
+                hasEnded = { id -> endedRequests.contains(request.address, id) },
+                onAnswered = { id -> endedRequests.add(request.address, id) },
                 onSkipped = { status -> skipped.computeIfAbsent(status) { LongAdder() }.increment() },
             )
         val future = connect(request.host, request.port, request.connectTimeoutMillis, connection)
