Answer pipelined requests in a stop, and close connections that nobody reads

Found by the review: requests that wait behind the current one of their connection were dropped when the stop ended the connection behind its response (1 of 3 answered); the connection ends behind the last of them now. Requests refused at the end of a stop have a log line and say that they were not run.

--- a/src/main/kotlin/lacewingweir/transport/http/HttpServer.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/HttpServer.kt
@@ -138,6 +138,7 @@
 
     private fun dispatch(exchange: NettyServerExchange) {
         if (refusing) {
+            logger.info { "http: refused ${exchange.method} ${exchange.path}: the server is about to be closed" }
             exchange.refuse()
             return
         }
--- a/src/main/kotlin/lacewingweir/transport/http/NettyServerExchange.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/NettyServerExchange.kt
@@ -111,7 +111,9 @@
         headers: List<Pair<String, String>>,
     ) {
         for ((name, value) in headers) response.headers().add(name, value)
-        if (!keepAlive || draining()) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        if (keepAlive && !draining()) return
+        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        endsConnection = true
     }
 
     private suspend fun send(
@@ -119,9 +121,9 @@
         last: Boolean,
     ) {
         if (disconnected || !ctx.channel().isActive) throw PeerClosedException("connection is closed")
-        if (last && (!keepAlive || draining())) endsConnection = true
+        if (last && draining()) endsConnection = true
         val future = ctx.writeAndFlush(message)
-        if (endsConnection) future.addListener(LingeringClose)
+        if (last && endsConnection) future.addListener(LingeringClose)
         // After the last response was written, the connection may already be closed. That is not an error.
         if (!future.isSuccess && !ctx.channel().isWritable) awaitWritable(future)
     }
@@ -192,6 +194,9 @@
                 HttpHeaderNames.CONTENT_LENGTH,
                 0,
             ).set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        if (status == HttpResponseStatus.SERVICE_UNAVAILABLE) {
+            response.headers().set(ServerConnectionHandler.RUN_STATE_HEADER, ServerConnectionHandler.RUN_STATE_NOT_RUN)
+        }
         ctx.writeAndFlush(response).addListener(LingeringClose)
     }
 
--- a/src/main/kotlin/lacewingweir/transport/http/ServerConnectionHandler.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ServerConnectionHandler.kt
@@ -38,6 +38,10 @@
     private val dispatch: (NettyServerExchange) -> Unit,
 ) : SimpleChannelInboundHandler<HttpObject>() {
     private val pipelined = ArrayDeque<NettyServerExchange>()
+
+    /** The size of [pipelined], for threads other than that of the event loop. */
+    @Volatile
+    private var waiting = 0
     private var current: NettyServerExchange? = null
     private var requestHead: HttpRequest? = null
     private var content: CompositeByteBuf? = null
@@ -124,12 +128,16 @@
                 body,
                 headReceivedAtNanos,
                 limits,
-                draining,
+                draining = { draining() && waiting == 0 },
                 onUnanswered = { exchange, reason -> closes.record(reason, exchange, use) },
             ) { ctx.executor().execute { startNext(ctx) } }
         when {
             current == null -> startExchange(exchange)
-            pipelined.size < limits.maxPipelinedRequests -> pipelined.addLast(exchange)
+            pipelined.size < limits.maxPipelinedRequests ->
+                pipelined
+                    .addLast(
+                        exchange,
+                    ).also { waiting = pipelined.size }
             else -> reject(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, "too many requests wait on the connection")
         }
     }
@@ -151,6 +159,7 @@
             return
         }
         val next = pipelined.removeFirstOrNull()
+        waiting = pipelined.size
         if (next != null) startExchange(next) else pendingRejection?.let { sendRejection(ctx, it) }
     }
 
@@ -202,7 +211,12 @@
         ctx: ChannelHandlerContext,
         event: Any,
     ) {
-        if (ignoring || current != null) return
+        if (current != null) return
+        if (ignoring) {
+            // The client doesn't read the end of the last response.
+            if (event is IdleStateEvent) ctx.close()
+            return
+        }
         if (event === CloseIfIdle && requestHead == null && isFlushed(ctx)) ctx.close()
         if (event !is IdleStateEvent) return
         if (requestHead != null) {
