--- a/src/test/kotlin/lacewingweir/platform/PausedEndpointTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/PausedEndpointTest.kt
@@ -63,6 +63,17 @@
             expectThat(duration.inWholeMilliseconds).isLessThan(100)
         }
 
+    /** Guards against callers that come back into the pause that their call has begun. */
+    @Test
+    fun `the call that its only endpoint refuses is told the endpoint's pause`(): Unit =
+        runBlocking {
+            relay.endpoint("i-1") { it.respond(503, refusal("5")) }
+            expectThat(relay.call("non_idempotent")) {
+                get { status }.isEqualTo(503)
+                get { retryAfter?.toDouble() }.isNotNull().isGreaterThan(4.5).isLessThan(8.0)
+            }
+        }
+
     @Test
     fun `a pause is kept when the item of the endpoint is removed and written again`(): Unit =
         runBlocking {
--- a/src/test/kotlin/lacewingweir/platform/SuccessForFailedCallTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/SuccessForFailedCallTest.kt
@@ -1,9 +1,12 @@
 package lacewingweir.platform
 
+import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
 import strikt.api.expectThat
+import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
 import java.util.concurrent.ConcurrentLinkedQueue
@@ -206,7 +209,31 @@
         for (count in 1..2) playMisnamed("stream", count, server, ::streamOf, leastServedShare = 0.1)
     }
 
+    /** A server that sends an extra failure without an id on each new connection. */
+    @Test
+    @Tag("known-red")
+    fun `no call gets the failure of another on a new connection`() {
+        val foreign = AtomicInteger()
+        val server =
+            RawServer { request ->
+                if (request.number == 1) write(response(EXTRA, "404 Not Found"))
+                write(success(request.id))
+            }.also(servers::add)
+        RelayFixture(repeatExtra = 100_000.0).use { relay ->
+            relay.configure("k1")
+            relay.registerPlain("i-0", server.port)
+            runBlocking {
+                repeat(CALLS_ON_NEW_CONNECTIONS) {
+                    val answer = relay.call("non_idempotent", id = "%016x".format(it + 1))
+                    if (answer.body == EXTRA) foreign.incrementAndGet()
+                }
+            }
+        }
+        expectThat(foreign.get()).isEqualTo(0)
+    }
+
     private companion object {
+        const val CALLS_ON_NEW_CONNECTIONS = 20
         const val EXTRA = "extra"
         const val DEADLINE_MILLIS = 2_000L
         const val LATE_MILLIS = 20L
