--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -341,7 +341,7 @@
                 resumeAfter = state.progress.lastId ?: state.call.resumeAfter,
                 cacheSource = reservation.cacheSource,
                 cacheCopy = cacheCopy,
-                // What spoilt the last response may also wait on other connections.
+                // An extra response may wait on a pooled connection as well.
                 freshConnection = state.repeatCause == RepeatCause.BROKEN,
                 onSend = { connection ->
                     state.connection = connection
