--- a/src/main/kotlin/lacewingweir/transport/http/HttpClient.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/HttpClient.kt
@@ -102,7 +102,7 @@
         val message =
             DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(request.method), request.path, body)
         for ((name, value) in request.headers) message.headers().add(name, value)
-        if (!request.preserveHostHeader) message.headers().set(HttpHeaderNames.HOST, "${request.host}:${request.port}")
+        if (!request.preserveHostHeader) message.headers().set(HttpHeaderNames.HOST, request.address)
         if (request.body.isNotEmpty() || request.method !in BODYLESS_METHODS) {
             message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
         }
--- a/src/main/kotlin/lacewingweir/transport/http/ServerConnectionHandler.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ServerConnectionHandler.kt
@@ -133,11 +133,10 @@
             ) { ctx.executor().execute { startNext(ctx) } }
         when {
             current == null -> startExchange(exchange)
-            pipelined.size < limits.maxPipelinedRequests ->
-                pipelined
-                    .addLast(
-                        exchange,
-                    ).also { waiting = pipelined.size }
+            pipelined.size < limits.maxPipelinedRequests -> {
+                pipelined.addLast(exchange)
+                waiting = pipelined.size
+            }
             else -> reject(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, "too many requests wait on the connection")
         }
     }
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -378,11 +378,8 @@
         state: CallState,
         outcome: SendOutcome,
     ): Boolean =
-        when (outcome) {
-            // Without the endpoint that refused it, a stream that has begun would often be cut.
-            is SendOutcome.NotRun -> outcome.refused && !state.progress.started
-            else -> true
-        }
+        // Without the endpoint that refused it, a stream that has begun would often be cut.
+        outcome !is SendOutcome.NotRun || (outcome.refused && !state.progress.started)
 
     private fun hasAnother(
         state: CallState,
--- a/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
@@ -96,7 +96,7 @@
             response.readAll(MAX_REFUSAL_BYTES)
             return SendOutcome.NotRun("status ${head.status}", refused = true)
         }
-        violation(head, progress)?.let { return brokenAfterHead(it) }
+        rejectionReason(head, progress)?.let { return brokenAfterHead(it) }
         return if (head.success && head.eventStream) {
             relayEvents(outbound, response, head, reservation, exchange, progress)
         } else {
@@ -105,7 +105,7 @@
     }
 
     /** Returns why the response with this [head] can't be passed on to the caller, or null if it may be. */
-    private fun violation(
+    private fun rejectionReason(
         head: ResponseHead,
         progress: StreamProgress,
     ): String? =
