Tell second responses and the facts of a send in the first characters of a log line

Three records in a row, cut at 200 characters, showed nothing but ids: thread, logger and an empty context came first. Second responses to answered calls are logged and counted with both statuses, on idle connections too.

--- a/src/main/kotlin/lacewingweir/cli/router/RepeatReporter.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RepeatReporter.kt
@@ -4,13 +4,15 @@
 import lacewingweir.coordination.time.TimerService
 import lacewingweir.state.id.ServiceName
 import lacewingweir.transport.http.CloseReason
+import lacewingweir.transport.http.StatusPair
 import lacewingweir.transport.relay.RepeatFigures
 
 private val logger = KotlinLogging.logger {}
 
 /**
- * Logs periodically the repeats of calls, the responses to other requests that were skipped, by status, and the
- * connections of callers that were closed before a complete response, by reason.
+ * Logs periodically the repeats of calls, the responses to other requests that were skipped, by status, the second
+ * responses to answered requests, by both statuses, and the connections of callers that were closed before a complete
+ * response, by reason.
  *
  * Totals count from the start of the process. Services without changes are left out.
  */
@@ -18,10 +20,12 @@
     private val timers: TimerService,
     private val repeats: () -> Map<ServiceName, RepeatFigures>,
     private val skippedResponses: () -> Map<Int, Long>,
+    private val secondResponses: () -> Map<StatusPair, Long>,
     private val unansweredCloses: () -> Map<CloseReason, Long>,
 ) {
     private var reportedRepeats = emptyMap<ServiceName, RepeatFigures>()
     private var reportedSkipped = emptyMap<Int, Long>()
+    private var reportedSecond = emptyMap<StatusPair, Long>()
     private var reportedCloses = emptyMap<CloseReason, Long>()
 
     fun start() {
@@ -42,6 +46,9 @@
         val skipped = skippedResponses()
         if (skipped != reportedSkipped) logger.info { "responses: skipped=$skipped" }
         reportedSkipped = skipped
+        val second = secondResponses()
+        if (second != reportedSecond) logger.info { "responses: second=$second" }
+        reportedSecond = second
         val closes = unansweredCloses()
         if (closes != reportedCloses) logger.info { "connections: closed before a complete response=$closes" }
         reportedCloses = closes
--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import lacewingweir.cli.BuildInfo
 import lacewingweir.coordination.crash.BlockListWriter
 import lacewingweir.coordination.crash.CrashQuarantine
 import lacewingweir.coordination.fleet.FleetDirectory
@@ -264,7 +265,13 @@
             )
         }
     private val repeatReporter =
-        RepeatReporter(timers, repeatBudgets::figures, endpointClient::skippedResponses, callerServer::unansweredCloses)
+        RepeatReporter(
+            timers,
+            repeatBudgets::figures,
+            endpointClient::skippedResponses,
+            endpointClient::secondResponseTotals,
+            callerServer::unansweredCloses,
+        )
     private val readinessServer = createServer(settings.readinessListen, ::answerReadiness)
 
     @Volatile
@@ -303,7 +310,10 @@
         trafficReporter.start()
         admissionReporter.start()
         repeatReporter.start()
-        logger.info { "router: started name=${settings.name} domain=${settings.failureDomain} store=$storeAddress" }
+        logger.info {
+            "router: started commit=${BuildInfo.commit} name=${settings.name} domain=${settings.failureDomain} " +
+                "store=$storeAddress"
+        }
     }
 
     private inline fun listen(
--- a/src/main/kotlin/lacewingweir/platform/PlatformEndpointProtocol.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformEndpointProtocol.kt
@@ -44,6 +44,7 @@
             id = call.id.value,
             responseId = ::namedRequest,
             onSend = outbound.onSend,
+            onSkipped = outbound.onSkipped,
             preserveHostHeader = true,
         )
     }
--- a/src/main/kotlin/lacewingweir/transport/http/ClientConnection.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ClientConnection.kt
@@ -39,12 +39,14 @@
  *
  * [hasEnded] tells whether a request of this client with the id to the same server is over. [onAnswered] is called with
  * the id of a request as soon as a response names it, and [onSkipped] with the status of each response that is skipped.
+ * Responses to requests that have been answered on the connection are reported to [secondResponses].
  */
 internal class ClientConnection(
     private val defaultIdleTimeoutMillis: Long,
     private val hasEnded: (id: String) -> Boolean = { false },
     private val onAnswered: (id: String) -> Unit = {},
     private val onSkipped: (status: Int) -> Unit = {},
+    private val secondResponses: SecondResponses = SecondResponses(),
 ) : SimpleChannelInboundHandler<HttpObject>() {
     internal sealed interface Head {
         class Received(
@@ -102,6 +104,9 @@
     private var skipped = 0
     private var skippedAtNanos = 0L
 
+    /** The last answers of the connection, to which second ones may come. */
+    private val answers = ArrayDeque<RecordedAnswer>()
+
     /** How the connection has been used so far. */
     internal val use: ConnectionUse
         get() = ConnectionUse(requests, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - createdAtNanos))
@@ -144,7 +149,7 @@
         when (val event = nextEvent()) {
             is Event.Start ->
                 when (attribute(request, event.response.headers())) {
-                    Attribution.ANSWER -> Head.Received(event.response)
+                    Attribution.ANSWER -> answer(request, event.response)
                     Attribution.UNKNOWN -> unattributable(request, event.response)
                     Attribution.OTHER_REQUEST ->
                         if (skip(request, event.response)) {
@@ -180,14 +185,37 @@
         }
     }
 
+    private fun answer(
+        request: ClientRequest,
+        response: HttpResponse,
+    ): Head {
+        request.id?.let { id ->
+            synchronized(answers) {
+                if (answers.size == MAX_RECORDED_ANSWERS) answers.removeFirst()
+                answers.addLast(RecordedAnswer(id, response.status().code(), System.nanoTime()))
+            }
+        }
+        return Head.Received(response)
+    }
+
+    /** Reports [response] if its request has been answered on this connection. Returns whether it has. */
+    private fun reportIfSecond(
+        response: HttpResponse,
+        moment: SecondResponseMoment,
+    ): Boolean {
+        val named = current?.responseId?.invoke(response.headers()) ?: return false
+        val answer = synchronized(answers) { answers.lastOrNull { it.id == named } } ?: return false
+        secondResponses.record(answer, response.status().code(), moment, use)
+        return true
+    }
+
     private fun unattributable(
         request: ClientRequest,
         response: HttpResponse,
     ): Head {
         val named = request.responseId(response.headers())
         logger.info {
-            "http: unattributable response status=${response.status().code()} names=$named awaited=${request.id} " +
-                "connection=$use"
+            "http: id=${request.id} unattributable response status=${response.status().code()} names=$named $use"
         }
         return Head.Failed("a response that may be the answer names ${named ?: "no request"}")
     }
@@ -199,10 +227,11 @@
     ): Boolean {
         val status = response.status().code()
         onSkipped(status)
+        request.onSkipped()
+        reportIfSecond(response, SecondResponseMoment.LATER_REQUEST)
         logger.info {
             val named = request.responseId(response.headers())
-            "http: skipped response status=$status names=$named carried=${named?.let(::hasCarried)} " +
-                "awaited=${request.id} connection=$use"
+            "http: id=${request.id} skipped response status=$status names=$named here=${named?.let(::hasCarried)} $use"
         }
         skipped++
         skippedAtNanos = System.nanoTime()
@@ -219,7 +248,7 @@
                 is Head.Received -> "status=${head.response.status().code()}"
                 is Head.Failed -> "failed: ${head.reason}"
             }
-        "http: after skipped responses id=${request.id} waitedMs=$waitedMillis $outcome connection=$use"
+        "http: id=${request.id} after skipped responses $outcome waitedMs=$waitedMillis $use"
     }
 
     /** Returns whether the connection can be used after the body. */
@@ -258,6 +287,7 @@
     ) {
         if (state.get() == IDLE) {
             // No request is in progress, so data on an idle connection is a protocol violation.
+            reportIdleData(message)
             ctx.close()
             return
         }
@@ -272,6 +302,18 @@
         if (message is HttpContent && !inInterimResponse) onContent(message)
     }
 
+    private fun reportIdleData(message: HttpObject) {
+        if (message is HttpResponse && message.decoderResult().isSuccess) {
+            if (reportIfSecond(message, SecondResponseMoment.IDLE)) return
+            logger.info {
+                val named = current?.responseId?.invoke(message.headers())
+                "http: idle connection ended by a response status=${message.status().code()} names=$named $use"
+            }
+        } else if (message !is HttpContent || message.decoderResult().isFailure) {
+            logger.info { "http: idle connection ended by bytes that are no response $use" }
+        }
+    }
+
     /** Interim responses have no body, and the response to the request follows them. */
     private fun onInterimHead() {
         if (++interimResponses > MAX_INTERIM_RESPONSES) fail("too many interim responses")
@@ -325,10 +367,12 @@
     /** Marks the connection as idle. Returns `false` if it can't be reused. */
     internal fun returnToPool(): Boolean {
         val ctx = context ?: return false
+        val behind = events.tryReceive().getOrNull()
+        if (behind is Event.Start) reportIfSecond(behind.response, SecondResponseMoment.BEHIND_ANSWER)
         // The server may respond before the request is fully written; its rest must not precede the next request.
         val requestSent = lastWrite?.isSuccess == true
         val persistent = keepAlive && !delimitedByClose
-        val openAndDrained = ctx.channel().isActive && events.isEmpty
+        val openAndDrained = ctx.channel().isActive && behind == null && events.isEmpty
         val unambiguous = distinguishable && carriedIds.size < MAX_CARRIED_IDS
         val reusable = requestSent && persistent && openAndDrained && unambiguous
         if (!reusable || !state.compareAndSet(BUSY, IDLE)) return false
@@ -369,6 +413,7 @@
 
         /** Bounds the memory for ids, which must not be forgotten, at the price of one new connection in so many. */
         const val MAX_CARRIED_IDS: Int = 256
+        const val MAX_RECORDED_ANSWERS: Int = 8
         const val MAX_SKIPPED_BODY_BYTES: Int = 1024 * 1024
         val BODYLESS_STATUS: Set<Int> = setOf(204, 304)
         val keepAliveTimeout = Regex("""timeout=(\d{1,6})""")
--- a/src/main/kotlin/lacewingweir/transport/http/ClientRequest.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ClientRequest.kt
@@ -13,6 +13,7 @@
  * @property responseId returns the id that the headers of a response name, or null if they don't name exactly one.
  *   Responses to other requests to the same address are skipped
  * @property onSend called once a connection is found, just before the request is written to it
+ * @property onSkipped called for each response to another request that is skipped before the answer
  * @property preserveHostHeader whether to send the `Host` header of [headers] rather than one made from [host] and
  *   [port]
  */
@@ -29,6 +30,7 @@
     public val id: String? = null,
     public val responseId: (HttpHeaders) -> String? = { null },
     public val onSend: (ConnectionUse) -> Unit = {},
+    public val onSkipped: () -> Unit = {},
     public val preserveHostHeader: Boolean = false,
 ) {
     internal val address: String
--- a/src/main/kotlin/lacewingweir/transport/http/ConnectionUse.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ConnectionUse.kt
@@ -9,4 +9,7 @@
 public data class ConnectionUse(
     public val requests: Int,
     public val ageMillis: Long,
-)
+) {
+    /** Short, so that a log line that is cut off still shows what follows. */
+    override fun toString(): String = "carried=$requests ageMs=$ageMillis"
+}
--- a/src/main/kotlin/lacewingweir/transport/http/HttpClient.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/HttpClient.kt
@@ -56,6 +56,12 @@
     internal val skippedResponses: Map<Int, Long>
         get() = skipped.mapValues { (_, count) -> count.sum() }
 
+    private val secondResponses = SecondResponses()
+
+    /** The number of second responses to requests that had been answered so far, by both statuses. */
+    internal val secondResponseTotals: Map<StatusPair, Long>
+        get() = secondResponses.totals
+
     /** Sends [request] and waits for the head of the response. Closes the connection if the caller is cancelled. */
     public suspend fun open(request: ClientRequest): ClientResult {
         val connection =
@@ -144,6 +150,7 @@
                 hasEnded = { id -> endedRequests.contains(request.address, id) },
                 onAnswered = { id -> endedRequests.add(request.address, id) },
                 onSkipped = { status -> skipped.computeIfAbsent(status) { LongAdder() }.increment() },
+                secondResponses = secondResponses,
             )
         val future = connect(request.host, request.port, request.connectTimeoutMillis, connection)
         return if (future.awaitSuccess()) {
--- a/src/main/kotlin/lacewingweir/transport/http/UnansweredCloses.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/UnansweredCloses.kt
@@ -42,7 +42,7 @@
         logger.info {
             val ageMillis = (System.nanoTime() - exchange.arrivedAtNanos) / NANOS_PER_MILLI
             "http: connection closed before the end of a response reason=$reason ${exchange.method} ${exchange.path} " +
-                "started=${exchange.responseStarted} requestMs=$ageMillis connection=$use"
+                "started=${exchange.responseStarted} requestMs=$ageMillis $use"
         }
     }
 
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -316,7 +316,7 @@
         val toEngine = state.call.prompt != null
         state.sends++
         state.connection = null
-        val triedBefore = reservation.endpoint.id in state.triedEndpoints
+        state.sentAgain = reservation.endpoint.id in state.triedEndpoints
         state.triedEndpoints += reservation.endpoint.id
         state.lastEndpoint = reservation.endpoint.id
         val mayUseAnother =
@@ -347,10 +347,11 @@
                     state.connection = connection
                     state.repeat?.sent()
                 },
+                onSkipped = { state.skipped++ },
             )
         logger.info {
-            "relay: id=${state.call.id} sent to=${reservation.endpoint.id} try=${state.sends} again=$triedBefore " +
-                "leftMs=$timeoutMillis " +
+            "relay: id=${state.call.id} sent to=${reservation.endpoint.id} try=${state.sends} " +
+                "again=${state.sentAgain} leftMs=$timeoutMillis " +
                 "expectedMs=${reservation.expectedMillis.toLong()} missed=${reservation.uncachedTokens.toLong()} " +
                 "weights=${reservation.weights} outdatedMs=${reservation.outdatedMillis} repeat=${state.repeatCause} " +
                 "fetch=${reservation.cacheSource?.id} continues=${cacheCopy?.handle} " +
@@ -407,8 +408,7 @@
             is SendOutcome.NotRun -> {
                 if (outcome.refused) state.repeatCause = RepeatCause.REFUSED
                 logger.info {
-                    "relay: id=${state.call.id} not run at ${state.lastEndpoint}: ${outcome.reason} " +
-                        "connection=${state.connection}"
+                    "relay: id=${state.call.id} not run ${state.sendFacts}: ${outcome.reason}"
                 }
             }
             // The loop in sendUntilAnswered continues the run instead.
@@ -418,8 +418,7 @@
                 state.possibleRuns++
                 state.errorResponse = outcome
                 logger.info {
-                    "relay: id=${state.call.id} failed at ${state.lastEndpoint} status=${outcome.head.status} " +
-                        "connection=${state.connection}"
+                    "relay: id=${state.call.id} failed status=${outcome.head.status} ${state.sendFacts}"
                 }
             }
             SendOutcome.Withdrawn -> {
@@ -430,8 +429,8 @@
                 state.repeatCause = RepeatCause.BROKEN
                 state.possibleRuns++
                 logger.info {
-                    "relay: id=${state.call.id} broken at ${state.lastEndpoint}: ${outcome.reason} " +
-                        "received=${outcome.received} suspects=${state.suspects.all} connection=${state.connection}"
+                    "relay: id=${state.call.id} broken ${state.sendFacts}: ${outcome.reason} " +
+                        "received=${outcome.received} suspects=${state.suspects.all}"
                 }
                 if (outcome.outOfTime) {
                     state.failOnTimeout()
--- a/src/main/kotlin/lacewingweir/transport/relay/CallState.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallState.kt
@@ -78,6 +78,16 @@
     /** The connection of the last send as it was before, or null if there was none. */
     var connection: ConnectionUse? = null
 
+    /** Number of responses to other requests that were skipped during the sends of this call. */
+    var skipped = 0
+
+    /** What decides to whom a response belongs, for the beginning of log lines. */
+    val sendFacts: String
+        get() = "at=$lastEndpoint sends=$sends again=$sentAgain skipped=$skipped ${connection ?: "unsent"}"
+
+    /** Whether the endpoint of the last send had been tried before. */
+    var sentAgain = false
+
     @Volatile
     var callerDisconnected = false
 
@@ -145,8 +155,8 @@
         val firstEventNanos = if (progress.started) progress.firstEventAtNanos - exchange.arrivedAtNanos else -1
         val total = clock.nowMillis() - call.arrivedAtMillis
         logger.info {
-            "relay: id=${call.id} $outcome route=${route?.id} endpoint=$lastEndpoint sends=$sends runs=$possibleRuns " +
-                "connection=$connection firstMs=${firstEventNanos / NANOS_PER_MILLI} " +
+            "relay: id=${call.id} $outcome $sendFacts runs=$possibleRuns route=${route?.id} " +
+                "firstMs=${firstEventNanos / NANOS_PER_MILLI} " +
                 "pauseMs=${progress.longestPauseMillis} totalMs=$total " +
                 "config=${directory.snapshot.config?.number} proofMs=${proof.ageMillis()}"
         }
