Show successes for failed calls whose response was begun twice

A server begins a success, breaks off inside its head, and answers with a failure on the same connection.

--- a/src/test/kotlin/lacewingweir/platform/SuccessForFailedCallTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/SuccessForFailedCallTest.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
 import strikt.api.expectThat
@@ -230,6 +231,34 @@
         expectThat(foreign.get()).isEqualTo(0)
     }
 
+    /** A server that begins a success, breaks off at each byte of its head in turn, and answers with a failure. */
+    @Test
+    @Tag("known-red")
+    fun `no call gets the status of a head that broke off before its failure`() {
+        val begun =
+            "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nKeep-Alive: timeout=5\r\nAttempt-Id: ffffffffffffffff\r\n\r\n"
+        val cuts = AtomicInteger()
+        val server =
+            RawServer { request ->
+                val cut = cuts.incrementAndGet()
+                val rest = response("own failure", "500 Internal Server Error", named(request.id))
+                write(begun.take(cut) + rest)
+            }.also(servers::add)
+        RelayFixture(repeatExtra = 100_000.0).use { relay ->
+            relay.configure("k1")
+            relay.limits = relay.limits.copy(maxKeyProofAgeMillis = Long.MAX_VALUE)
+            relay.registerPlain("i-0", server.port)
+            val statuses =
+                runBlocking {
+                    (1..begun.length).map {
+                        relay.call("non_idempotent", callerTimeoutMillis = 300, id = "%016x".format(it)).status
+                    }
+                }
+            expectThat(cuts.get()).isGreaterThan(0)
+            expectThat(statuses.count { it in 200..299 }).isEqualTo(0)
+        }
+    }
+
     private companion object {
         const val CALLS_ON_NEW_CONNECTIONS = 20
         const val EXTRA = "extra"
