End a response when the head of another begins inside its body

Callers got the bytes of a second response as the rest of a body that broke off or has no length: 40 of 40 such calls, bookings and streams. Only the decoder's framing said where a body ends. A head inside a body that names a request now breaks the response off; bytes that may begin one are held back until that is known. Text about HTTP, and heads that name no request, still belong to the body.

--- a/src/main/kotlin/lacewingweir/transport/http/HttpClient.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/HttpClient.kt
@@ -95,7 +95,13 @@
                 ClientResult.Unknown("no answer within ${request.headTimeoutMillis} ms", timedOut = true)
             }
             is ClientConnection.Head.Received ->
-                ClientResult.Answered(NettyClientResponse(connection, head.response) { release(request, connection) })
+                ClientResult.Answered(
+                    NettyClientResponse(
+                        connection,
+                        head.response,
+                        detector = request.id?.let { SecondHeadDetector(request.responseId) },
+                    ) { release(request, connection) },
+                )
             is ClientConnection.Head.Failed -> {
                 connection.close()
                 ClientResult.Unknown(head.reason)
--- a/src/main/kotlin/lacewingweir/transport/http/NettyClientResponse.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/NettyClientResponse.kt
@@ -7,28 +7,30 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.atomic.AtomicBoolean
 
-/** A [ClientResponse] on a [ClientConnection]. Calls [onEnd] once after the whole body was read. */
+/**
+ * A [ClientResponse] on a [ClientConnection]. Calls [onEnd] once after the whole body was read.
+ *
+ * @property detector looks for other responses inside the body, or null if responses name no requests
+ */
 internal class NettyClientResponse(
     private val connection: ClientConnection,
     response: HttpResponse,
+    private val detector: SecondHeadDetector?,
     private val onEnd: () -> Unit,
 ) : ClientResponse {
     private val ended = AtomicBoolean()
 
+    /** Whether the connection has delivered the whole body. */
+    private var received = false
+
     override val status: Int = response.status().code()
     override val headers: HttpHeaders = response.headers()
     override val endsWithConnection: Boolean = !response.hasFraming()
 
     override suspend fun read(timeoutMillis: Long): ReadResult {
         if (ended.get()) return ReadResult.End
-        val result =
-            try {
-                withTimeoutOrNull(timeoutMillis) { connection.readBody() }
-                    ?: ReadResult.Broken("no data within $timeoutMillis ms")
-            } catch (e: CancellationException) {
-                close()
-                throw e
-            }
+        var result: ReadResult? = null
+        while (result == null) result = if (received) ReadResult.End else ownPart(receive(timeoutMillis))
         when (result) {
             is ReadResult.Data -> Unit
             ReadResult.End -> if (ended.compareAndSet(false, true)) onEnd()
@@ -37,6 +39,28 @@
         return result
     }
 
+    private suspend fun receive(timeoutMillis: Long): ReadResult =
+        try {
+            withTimeoutOrNull(timeoutMillis) { connection.readBody() }
+                ?: ReadResult.Broken("no data within $timeoutMillis ms")
+        } catch (e: CancellationException) {
+            close()
+            throw e
+        }
+
+    /** Returns the part of [result] that is known to belong to the body, or null if there is none yet. */
+    private fun ownPart(result: ReadResult): ReadResult? {
+        if (detector == null || result is ReadResult.Broken) return result
+        val bytes = if (result is ReadResult.Data) detector.feed(result.bytes) else detector.finish()
+        received = result is ReadResult.End
+        return when {
+            detector.found -> ReadResult.Broken("a second response begins inside the body")
+            bytes.isNotEmpty() -> ReadResult.Data(bytes)
+            received -> ReadResult.End
+            else -> null
+        }
+    }
+
     override fun close() {
         if (ended.compareAndSet(false, true)) connection.close()
     }
