--- a/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
+++ b/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
@@ -2,6 +2,8 @@
 
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
+import io.netty.handler.codec.http.EmptyHttpHeaders
+import io.netty.handler.codec.http.HttpHeaders
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -17,24 +19,34 @@
 import lacewingweir.transport.http.ReadResult
 import lacewingweir.transport.http.readAll
 import java.net.BindException
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 
-/** Whole router instances on loopback that share a stand-in store and stand-ins of engines and of a plain service. */
+/**
+ * Whole router instances on loopback that share a stand-in store and stand-ins of engines and of a plain service.
+ *
+ * [pathToServer] returns the address at which an instance finds the server at an address.
+ */
 internal class RouterFleet(
     private val size: Int,
     engines: Int,
     desks: Int = 0,
     private val repeatExtra: Double = 56.0,
+    private val pathToServer: ((instance: Int, address: String) -> String)? = null,
+    private val config: String = CONFIG,
     private val pathToStore: (instance: Int, address: String) -> String = { _, address -> address },
 ) : AutoCloseable {
     class CallerResponse(
         val status: Int,
         val body: String,
         val complete: Boolean,
-        val retryAfter: String?,
-    )
+        val headers: HttpHeaders,
+    ) {
+        val retryAfter: String?
+            get() = headers.get("Retry-After")
+    }
 
     private val group = MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory())
     val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
@@ -47,9 +59,10 @@
     private val subnet = nextSubnet.incrementAndGet()
     private val requestNumbers = AtomicLong()
     private val instances = ArrayList<RouterInstance?>()
+    private val storeViews = ConcurrentHashMap<Int, String>()
 
     suspend fun start() {
-        store.write("op/config", CONFIG)
+        store.write("op/config", config)
         engines.forEach { it.start() }
         desks.forEach { it.start() }
         startInstances()
@@ -101,6 +114,10 @@
         instances[index] = startInstance(index)
     }
 
+    /** The number of the newest request. */
+    val lastNumber: Long
+        get() = requestNumbers.get()
+
     /** Sets the target weights of the engines' model. */
     fun setTargetWeights(weights: Long) = store.write("op/version/m", """{"model":"m","version":$weights}""")
 
@@ -120,10 +137,25 @@
             callerListen = "${host(index)}:$CALLER_PORT",
             readinessListen = "${host(index)}:$READINESS_PORT",
             internalPorts = listOf(DIGEST_PORT),
-            storeAddress = pathToStore(index, store.address),
+            storeAddress = pathToStore(index, storeView(index)),
             bounds = PlatformBounds(repeatRatio = 0.2, repeatExtra = repeatExtra),
         )
 
+    private fun storeView(index: Int): String {
+        val path = pathToServer ?: return store.address
+        return storeViews.getOrPut(index) {
+            store.openView { key, value ->
+                if (key.startsWith("servers/")) {
+                    ADDRESS_FIELD
+                        .replace(value.decodeToString()) { """"address":"${path(index, it.groupValues[1])}"""" }
+                        .encodeToByteArray()
+                } else {
+                    value
+                }
+            }
+        }
+    }
+
     /**
      * Sends a prompt with the shared [parts] and the part [last], or one of its own, to the instance at [index].
      */
@@ -229,10 +261,16 @@
                     result.response.status,
                     bytes?.decodeToString().orEmpty(),
                     complete = bytes != null,
-                    retryAfter = result.response.headers.get("Retry-After"),
+                    headers = result.response.headers,
                 )
             }
-            is ClientResult.NotSent, is ClientResult.Unknown -> CallerResponse(0, "", complete = false, null)
+            is ClientResult.NotSent, is ClientResult.Unknown ->
+                CallerResponse(
+                    0,
+                    "",
+                    complete = false,
+                    EmptyHttpHeaders.INSTANCE,
+                )
         }
 
     override fun close() {
@@ -252,6 +290,7 @@
 
         /** Prompts that share a part share an engine, so the engines get several parts. */
         private const val SHARED_DOCUMENTS = 12
+        private val ADDRESS_FIELD = Regex("\"address\":\"([^\"]*)\"")
         private const val STREAM_IDLE_MILLIS = 5_000L
 
         /** Twice the interval between the watches of the store. */
--- a/src/test/kotlin/lacewingweir/platform/StandinKeyValueStore.kt
+++ b/src/test/kotlin/lacewingweir/platform/StandinKeyValueStore.kt
@@ -19,6 +19,7 @@
 import lacewingweir.transport.http.ServerExchange
 import java.util.Base64
 import java.util.TreeMap
+import java.util.concurrent.CopyOnWriteArrayList
 
 /**
  * A stand-in of the platform's store with ranges, watches, transactions and leases, for tests of whole instances.
@@ -26,8 +27,8 @@
  * Leases end only by call, unless [leasesExpire].
  */
 internal class StandinKeyValueStore(
-    group: EventLoopGroup,
-    scope: CoroutineScope,
+    private val group: EventLoopGroup,
+    private val scope: CoroutineScope,
 ) : AutoCloseable {
     class Item(
         val key: String,
@@ -64,6 +65,7 @@
     private val leases = LinkedHashMap<Long, Lease>()
     private var lastLease = 0L
     private val server = HttpServer(group, scope, "127.0.0.1", 0) { handle(it) }.start()
+    private val views = CopyOnWriteArrayList<HttpServer>()
 
     /** Whether calls are refused. */
     @Volatile
@@ -85,6 +87,13 @@
     val address: String
         get() = "127.0.0.1:${server.port}"
 
+    /** Opens an address at which the values of items are read as [shown] returns them. */
+    fun openView(shown: (key: String, value: ByteArray) -> ByteArray): String {
+        val view = HttpServer(group, scope, "127.0.0.1", 0) { handle(it, shown) }.start()
+        views += view
+        return "127.0.0.1:${view.port}"
+    }
+
     /** Whether leases that aren't renewed end. */
     @Volatile
     var leasesExpire = false
@@ -151,7 +160,10 @@
 
     private fun eraHeader() = listOf("Store-Era" to era.toString())
 
-    private suspend fun handle(exchange: ServerExchange) {
+    private suspend fun handle(
+        exchange: ServerExchange,
+        shown: (key: String, value: ByteArray) -> ByteArray = { _, value -> value },
+    ) {
         delay(responseMillis)
         if (down) {
             exchange.respond(503, eraHeader())
@@ -161,14 +173,14 @@
 
         fun parameter(name: String) = query[name]?.firstOrNull().orEmpty()
         when (exchange.path) {
-            PlatformPaths.KEY_RANGE -> exchange.respondJson(range(parameter("prefix")))
+            PlatformPaths.KEY_RANGE -> exchange.respondJson(range(parameter("prefix"), shown))
             PlatformPaths.KEY_WATCH -> {
                 val after = parameter("after").toLong()
                 withTimeoutOrNull(parameter("waitMs").toLong()) { revision.first { it > after } }
                 if (after < oldestRevision) {
                     exchange.respond(410, eraHeader())
                 } else {
-                    exchange.respondJson(changes(parameter("prefix"), after))
+                    exchange.respondJson(changes(parameter("prefix"), after, shown))
                 }
             }
             PlatformPaths.TRANSACTION -> transact(exchange)
@@ -217,33 +229,41 @@
     }
 
     @Synchronized
-    private fun range(prefix: String) =
-        buildJsonObject {
-            put("items", JsonArray(items.values.filter { it.key.startsWith(prefix) }.map(::encode)))
-            put("truncated", false)
-            put("storeRevision", revision.value)
-        }
+    private fun range(
+        prefix: String,
+        shown: (key: String, value: ByteArray) -> ByteArray,
+    ) = buildJsonObject {
+        put("items", JsonArray(items.values.filter { it.key.startsWith(prefix) }.map { encode(it, shown) }))
+        put("truncated", false)
+        put("storeRevision", revision.value)
+    }
 
     @Synchronized
     private fun changes(
         prefix: String,
         after: Long,
+        shown: (key: String, value: ByteArray) -> ByteArray,
     ) = buildJsonObject {
         val changes = history.filter { it.revision > after && it.key.startsWith(prefix) }
-        put("events", JsonArray(changes.map(::encode)))
+        put("events", JsonArray(changes.map { encode(it, shown) }))
         put("storeRevision", revision.value)
     }
 
-    private fun encode(item: Item) =
-        buildJsonObject {
-            put("key", item.key)
-            put("value", Base64.getEncoder().encodeToString(item.value))
-            put("revision", item.revision)
-            put("lease", item.lease)
-        }
+    private fun encode(
+        item: Item,
+        shown: (key: String, value: ByteArray) -> ByteArray,
+    ) = buildJsonObject {
+        put("key", item.key)
+        put("value", Base64.getEncoder().encodeToString(shown(item.key, item.value)))
+        put("revision", item.revision)
+        put("lease", item.lease)
+    }
 
-    private fun encode(change: Change): JsonObject =
-        change.item?.let(::encode) ?: buildJsonObject {
+    private fun encode(
+        change: Change,
+        shown: (key: String, value: ByteArray) -> ByteArray,
+    ): JsonObject =
+        change.item?.let { encode(it, shown) } ?: buildJsonObject {
             put("key", change.key)
             put("revision", change.revision)
             put("deleted", true)
@@ -278,7 +298,10 @@
     private suspend fun ServerExchange.respondJson(body: JsonObject) =
         respond(200, JSON + eraHeader(), body.toString().encodeToByteArray())
 
-    override fun close() = server.close()
+    override fun close() {
+        views.forEach { it.close() }
+        server.close()
+    }
 
     private companion object {
         const val EXPIRY_PERIOD_MILLIS = 50L
--- a/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
+++ b/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
@@ -85,6 +85,10 @@
     @Volatile
     var piece: (Int) -> String = { "piece$it" }
 
+    /** The status with which an endpoint of a plain service answers a request with a body. */
+    @Volatile
+    var status: (body: String) -> Int = { 200 }
+
     /** Requests that have been answered whole. */
     val answered = AtomicInteger()
 
@@ -172,7 +176,7 @@
             }
             body in abortingBodies -> exchange.abort()
             service != ENGINE_SERVICE -> {
-                exchange.respond(200, run.responseHeaders, body.encodeToByteArray())
+                exchange.respond(status(body), run.responseHeaders, body.encodeToByteArray())
                 answered.incrementAndGet()
             }
             else -> answerPrompt(run)
