Take no refusal that broke off for a promise that a call was not run

What callers saw: a booking ran at two servers. Cause: a refusal was believed by its head; whether its body was whole wasn't looked at. A server that breaks off a refusal and responds again on the same connection may have run the call.

An incomplete refusal now ends the send as one that may have run, as any other incomplete response does: a booking ends with 502, a look-up goes elsewhere.

--- a/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
@@ -93,7 +93,8 @@
         head.weights?.let(reservation::recordWeights)
         if (head.matchesRequest) reservation.recordRequestLimit(head.requestLimit)
         if (head.notRun && head.matchesRequest) {
-            response.readAll(MAX_REFUSAL_BYTES)
+            // A second response may follow a refusal that broke off, and the call may have run.
+            response.readAll(MAX_REFUSAL_BYTES) ?: return brokenAfterHead("incomplete or too large refusal")
             return SendOutcome.NotRun("status ${head.status}", refused = true)
         }
         rejectionReason(head, progress)?.let { return brokenAfterHead(it) }
--- a/src/test/kotlin/lacewingweir/platform/BrokenRefusalTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/BrokenRefusalTest.kt
@@ -1,7 +1,6 @@
 package lacewingweir.platform
 
 import kotlinx.coroutines.runBlocking
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
 import strikt.api.expectThat
@@ -11,7 +10,6 @@
 @Timeout(20)
 internal class BrokenRefusalTest {
     @Test
-    @Tag("known-red")
     fun `no booking is sent again after a refusal that broke off`() {
         val sends = RawServer.Sends()
         val answer = "HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nServer-Stamp: s\r\nContent-Length: 4\r\n\r\ndone"
