End a response whose last bytes are the first of another one

What callers saw: a success for a call whose server answered with a failure, a success whose last bytes are "HTTP/1.1 5", and failures with such a body, in bookings and look-ups. Cause: a server breaks off a response that lacks 1 to 11 bytes, and responds again on the same connection. The beginning of the second response fills the first up. It is shorter than a status line, so it counted as the end of the body.

A body that ends like that belongs to the server unless more bytes follow it: then the rest of the status line is what follows. A second response that comes in pieces which divide just at the end of the body still can't be told.

--- a/src/main/kotlin/lacewingweir/transport/http/SecondHeadDetector.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/SecondHeadDetector.kt
@@ -11,7 +11,8 @@
  *
  * Bytes that may be the beginning of a head are held back until that is decided. What looks like a head belongs to the
  * body unless it names a request, so a body may contain the text of HTTP messages. A body that ends within such a head
- * is taken for one that was filled up.
+ * is taken for one that was filled up. If it ends within the first bytes of a status line, it is so only if more bytes
+ * follow it, since there is no other response otherwise.
  *
  * [namedRequest] returns the id of the request that the headers of a response name, or null if they name none.
  */
@@ -41,9 +42,13 @@
         }
     }
 
-    /** Returns the bytes that were held back at the end of the body. Sets [found] if the body ends within a head. */
-    fun finish(): ByteArray {
-        found = held.size >= STATUS_LINE_BYTES
+    /**
+     * Returns the bytes that were held back at the end of the body. Sets [found] if the body ends within a head.
+     *
+     * [followed] tells whether more bytes have arrived behind the body.
+     */
+    fun finish(followed: Boolean = false): ByteArray {
+        found = held.size >= STATUS_LINE_BYTES || (followed && held.isNotEmpty())
         return held.also { held = NOTHING }
     }
 
--- a/src/test/kotlin/lacewingweir/platform/DrawnStutterTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/DrawnStutterTest.kt
@@ -1,6 +1,5 @@
 package lacewingweir.platform
 
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
 import strikt.api.expectThat
@@ -60,15 +59,12 @@
     }
 
     @Test
-    @Tag("known-red")
     fun `no booking gets an answer that is not its own`() = play("non_idempotent")
 
     @Test
-    @Tag("known-red")
     fun `no look-up gets an answer that is not its own`() = play("idempotent")
 
     @Test
-    @Tag("known-red")
     fun `no stream gets an answer that is not its own`() = play("stream")
 
     private companion object {
--- a/src/test/kotlin/lacewingweir/platform/SecondResponseInBodyTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/SecondResponseInBodyTest.kt
@@ -1,7 +1,6 @@
 package lacewingweir.platform
 
 import org.junit.jupiter.api.AfterEach
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
 
@@ -79,7 +78,6 @@
     }
 
     @Test
-    @Tag("known-red")
     fun `no body that lacks its last bytes is filled with the first ones of the failure behind it`() {
         for (missing in 1..LONGEST_MISSING) {
             play("non_idempotent", ::answerTo) {
