Draw second responses on another connection only if there is one

Without another connection, the servers of the drawn stutter wrote the second response on the connection of the call, and so before the answer in a quarter of the plans.

--- a/src/test/kotlin/lacewingweir/platform/StutterPlan.kt
+++ b/src/test/kotlin/lacewingweir/platform/StutterPlan.kt
@@ -44,7 +44,7 @@
         override val afterMillis: Long = 0,
     ) : StutterStep
 
-    /** Writes on any other connection of the server, or on this one if there is none. */
+    /** Writes on any other connection of the server, if there is one. */
     class WriteElsewhere(
         val text: String,
         override val afterMillis: Long,
--- a/src/test/kotlin/lacewingweir/platform/StutteringServer.kt
+++ b/src/test/kotlin/lacewingweir/platform/StutteringServer.kt
@@ -125,7 +125,7 @@
         connection: RawServer.Connection,
         text: String,
     ) {
-        for (other in connections.filter { it !== connection }.shuffled() + connection) {
+        for (other in connections.filter { it !== connection }.shuffled()) {
             try {
                 other.write(text)
                 return
