End a response that was filled up by another one which names no request

Cause: a response broke off, and the one behind it, which filled it up, names no request. Heads that name none belong to the body, which may be about HTTP.

Such a head ends the response if more bytes follow the body at its end. What was received and not decoded yet tells that without a line feed in it, which the report of the end after the whole read needed; so the decoder of Netty is used directly, and the end is reported at once again.

--- a/src/main/kotlin/lacewingweir/transport/http/ClientConnection.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ClientConnection.kt
@@ -106,8 +106,8 @@
     /** The last answers of the connection, to which second ones may come. */
     private val answers = ArrayDeque<RecordedAnswer>()
 
-    /** Whether the end of a response was decoded, but not yet what has arrived behind it. */
-    private var endPending = false
+    /** To be placed before this handler. */
+    internal val decoder = ResponseDecoder { current?.method == "HEAD" }
 
     /** Whether bytes had arrived behind the last response when its end was reported. */
     @Volatile
@@ -294,7 +294,6 @@
             ctx.close()
             return
         }
-        reportEnd(followed = true)
         if (message.decoderResult().isFailure) {
             fail("malformed response: ${message.decoderResult().cause().message}")
             return
@@ -342,23 +341,15 @@
         if (part.content().isReadable) events.trySend(Event.Data(ByteBufUtil.getBytes(part.content())))
         if (part !is LastHttpContent) return
         // A reset connection has failed before this point; an orderly close ends a body that has no length.
-        endPending = true
-    }
-
-    private fun reportEnd(followed: Boolean) {
-        if (!endPending) return
-        endPending = false
-        this.followed = followed
+        followed = decoder.hasMoreBytes
         events.trySend(Event.End)
     }
 
     override fun channelReadComplete(ctx: ChannelHandlerContext) {
-        reportEnd(followed = false)
         if (events.isEmpty && state.get() == BUSY) ctx.read()
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
-        reportEnd(followed = false)
         fail("connection closed by the server")
     }
 
--- a/src/main/kotlin/lacewingweir/transport/http/HttpClient.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/HttpClient.kt
@@ -14,9 +14,9 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.util.concurrent.GlobalEventExecutor
 import kotlinx.coroutines.CancellationException
@@ -158,7 +158,8 @@
                 onSkipped = { status -> skipped.computeIfAbsent(status) { LongAdder() }.increment() },
                 secondResponses = secondResponses,
             )
-        val future = connect(request.host, request.port, request.connectTimeoutMillis, connection)
+        val handlers = listOf(HttpRequestEncoder(), connection.decoder, connection)
+        val future = connect(request.host, request.port, request.connectTimeoutMillis, handlers)
         return if (future.awaitSuccess()) {
             connections.add(future.channel())
             ConnectResult.Open(connection)
@@ -171,7 +172,7 @@
         host: String,
         port: Int,
         timeoutMillis: Long,
-        handler: ChannelHandler,
+        handlers: List<ChannelHandler>,
     ): ChannelFuture =
         Bootstrap()
             .group(group)
@@ -182,7 +183,7 @@
             .handler(
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(channel: SocketChannel) {
-                        channel.pipeline().addLast(HttpClientCodec()).addLast(handler)
+                        handlers.forEach { channel.pipeline().addLast(it) }
                     }
                 },
             ).connect(host, port)
@@ -196,7 +197,7 @@
         port: Int,
         timeoutMillis: Long,
     ): Boolean {
-        val future = connect(host, port, timeoutMillis, ChannelInboundHandlerAdapter())
+        val future = connect(host, port, timeoutMillis, listOf(ChannelInboundHandlerAdapter()))
         val connected = future.awaitSuccess()
         future.channel().close()
         return !connected && future.cause() is ConnectException && future.cause() !is ConnectTimeoutException
--- a/src/main/kotlin/lacewingweir/transport/http/SecondHeadDetector.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/SecondHeadDetector.kt
@@ -11,8 +11,8 @@
  *
  * Bytes that may be the beginning of a head are held back until that is decided. What looks like a head belongs to the
  * body unless it names a request, so a body may contain the text of HTTP messages. A body that ends within such a head
- * is taken for one that was filled up. If it ends within the first bytes of a status line, it is so only if more bytes
- * follow it, since there is no other response otherwise.
+ * is taken for one that was filled up. If it ends within the first bytes of a status line, or contains a head that
+ * names no request, it is so only if more bytes follow it, which are the rest of the other response.
  *
  * [namedRequest] returns the id of the request that the headers of a response name, or null if they name none.
  */
@@ -20,6 +20,7 @@
     private val namedRequest: (HttpHeaders) -> String?,
 ) {
     private var held = ByteArray(0)
+    private var containsUnnamedHead = false
 
     /** Whether the head of another response was found. */
     var found = false
@@ -48,7 +49,7 @@
      * [followed] tells whether more bytes have arrived behind the body.
      */
     fun finish(followed: Boolean = false): ByteArray {
-        found = held.size >= STATUS_LINE_BYTES || (followed && held.isNotEmpty())
+        found = held.size >= STATUS_LINE_BYTES || (followed && (held.isNotEmpty() || containsUnnamedHead))
         return held.also { held = NOTHING }
     }
 
@@ -89,6 +90,7 @@
         val headers = DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders()
         val lines = text.split("\r\n")
         for (line in lines.drop(1).dropLast(1)) {
+            if (line.isEmpty() && !headers.isEmpty) containsUnnamedHead = true
             val colon = line.indexOf(':')
             if (colon <= 0 || line.take(colon).any { it.isWhitespace() }) return Verdict.NO_HEAD
             headers.add(line.take(colon), line.drop(colon + 1).trim())
--- a/src/test/kotlin/lacewingweir/platform/SecondResponseInBodyTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/SecondResponseInBodyTest.kt
@@ -86,6 +86,13 @@
         }
     }
 
+    @Test
+    fun `no body that broke off is filled with a failure that names no request`() {
+        play("non_idempotent", ::answerTo) {
+            serverOf(::success) { write(head(it, LONG_BYTES) + answerTo(it) + UNNAMED_FAILURE) }
+        }
+    }
+
     @Test
     fun `no body that broke off is filled with a second success`() {
         play("non_idempotent", ::answerTo) { serverOf(::success) { writeBroken(success(it), success(it)) } }
@@ -126,6 +133,9 @@
     private companion object {
         const val FAILURE = "a failure with a body that is long enough to fill what is missing"
         const val EVENT_STREAM = "Content-Type: text/event-stream\r\n"
+        const val UNNAMED_FAILURE =
+            "HTTP/1.1 500 Internal Server Error\r\nServer-Stamp: s\r\nContent-Length: 70\r\n\r\n$FAILURE"
+        const val LONG_BYTES = 110
         const val LONGEST_MISSING = 13
         const val KEPT_BYTES = 5
         const val LATE_MILLIS = 5L
