--- a/src/main/kotlin/lacewingweir/transport/http/ClientConnection.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ClientConnection.kt
@@ -106,6 +106,14 @@
     /** The last answers of the connection, to which second ones may come. */
     private val answers = ArrayDeque<RecordedAnswer>()
 
+    /** To be placed before this handler. */
+    internal val decoder = ResponseDecoder { current?.method == "HEAD" }
+
+    /** Whether bytes had arrived behind the last response when its end was reported. */
+    @Volatile
+    internal var followed = false
+        private set
+
     /** How the connection has been used so far. */
     internal val use: ConnectionUse
         get() = ConnectionUse(requests, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - createdAtNanos))
@@ -333,6 +341,7 @@
         if (part.content().isReadable) events.trySend(Event.Data(ByteBufUtil.getBytes(part.content())))
         if (part !is LastHttpContent) return
         // A reset connection has failed before this point; an orderly close ends a body that has no length.
+        followed = decoder.hasMoreBytes
         events.trySend(Event.End)
     }
 
