Close idle connections whose server has gone silent

What was seen: an idle connection of the pool stays open for ever if the path to its server falls silent. Callers saw nothing; an instance keeps up to 64 channels for each address that has gone dark.

Cause: the idle time was checked only when a connection was taken from the pool. A server that closes ended it, but nothing did if no close arrives. We set neither keep-alive nor TCP_USER_TIMEOUT on any channel, and no library of ours does, so neither ends it.

Evidence: SilentIdleConnectionTest, "an idle connection whose server says nothing any more", failed before (not closed 2 s after an idle time of 0.5 s) and passes now. "A connection that is used again" passed before and passes now.

Why this works: a timer of the connection's event loop closes it at the end of its idle time, unless it is in use.

--- a/src/main/kotlin/lacewingweir/transport/http/ClientConnection.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ClientConnection.kt
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.concurrent.Future
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.channels.ChannelResult
 import java.util.concurrent.TimeUnit
@@ -93,6 +94,9 @@
     @Volatile
     private var reusableUntilNanos = Long.MAX_VALUE
 
+    @Volatile
+    private var idleEnd: Future<*>? = null
+
     /** Hash codes of the ids of all requests on this connection. A collision costs no more than another connection. */
     private val carriedIds = HashSet<Int>()
     private var requests = 0
@@ -376,11 +380,20 @@
         if (!reusable || !state.compareAndSet(BUSY, IDLE)) return false
         // Reads while idle in order to detect that the server closes the connection.
         ctx.read()
+        // A server whose path has gone silent never closes it.
+        val idleNanos = reusableUntilNanos - System.nanoTime()
+        idleEnd = ctx.executor().schedule({ closeIfIdle() }, idleNanos, TimeUnit.NANOSECONDS)
         return true
     }
 
+    /** Closes the connection if it has been idle for its whole time, also if it was used meanwhile. */
+    private fun closeIfIdle() {
+        if (System.nanoTime() >= reusableUntilNanos && state.compareAndSet(IDLE, CLOSED)) context?.close()
+    }
+
     /** Acquires the idle connection for a new request. Returns `false` if it has been closed or idle for too long. */
     internal fun acquireFromPool(): Boolean {
+        idleEnd?.cancel(false)
         if (System.nanoTime() > reusableUntilNanos) {
             close()
             return false
