Show brittle endpoints that fall over because of what is sent to them

Nothing reads Server-Brittle, and each instance comes back 250 ms after a refusal with all its calls.

--- a/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
+++ b/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
@@ -5,6 +5,8 @@
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.sync.withPermit
 import lacewingweir.transport.http.HttpServer
 import lacewingweir.transport.http.ServerExchange
 import java.util.concurrent.CopyOnWriteArrayList
@@ -24,6 +26,12 @@
     private val service: String = ENGINE_SERVICE,
     @Volatile var software: String = "v1",
 ) : AutoCloseable {
+    /** Room for [running] requests at once and [waiting] behind them. */
+    class Room(
+        val running: Int,
+        val waiting: Int,
+    )
+
     class Arrival(
         val atMillis: Long,
         val parts: List<String>,
@@ -66,6 +74,19 @@
     @Volatile
     var leaving = false
 
+    /** How many requests the endpoint holds, or null if it holds any number. */
+    @Volatile
+    var room: Room? = null
+
+    /** Refusals a second that the endpoint says it survives, or null if it says nothing. */
+    @Volatile
+    var brittle: Int? = null
+
+    /** Times at which a request was refused for want of room, in milliseconds of the monotonic clock. */
+    val refusals = CopyOnWriteArrayList<Long>()
+    private val held = AtomicInteger()
+    private val slotsByRoom = HashMap<Int, Semaphore>()
+
     /** Seconds for which an endpoint that refuses all requests asks for no more of them, or null if it serves them. */
     @Volatile
     var pauseSeconds: String? = null
@@ -107,6 +128,9 @@
         publish()
     }
 
+    /** Writes the endpoint's item anew, with the present number of slots. */
+    fun republish() = publish()
+
     /** Writes the endpoint's item. */
     private fun publish() {
         val models =
@@ -117,7 +141,7 @@
             }
         store.write(
             "servers/$id",
-            """{"service":"$service","address":"127.0.0.1:$port","zone":"z1","version":"$software","slots":48,"state":"ready",
+            """{"service":"$service","address":"127.0.0.1:$port","zone":"z1","version":"$software","slots":${room?.running ?: SLOTS},"state":"ready",
             "coldLeftMs":0,"sequence":1,"born":${1_000 + runs}$models}""",
         )
     }
@@ -154,6 +178,34 @@
             return
         }
         val run = Run(exchange, parts, body, ended)
+        val bounds = room ?: return handleAdmitted(run)
+        if (held.incrementAndGet() > bounds.running + bounds.waiting) {
+            held.decrementAndGet()
+            refuse(run)
+            return
+        }
+        try {
+            slots(bounds).withPermit { handleAdmitted(run) }
+        } finally {
+            held.decrementAndGet()
+        }
+    }
+
+    @Synchronized
+    private fun slots(bounds: Room): Semaphore = slotsByRoom.getOrPut(bounds.running) { Semaphore(bounds.running) }
+
+    /** Refuses a request for want of room. A brittle endpoint ends if it has to do so too often. */
+    private suspend fun refuse(run: Run) {
+        val now = nowMillis()
+        refusals += now
+        run.exchange.respond(503, run.responseHeaders + ("Not-Executed" to "1"))
+        val survived = brittle ?: return
+        if (refusals.count { it > now - 1_000 } > survived) run.crash()
+    }
+
+    private suspend fun handleAdmitted(run: Run) {
+        val exchange = run.exchange
+        val body = run.body
         if (run.reachesFirstEvent) {
             if (!weights.begin(exchange, prefillMillis)) return
             try {
@@ -202,7 +254,7 @@
     private inner class Run(
         val exchange: ServerExchange,
         val parts: List<String>,
-        body: String,
+        val body: String,
         private val ended: AtomicBoolean,
     ) {
         val crashes = body in crashingBodies || parts.dropLast(1).any { it in crashingParts }
@@ -210,7 +262,8 @@
         val responseHeaders =
             listOf("Attempt-Id" to exchange.headers.get("Attempt-Id"), "Server-Stamp" to "stamp") +
                 (if (service == ENGINE_SERVICE) listOf("Weight-Versions" to "${weights.current}") else emptyList()) +
-                (if (leaving) listOf("Server-Leaving" to "1") else emptyList())
+                (if (leaving) listOf("Server-Leaving" to "1") else emptyList()) +
+                (brittle?.let { listOf("Server-Brittle" to "$it") } ?: emptyList())
 
         fun crash() {
             if (ended.compareAndSet(false, true)) this@StandinPromptEngine.crash()
@@ -238,6 +291,7 @@
     companion object {
         const val ENGINE_SERVICE = "engine"
         const val RESTART_MILLIS: Long = 1_500
+        private const val SLOTS = 48
 
         fun nowMillis(): Long = System.nanoTime() / 1_000_000
     }
