Use all slots of brittle endpoints

Callers got 503 although brittle endpoints had slots to spare: with four instances and six slots each, parts were rounded down to four of six. The parts now add up to the slots; what is left over goes to some instances by rendezvous hashing. An instance that hears less than half of the others still sends one call at a time.

--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -50,6 +50,7 @@
 import lacewingweir.protocol.settings.RouterSettings
 import lacewingweir.state.fleet.CallerLimits
 import lacewingweir.state.limit.limitShare
+import lacewingweir.state.limit.slotShare
 import lacewingweir.state.retry.BudgetSharers
 import lacewingweir.state.retry.RepeatBudget
 import lacewingweir.state.time.MonotonicClock
@@ -110,6 +111,9 @@
             limitShare = { endpoint, perSecond ->
                 limitShare(endpoint, perSecond, settings.name, peerDigests.names(), directory.snapshot.peers.size)
             },
+            slotShare = { endpoint, slots ->
+                slotShare(endpoint, slots, settings.name, peerDigests.names(), directory.snapshot.peers.size)
+            },
         )
     private val repeatWindowMillis = (bounds.repeatWindowSeconds * MILLIS_PER_SECOND).toLong()
     private val repeatSharers =
--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointState.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointState.kt
@@ -95,16 +95,16 @@
         return lastShare
     }
 
-    private var lastSlotShare = 0.0
+    private var lastSlotShare = 0
     private var slotShareValidUntilMillis = Long.MIN_VALUE
 
     /** Returns this instance's [share] of the endpoint's slots. */
     fun slotShare(
         nowMillis: Long,
-        share: (EndpointTag, perSecond: Double) -> Double,
-    ): Double {
+        share: (EndpointTag, slots: Int) -> Int,
+    ): Int {
         if (nowMillis >= slotShareValidUntilMillis) {
-            lastSlotShare = share(entry.tag, entry.slots.coerceAtLeast(1).toDouble())
+            lastSlotShare = share(entry.tag, entry.slots.coerceAtLeast(1))
             slotShareValidUntilMillis = nowMillis + SHARE_VALIDITY_MILLIS
         }
         return lastSlotShare
--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
@@ -25,7 +25,6 @@
 import lacewingweir.state.id.ServiceName
 import lacewingweir.state.id.SoftwareVersion
 import lacewingweir.state.id.WeightsNumber
-import lacewingweir.state.limit.concurrentRequests
 import lacewingweir.state.limit.pauseAfterRefusalMillis
 import lacewingweir.state.time.MonotonicClock
 import java.util.concurrent.CopyOnWriteArrayList
@@ -54,13 +53,17 @@
     val withdrawals: Long,
 )
 
-/** [limitShare] returns the requests per second of this instance at an endpoint that accepts `perSecond` from all. */
+/**
+ * [limitShare] returns the requests per second of this instance at an endpoint that accepts `perSecond` from all, and
+ * [slotShare] how many of the `slots` of a brittle endpoint this instance may use at once.
+ */
 internal class EndpointTracker(
     private val clock: MonotonicClock,
     private val domain: FailureDomain,
     private val weightsAgePolicy: WeightsAgePolicy,
     private val random: Random = Random.Default,
     private val limitShare: (EndpointTag, perSecond: Double) -> Double = { _, perSecond -> perSecond },
+    private val slotShare: (EndpointTag, slots: Int) -> Int = { _, slots -> slots },
 ) {
     private val states = HashMap<EndpointId, EndpointState>()
     private val peerLoads = PeerLoads(clock)
@@ -456,7 +459,7 @@
             logger.info { "board: endpoints of ${endpoint.service} are brittle refusals=$refusalsPerSecond/s" }
         }
         if (!refused) return
-        val share = states[endpoint.id]?.slotShare(now, limitShare) ?: return
+        val share = states[endpoint.id]?.slotShare(now, slotShare) ?: return
         pause(endpoint, pauseAfterRefusalMillis(endpoint.slots, share, refusalsPerSecond))
     }
 
@@ -466,7 +469,7 @@
         nowMillis: Long,
     ): Boolean =
         brittleServices.refusalsPerSecond(state.entry.service, nowMillis) == null ||
-            state.running < concurrentRequests(state.slotShare(nowMillis, limitShare))
+            state.running < state.slotShare(nowMillis, slotShare)
 
     /** Returns how long [endpoint] still wants no requests, in milliseconds, or zero if it accepts them. */
     @Synchronized
--- a/src/main/kotlin/lacewingweir/state/limit/BrittleEndpoints.kt
+++ b/src/main/kotlin/lacewingweir/state/limit/BrittleEndpoints.kt
@@ -7,25 +7,20 @@
  */
 package lacewingweir.state.limit
 
-/**
- * Returns how many requests an instance may have at an endpoint at once, given its [slotShare] of the slots there, as
- * divided by [limitShare]. The result is zero if other instances send instead.
- */
-internal fun concurrentRequests(slotShare: Double): Int = slotShare.toInt()
-
 /**
  * Returns the milliseconds for which an instance sends nothing to an endpoint that has refused a request of it.
  *
- * The endpoint has [slots], of which the instance has [slotShare], and survives [refusalsPerSecond].
+ * The endpoint has [slots], of which the instance has [slotShare], and survives [refusalsPerSecond], of which the
+ * instance has the same part.
  */
 internal fun pauseAfterRefusalMillis(
     slots: Int,
-    slotShare: Double,
+    slotShare: Int,
     refusalsPerSecond: Double,
 ): Long {
-    val senders = if (slotShare > 0) (slots / slotShare).coerceAtLeast(1.0) else 1.0
+    val part = slotShare.coerceAtLeast(1).toDouble() / slots.coerceAtLeast(1)
     val usable = maxOf(refusalsPerSecond * USABLE_REFUSALS, MIN_REFUSALS_PER_SECOND)
-    return (senders / usable * MILLIS_PER_SECOND).toLong()
+    return (MILLIS_PER_SECOND / (usable * part)).toLong()
 }
 
 /** Share of the refusals that are used up. The rest is for those that were on their way at the same time. */
--- a/src/main/kotlin/lacewingweir/state/limit/LimitShares.kt
+++ b/src/main/kotlin/lacewingweir/state/limit/LimitShares.kt
@@ -33,6 +33,24 @@
     return if (before < senders) limit / senders else 0.0
 }
 
+/**
+ * Returns how many of the [slots] of [endpoint] the instance [self] may use at once. The parts of all instances add up
+ * to the slots. An instance that hears less than half of the others has an equal part, but at least one slot.
+ */
+internal fun slotShare(
+    endpoint: EndpointTag,
+    slots: Int,
+    self: String,
+    heard: Set<String>,
+    registered: Int,
+): Int {
+    val members = heard.size + 1
+    if (members * 2 < registered) return (slots / registered).coerceAtLeast(1)
+    val ownScore = score(endpoint, self)
+    val before = heard.count { it != self && score(endpoint, it) > ownScore }
+    return slots / members + if (before < slots % members) 1 else 0
+}
+
 private fun score(
     endpoint: EndpointTag,
     instance: String,
