--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -55,6 +55,7 @@
 import lacewingweir.state.fleet.CallerLimits
 import lacewingweir.state.id.ServiceName
 import lacewingweir.state.limit.limitShare
+import lacewingweir.state.limit.slotShare
 import lacewingweir.state.retry.BudgetSharers
 import lacewingweir.state.retry.RepeatBudget
 import lacewingweir.state.time.MonotonicClock
@@ -120,6 +121,9 @@
             limitShare = { endpoint, perSecond ->
                 limitShare(endpoint, perSecond, settings.name, peerDigests.names(), directory.snapshot.peers.size)
             },
+            slotShare = { endpoint, slots ->
+                slotShare(endpoint, slots, settings.name, peerDigests.names(), directory.snapshot.peers.size)
+            },
         )
     private val repeatWindowMillis = (bounds.repeatWindowSeconds * MILLIS_PER_SECOND).toLong()
     private val repeatSharers =
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -105,7 +105,11 @@
         val service = serviceOf(state, admitted.route)
         if (state.passedFor == null) repeatBudgets.onRequest(service)
         if (!findOrigin(state, service)) return
-        sendUntilAnswered(state, admitted, service)
+        try {
+            sendUntilAnswered(state, admitted, service)
+        } finally {
+            state.nextRepeat?.release()
+        }
     }
 
     /**
@@ -253,7 +257,8 @@
         // Sends that reached no endpoint caused no load, so the next one is not charged to the repeat budget.
         if (!safeToRepeat || state.sends >= MAX_SENDS) return false
         val cause = state.repeatCause ?: return true
-        state.repeat = repeatBudgets.tryRepeat(service, cause)
+        state.repeat = state.nextRepeat ?: repeatBudgets.tryRepeat(service, cause)
+        state.nextRepeat = null
         return state.repeat != null
     }
 
@@ -377,8 +382,7 @@
         state.sentAgain = reservation.endpoint.id in state.triedEndpoints
         state.triedEndpoints += reservation.endpoint.id
         state.lastEndpoint = reservation.endpoint.id
-        val headTimeout = headTimeoutMillis(state, admitted, service, reservation)
-        val outbound = outboundCall(state, admitted, reservation, headTimeout, cacheCopy)
+        val outbound = outboundCall(state, admitted, reservation, cacheCopy)
         logSend(state, outbound, reservation)
         reach?.onSend(service)
         try {
@@ -405,39 +409,24 @@
         reach?.awaitProbes(endpoint.service)
     }
 
-    /** Returns how long to wait for the head of a response before trying another endpoint, or for the deadline. */
-    private fun headTimeoutMillis(
-        state: CallState,
-        admitted: Admitted,
-        service: ServiceName,
-        reservation: EndpointReservation,
-    ): Long {
-        val route = admitted.route
-        val mayUseAnother =
-            route.repeatable &&
-                state.possibleRuns + 1 < route.maxEndpoints &&
-                repeatBudgets.canRepeat(service) &&
-                hasAnother(state, admitted, service, reservation.endpoint)
-        val remaining = state.remainingMillis
-        // Trying another endpoint costs a second run, so a busy endpoint gets its expected time in addition to a share
-        // of the remaining time.
-        val timeoutBeforeRepeat = remaining * HEAD_TIMEOUT_SHARE + reservation.expectedMillis
-        return if (mayUseAnother) minOf(timeoutBeforeRepeat.toLong(), remaining) else remaining
-    }
-
     private fun outboundCall(
         state: CallState,
         admitted: Admitted,
         reservation: EndpointReservation,
-        headTimeoutMillis: Long,
         cacheCopy: KvCacheCopy?,
     ): OutboundCall {
         val toEngine = state.call.prompt != null
+        val remaining = state.remainingMillis
+        val mayUseAnother = mayUseAnother(state, admitted, reservation.endpoint)
+        // Trying another endpoint costs a second run, so a busy endpoint gets its expected time in addition to a share
+        // of the remaining time.
+        val timeoutBeforeRepeat = remaining * HEAD_TIMEOUT_SHARE + reservation.expectedMillis
         return OutboundCall(
             call = state.call,
             endpoint = reservation.endpoint,
-            remainingMillis = state.remainingMillis,
-            headTimeoutMillis = headTimeoutMillis,
+            remainingMillis = remaining,
+            headTimeoutMillis = if (mayUseAnother) minOf(timeoutBeforeRepeat.toLong(), remaining) else remaining,
+            mayGiveUp = { !mayUseAnother || reserveRepeat(state, admitted, reservation.endpoint) },
             customer = admitted.customer?.id,
             cacheSalt = if (toEngine) reservation.salt else null,
             weights = if (toEngine) reservation.weights else null,
@@ -483,6 +472,31 @@
         return leaveIfCutOff(reach, service, mayLeave, ::send)
     }
 
+    /** Returns whether the call may be sent elsewhere if [endpoint] doesn't respond, as far as can be told now. */
+    private fun mayUseAnother(
+        state: CallState,
+        admitted: Admitted,
+        endpoint: EndpointEntry,
+    ): Boolean =
+        admitted.route.repeatable &&
+            state.possibleRuns + 1 < admitted.route.maxEndpoints &&
+            repeatBudgets.canRepeat(endpoint.service) &&
+            hasAnother(state, admitted, endpoint)
+
+    /**
+     * Reserves a repeat for a call whose endpoint has been silent for long. Returns false if the call can't be sent
+     * elsewhere, in which case only this endpoint may still answer.
+     */
+    private fun reserveRepeat(
+        state: CallState,
+        admitted: Admitted,
+        endpoint: EndpointEntry,
+    ): Boolean {
+        if (state.onTrial || state.sends >= MAX_SENDS || !hasAnother(state, admitted, endpoint)) return false
+        state.nextRepeat = repeatBudgets.tryRepeat(endpoint.service, RepeatCause.BROKEN)
+        return state.nextRepeat != null
+    }
+
     /** Returns whether a response to this send might still come, and pass for the answer to another one. */
     private fun mayBeAnsweredLate(
         state: CallState,
@@ -494,10 +508,9 @@
     private fun hasAnother(
         state: CallState,
         admitted: Admitted,
-        service: ServiceName,
         endpoint: EndpointEntry,
     ): Boolean {
-        val request = placementRequest(state, admitted, service, received = state.receivedBy + endpoint.tag)
+        val request = placementRequest(state, admitted, endpoint.service, received = state.receivedBy + endpoint.tag)
         return tracker.hasUsable(request.withoutExclusions())
     }
 
