--- a/src/test/kotlin/lacewingweir/platform/StutteringServer.kt
+++ b/src/test/kotlin/lacewingweir/platform/StutteringServer.kt
@@ -60,7 +60,7 @@
         record.add(request.id, send)
         if (send.plan.beforeBody) {
             early += request.id
-            perform(connection, send.plan.steps)
+            synchronized(connection) { perform(connection, send.plan.steps) }
         }
     }
 
@@ -74,7 +74,8 @@
             perform(connection, plan.steps.take(1))
             thread(isDaemon = true) { perform(connection, plan.steps.drop(1)) }
         } else {
-            perform(connection, plan.steps)
+            // No late response is written between the pieces of an answer. What is mixed is drawn as such.
+            synchronized(connection) { perform(connection, plan.steps) }
         }
     }
 
@@ -115,7 +116,7 @@
     ) {
         if (step.afterMillis > 0) Thread.sleep(step.afterMillis)
         when (step) {
-            is StutterStep.Write -> connection.write(step.text)
+            is StutterStep.Write -> synchronized(connection) { connection.write(step.text) }
             is StutterStep.WriteElsewhere -> writeElsewhere(connection, step.text)
             is StutterStep.Close -> if (step.reset) connection.reset() else connection.close()
         }
@@ -127,7 +128,7 @@
     ) {
         for (other in connections.filter { it !== connection }.shuffled()) {
             try {
-                other.write(text)
+                synchronized(other) { other.write(text) }
                 return
             } catch (_: IOException) {
                 connections -= other
