End a stream whose engine repeats events within one response

Callers got a stream with the events 1, 2, 3, 2 and 3 as a complete one. The ids were compared only with those of the responses that it continues. Events of a stream have increasing numbers, so a response with one that isn't above the one before it is broken; ids that are no numbers aren't compared.

--- a/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
@@ -263,6 +263,7 @@
     ): String? =
         when {
             framer.exceedsLimit -> "stream goes on without an event id"
+            framer.repeatsEvents -> "stream repeats events before ${framer.lastId}"
             events.isNotEmpty() && !startsAfter(resumedAfter, framer.firstId) ->
                 "resumed stream repeats event ${framer.firstId}"
             else -> null
--- a/src/main/kotlin/lacewingweir/transport/relay/SseFramer.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/SseFramer.kt
@@ -22,6 +22,10 @@
     var firstId: String? = null
         private set
 
+    /** Whether the number of an event isn't above that of the event before it. */
+    var repeatsEvents = false
+        private set
+
     /** Whether the bytes so far end within an event. */
     val hasPartialEvent: Boolean
         get() = pending.isNotEmpty()
@@ -55,11 +59,21 @@
             if (!line.startsWith(ID_FIELD)) continue
             val id = line.removePrefix(ID_FIELD).trim()
             if (firstId == null) firstId = id
+            if (!isAbove(lastId, id)) repeatsEvents = true
             lastId = id
             bytesWithoutId = pending.size
         }
     }
 
+    private fun isAbove(
+        previous: String?,
+        id: String,
+    ): Boolean {
+        val last = previous?.toLongOrNull() ?: return true
+        val number = id.toLongOrNull() ?: return true
+        return number > last
+    }
+
     private companion object {
         /** An event is a few hundred bytes. */
         const val MAX_BYTES_WITHOUT_ID: Int = 256 * 1024
--- a/src/test/kotlin/lacewingweir/platform/RepeatedEventTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/RepeatedEventTest.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
 import strikt.api.expectThat
@@ -37,7 +36,6 @@
     }
 
     @Test
-    @Tag("known-red")
     fun `no stream goes on with events before its last one`() {
         val events = listOf(1, 2, 3, 2, 3).joinToString("") { chunk(event(it)) }
         val answer = "${head}Transfer-Encoding: chunked\r\n\r\n${events}0\r\n\r\n"
