Take a body that quotes a status line for whole unless more follows it

Bytes behind a body tell them apart: a response that was filled up goes on with the rest of the other one. Only a body that ends with its connection has nothing behind it.

--- a/src/main/kotlin/lacewingweir/transport/http/NettyClientResponse.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/NettyClientResponse.kt
@@ -51,7 +51,11 @@
     /** Returns the part of [result] that is known to belong to the body, or null if there is none yet. */
     private fun ownPart(result: ReadResult): ReadResult? {
         if (detector == null || result is ReadResult.Broken) return result
-        val bytes = if (result is ReadResult.Data) detector.feed(result.bytes) else detector.finish(connection.followed)
+        val bytes =
+            when (result) {
+                is ReadResult.Data -> detector.feed(result.bytes)
+                else -> detector.finish(connection.followed, endsWithConnection)
+            }
         received = result is ReadResult.End
         return when {
             detector.found -> ReadResult.Broken("a second response begins inside the body")
--- a/src/main/kotlin/lacewingweir/transport/http/SecondHeadDetector.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/SecondHeadDetector.kt
@@ -10,9 +10,9 @@
  * second response where the rest of the first body is due. The end of such a body can't be told any more.
  *
  * Bytes that may be the beginning of a head are held back until that is decided. What looks like a head belongs to the
- * body unless it names a request, so a body may contain the text of HTTP messages. A body that ends within such a head
- * is taken for one that was filled up. If it ends within the first bytes of a status line, or contains a head that
- * names no request, it is so only if more bytes follow it, which are the rest of the other response.
+ * body unless it names a request, so a body may contain the text of HTTP messages. A body that ends within such a head,
+ * or contains one that names no request, was filled up if more bytes follow it, which are the rest of the other
+ * response. Nothing can follow a body that ends with its connection, so there a status line is enough.
  *
  * [namedRequest] returns the id of the request that the headers of a response name, or null if they name none.
  */
@@ -44,12 +44,17 @@
     }
 
     /**
-     * Returns the bytes that were held back at the end of the body. Sets [found] if the body ends within a head.
+     * Returns the bytes that were held back at the end of the body. Sets [found] if the body was filled up.
      *
-     * [followed] tells whether more bytes have arrived behind the body.
+     * [followed] tells whether more bytes have arrived behind the body, and [endsWithConnection] whether the body ended
+     * with the connection.
      */
-    fun finish(followed: Boolean = false): ByteArray {
-        found = held.size >= STATUS_LINE_BYTES || (followed && (held.isNotEmpty() || containsUnnamedHead))
+    fun finish(
+        followed: Boolean,
+        endsWithConnection: Boolean,
+    ): ByteArray {
+        val cutInHead = endsWithConnection && held.size >= STATUS_LINE_BYTES
+        found = cutInHead || (followed && (held.isNotEmpty() || containsUnnamedHead))
         return held.also { held = NOTHING }
     }
 
