Name the outcomes of passing a call on, and describe it for operators

A tri-state Boolean said whether a call was passed on, lost or to be sent from here; the outcome that passing has says it now. Behaviour stays, except that a call whose time runs out meanwhile ends as timed out where the next send is decided.

--- a/src/main/kotlin/lacewingweir/transport/relay/CallPasser.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallPasser.kt
@@ -183,12 +183,12 @@
     }
 }
 
-/** Adds to the response of a call that was passed on here the [header] that names the call to the other instance. */
+/** The exchange of a call that another instance passes on. Its response names the call by its [id]. */
 internal class PassedExchange(
     private val exchange: ServerExchange,
-    private val header: Pair<String, String>,
+    id: RequestId,
 ) : ServerExchange by exchange {
-    constructor(exchange: ServerExchange, id: RequestId) : this(exchange, PASSED_CALL_HEADER to id.value)
+    private val header = PASSED_CALL_HEADER to id.value
 
     override suspend fun respond(
         status: Int,
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -133,33 +133,22 @@
         return false
     }
 
-    /**
-     * Passes the call on to another instance if this one is cut off. Returns null if the call is to be sent from here,
-     * or whether it is finished; if not, the response of the other instance was lost.
-     */
+    /** Passes the call on to another instance if this one is cut off, and records whether its response was lost. */
     private suspend fun passOn(
         state: CallState,
         admitted: Admitted,
         service: ServiceName,
-    ): Boolean? {
-        if (passer?.applies(state, service) != true) return null
+    ): PassOutcome {
+        if (passer?.applies(state, service) != true) return PassOutcome.NotSent("not cut off")
         state.repeat?.sent()
         val outcome =
             withTimeoutOrNull(state.remainingMillis) { passer.pass(state, service, admitted.route.repeatable) }
-        return when (outcome) {
-            PassOutcome.Answered -> true
-            is PassOutcome.NotSent -> null
-            is PassOutcome.Unknown -> {
-                logger.info { "relay: id=${state.call.id} lost through=${state.triedInstances}: ${outcome.reason}" }
-                state.onLost()
-                false
-            }
-            null -> {
-                state.onLost()
-                state.failOnTimeout()
-                true
-            }
+                ?: PassOutcome.Unknown("out of time")
+        if (outcome is PassOutcome.Unknown) {
+            state.onLost()
+            logger.info { "relay: id=${state.call.id} lost through=${state.triedInstances}: ${outcome.reason}" }
         }
+        return outcome
     }
 
     /**
@@ -197,11 +186,7 @@
     ) {
         while (maySend(state, admitted, service)) {
             try {
-                val passed = passOn(state, admitted, service)
-                if (passed == false) continue
-                if (passed == true || refuseIfCutOff(state, service)) return
-                val reservation = place(state, admitted, service) ?: return
-                if (sendAndContinue(state, admitted, service, reservation)) return
+                if (passOrSend(state, admitted, service)) return
             } finally {
                 state.repeat?.release()
                 state.repeat = null
@@ -209,6 +194,21 @@
         }
     }
 
+    /** Returns whether the call is finished. */
+    private suspend fun passOrSend(
+        state: CallState,
+        admitted: Admitted,
+        service: ServiceName,
+    ): Boolean =
+        when (passOn(state, admitted, service)) {
+            PassOutcome.Answered -> true
+            is PassOutcome.Unknown -> false
+            is PassOutcome.NotSent -> {
+                val reservation = if (refuseIfCutOff(state, service)) null else place(state, admitted, service)
+                reservation == null || sendAndContinue(state, admitted, service, reservation)
+            }
+        }
+
     /** Sends the call, and again wherever its run is handed over to. Returns whether the call is finished. */
     private suspend fun sendAndContinue(
         state: CallState,
