Share counters, response headers and connection attempts that were written twice

Three counters by key were alike (closes, skipped and second responses), the filter of a response's headers and the check for events stood in both protocols, canConnect repeated isRefused, and the address between instances was put together three times. One piece serves each now. ReachMonitor counted cut-offs that nothing read. Behaviour stays as it is.

--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -97,6 +97,7 @@
     private val endpointClient = HttpClient(group, defaultIdleTimeoutMillis = ENDPOINT_IDLE_MILLIS)
     private val peerClient =
         HttpClient(group, maxIdlePerAddress = MAX_IDLE_PEER_CONNECTIONS, defaultIdleTimeoutMillis = PEER_IDLE_MILLIS)
+    private val internalAddress = "${settings.host}:${settings.internalPorts.first()}"
     private val proof = StoreContactProof(ageClock)
     private val directory = FleetDirectory(PlatformItemCodec::decode, ageClock, timers, proof)
     private val mirror = StoreMirror(store, ALL_KEYS_PREFIX, WATCH_WAIT_MILLIS, ageClock, proof, directory)
@@ -284,7 +285,7 @@
     private val callerServer = createServer(settings.callerListen, ::serve)
 
     /** Accepts calls that other instances pass on. */
-    private val passedCallServer = createServer("${settings.host}:${settings.internalPorts.first()}", ::servePassed)
+    private val passedCallServer = createServer(internalAddress, ::servePassed)
     private val trafficReporter =
         TrafficReporter(timers, clock, { callerServer.requestsInFlight }) {
             BackgroundTraffic(
@@ -334,9 +335,9 @@
         directory.observeBegunStreams(streamVersions::onStored)
         loopLag.start()
         reach.start()
-        listen("internalPorts", "${settings.host}:${settings.internalPorts.first()}") { digestNetwork.start() }
+        listen("internalPorts", internalAddress) { digestNetwork.start() }
         listen("readinessListen", settings.readinessListen) { readinessServer.start() }
-        listen("internalPorts", "${settings.host}:${settings.internalPorts.first()}") { passedCallServer.start() }
+        listen("internalPorts", internalAddress) { passedCallServer.start() }
         listen("callerListen", settings.callerListen) { callerServer.start() }
         scope.launch { failures.keepRunning("mirror") { mirror.run() } }
         scope.launch { registration.start() }
--- a/src/main/kotlin/lacewingweir/coordination/reach/ReachMonitor.kt
+++ b/src/main/kotlin/lacewingweir/coordination/reach/ReachMonitor.kt
@@ -51,18 +51,13 @@
     }
 
     private val states = HashMap<ServiceName, State>()
-    private var cutOffs = 0L
 
     /** The services from which this instance is cut off. */
     val cutOffServices: Set<ServiceName>
         @Synchronized get() = states.filterValues { it.reach.isCutOff }.keys.toSet()
 
-    /** How often this instance was cut off from a service since its start. */
-    val total: Long
-        @Synchronized get() = cutOffs
-
     fun start() {
-        timers.every("reach of services", CHECK_PERIOD_MILLIS) { check() }
+        timers.every("reach of services", CHECK_PERIOD_MILLIS) { servicesToProbe().forEach(::probe) }
     }
 
     @Synchronized
@@ -123,7 +118,6 @@
         val tags = usable(endpoint.service).mapTo(HashSet()) { it.tag }
         state.reach.onUnreachable(endpoint.tag, tags, clock.nowMillis())
         if (before || !state.reach.isCutOff) return null
-        cutOffs++
         logger.warn { "reach: service=${endpoint.service} cut off endpoints=${tags.size} waiting=${state.waiting}" }
         return state.listeners.toList()
     }
@@ -141,8 +135,6 @@
 
     private fun stateOf(service: ServiceName) = states.getOrPut(service) { State() }
 
-    private fun check() = servicesToProbe().forEach(::probe)
-
     @Synchronized
     private fun servicesToProbe(): List<ServiceName> {
         val now = clock.nowMillis()
--- a/src/main/kotlin/lacewingweir/platform/PlatformEndpointProtocol.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformEndpointProtocol.kt
@@ -60,22 +60,16 @@
             notRun = headers.contains(PlatformHeaders.NOT_RUN) || response.status == MISDIRECTED_REQUEST,
             matchesRequest = namedRequest(headers) == call.id.value,
             contentEncoded = headers.contains(HttpHeaderNames.CONTENT_ENCODING),
-            eventStream = headers.get(HttpHeaderNames.CONTENT_TYPE)?.startsWith("text/event-stream") == true,
+            eventStream = headers.announceEvents(),
             weights = headers.get(PlatformHeaders.WEIGHTS)?.toLongOrNull()?.let(::WeightsNumber),
             statement = decodeStatement(response),
             requestLimit = headers.get(PlatformHeaders.REQUEST_LIMIT)?.let(::parseLimit),
-            headers =
-                headers
-                    .entries()
-                    .filter {
-                        it.key.lowercase() !in HopByHopHeaders.names
-                    }.map { it.key to it.value },
+            headers = headers.endToEnd(),
         )
     }
 
     /** Returns the id of the request that a response names, or null if it names none or several. */
-    private fun namedRequest(headers: HttpHeaders): String? =
-        headers.getAll(PlatformHeaders.REQUEST_ID).distinct().singleOrNull()
+    private fun namedRequest(headers: HttpHeaders): String? = headers.onlyValue(PlatformHeaders.REQUEST_ID)
 
     private fun parseLimit(text: String): Double? {
         val limit = text.trim().toDoubleOrNull()?.takeIf { it.isFinite() && it >= 0 }
@@ -92,6 +86,17 @@
     const val CONNECT_TIMEOUT_MILLIS: Long = 400
 }
 
+/** Returns the value of the header [name], or null if it is missing or has several values. */
+internal fun HttpHeaders.onlyValue(name: String): String? = getAll(name).distinct().singleOrNull()
+
+/** Returns whether the body of a response is an event stream. */
+internal fun HttpHeaders.announceEvents(): Boolean =
+    get(HttpHeaderNames.CONTENT_TYPE)?.startsWith("text/event-stream") == true
+
+/** Returns the headers of a response that concern more than its connection. */
+internal fun HttpHeaders.endToEnd(): List<Pair<String, String>> =
+    entries().filter { it.key.lowercase() !in HopByHopHeaders.names }.map { it.key to it.value }
+
 /** Headers that apply to a single connection and are not forwarded. */
 internal object HopByHopHeaders {
     val names =
--- a/src/main/kotlin/lacewingweir/platform/PlatformPassProtocol.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformPassProtocol.kt
@@ -1,6 +1,5 @@
 package lacewingweir.platform
 
-import io.netty.handler.codec.http.HttpHeaderNames
 import lacewingweir.state.fleet.PeerEntry
 import lacewingweir.state.id.ServiceName
 import lacewingweir.transport.http.ClientRequest
@@ -35,21 +34,17 @@
             connectTimeoutMillis = minOf(passed.remainingMillis, CONNECT_TIMEOUT_MILLIS),
             headTimeoutMillis = passed.remainingMillis,
             id = passed.call.id.value,
-            responseId = { it.getAll(PassedExchange.PASSED_CALL_HEADER).distinct().singleOrNull() },
+            responseId = { it.onlyValue(PassedExchange.PASSED_CALL_HEADER) },
             preserveHostHeader = true,
         )
     }
 
     override fun callerHeaders(response: ClientResponse): List<Pair<String, String>> =
-        response.headers
-            .entries()
-            .filter { (name) ->
-                name.lowercase() !in HopByHopHeaders.names &&
-                    !name.equals(PassedExchange.PASSED_CALL_HEADER, ignoreCase = true)
-            }.map { it.key to it.value }
+        response.headers.endToEnd().filterNot { (name) ->
+            name.equals(PassedExchange.PASSED_CALL_HEADER, ignoreCase = true)
+        }
 
-    override fun isEventStream(response: ClientResponse): Boolean =
-        response.headers.get(HttpHeaderNames.CONTENT_TYPE)?.startsWith("text/event-stream") == true
+    override fun isEventStream(response: ClientResponse): Boolean = response.headers.announceEvents()
 
     /** Returns the service that the other instance has chosen for a call, or null if it names none. */
     fun chosenService(exchange: ServerExchange): ServiceName? = exchange.headers.get(SERVICE)?.let(::ServiceName)
--- a/src/main/kotlin/lacewingweir/transport/http/HttpClient.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/HttpClient.kt
@@ -25,10 +25,10 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlinx.coroutines.withTimeoutOrNull
+import lacewingweir.transport.traffic.KeyedCounter
 import java.net.ConnectException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedDeque
-import java.util.concurrent.atomic.LongAdder
 import kotlin.coroutines.resume
 
 /**
@@ -52,14 +52,13 @@
 
     private val idleConnections = ConcurrentHashMap<Address, ConcurrentLinkedDeque<ClientConnection>>()
     private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
-    private val skipped = ConcurrentHashMap<Int, LongAdder>()
+    private val skipped = KeyedCounter<Int>()
+    private val secondResponses = SecondResponses()
     private val endedRequests = EndedRequests()
 
     /** The number of responses to other requests that were skipped so far, by status. */
     internal val skippedResponses: Map<Int, Long>
-        get() = skipped.mapValues { (_, count) -> count.sum() }
-
-    private val secondResponses = SecondResponses()
+        get() = skipped.totals
 
     /** The number of second responses to requests that had been answered so far, by both statuses. */
     internal val secondResponseTotals: Map<StatusPair, Long>
@@ -173,7 +172,7 @@
                 defaultIdleTimeoutMillis,
                 hasEnded = { id -> endedRequests.contains(request.address, id) },
                 onAnswered = { id -> endedRequests.add(request.address, id) },
-                onSkipped = { status -> skipped.computeIfAbsent(status) { LongAdder() }.increment() },
+                onSkipped = skipped::increment,
                 secondResponses = secondResponses,
             )
         val handlers = listOf(HttpRequestEncoder(), connection.decoder, connection)
@@ -211,10 +210,7 @@
         host: String,
         port: Int,
         timeoutMillis: Long,
-    ): Boolean {
-        val future = connect(host, port, timeoutMillis, listOf(ChannelInboundHandlerAdapter()))
-        return future.awaitSuccess().also { future.channel().close() }
-    }
+    ): Boolean = connectionFailure(host, port, timeoutMillis) == null
 
     /**
      * Returns whether a connection is refused because nothing listens at the address. Returns false if a connection
@@ -225,10 +221,20 @@
         port: Int,
         timeoutMillis: Long,
     ): Boolean {
+        val failure = connectionFailure(host, port, timeoutMillis)
+        return failure is ConnectException && failure !is ConnectTimeoutException
+    }
+
+    /** Tries to establish a connection and closes it again. Returns why that failed, or null if it didn't. */
+    private suspend fun connectionFailure(
+        host: String,
+        port: Int,
+        timeoutMillis: Long,
+    ): Throwable? {
         val future = connect(host, port, timeoutMillis, listOf(ChannelInboundHandlerAdapter()))
-        val connected = future.awaitSuccess()
+        future.awaitSuccess()
         future.channel().close()
-        return !connected && future.cause() is ConnectException && future.cause() !is ConnectTimeoutException
+        return future.cause()
     }
 
     private fun release(
--- a/src/main/kotlin/lacewingweir/transport/http/SecondResponses.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/SecondResponses.kt
@@ -1,9 +1,8 @@
 package lacewingweir.transport.http
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import java.util.concurrent.ConcurrentHashMap
+import lacewingweir.transport.traffic.KeyedCounter
 import java.util.concurrent.TimeUnit
-import java.util.concurrent.atomic.LongAdder
 
 private val logger = KotlinLogging.logger {}
 
@@ -34,11 +33,11 @@
 
 /** Logs and counts the second responses to requests that have been answered. */
 internal class SecondResponses {
-    private val counts = ConcurrentHashMap<StatusPair, LongAdder>()
+    private val counts = KeyedCounter<StatusPair>()
 
     /** The number of second responses by statuses so far. */
     val totals: Map<StatusPair, Long>
-        get() = counts.mapValues { (_, count) -> count.sum() }
+        get() = counts.totals
 
     /** Records that a response with this [status] has come after [answer] on a connection with this [use]. */
     fun record(
@@ -47,7 +46,7 @@
         moment: SecondResponseMoment,
         use: ConnectionUse,
     ) {
-        counts.computeIfAbsent(StatusPair(answer.status, status)) { LongAdder() }.increment()
+        counts.increment(StatusPair(answer.status, status))
         logger.info {
             val laterMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - answer.atNanos)
             "http: id=${answer.id} second response status=$status first=${answer.status} laterMs=$laterMillis " +
--- a/src/main/kotlin/lacewingweir/transport/http/UnansweredCloses.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/UnansweredCloses.kt
@@ -1,8 +1,7 @@
 package lacewingweir.transport.http
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.atomic.LongAdder
+import lacewingweir.transport.traffic.KeyedCounter
 
 private val logger = KotlinLogging.logger {}
 
@@ -26,11 +25,11 @@
 
 /** Logs and counts the connections that a server closes before it has sent a complete response. */
 internal class UnansweredCloses {
-    private val counts = ConcurrentHashMap<CloseReason, LongAdder>()
+    private val counts = KeyedCounter<CloseReason>()
 
     /** The number of closes by reason so far. */
     val totals: Map<CloseReason, Long>
-        get() = counts.mapValues { (_, count) -> count.sum() }
+        get() = counts.totals
 
     /** Records that the connection with this [use] is closed in the middle of [exchange]. */
     fun record(
@@ -38,7 +37,7 @@
         exchange: ServerExchange,
         use: ConnectionUse,
     ) {
-        counts.computeIfAbsent(reason) { LongAdder() }.increment()
+        counts.increment(reason)
         logger.info {
             val ageMillis = (System.nanoTime() - exchange.arrivedAtNanos) / NANOS_PER_MILLI
             "http: connection closed before the end of a response reason=$reason ${exchange.method} ${exchange.path} " +
