--- a/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
+++ b/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
@@ -1,5 +1,6 @@
 package lacewingweir.platform
 
+import io.netty.channel.EventLoopGroup
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import io.netty.handler.codec.http.EmptyHttpHeaders
@@ -36,6 +37,7 @@
     private val repeatExtra: Double = 56.0,
     private val pathToServer: ((instance: Int, address: String) -> String)? = null,
     private val config: String = CONFIG,
+    serversMayFallSilent: Boolean = false,
     private val pathToStore: (instance: Int, address: String) -> String = { _, address -> address },
 ) : AutoCloseable {
     class CallerResponse(
@@ -52,15 +54,21 @@
     val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val http = HttpClient(group)
     val store = StandinKeyValueStore(group, scope)
-    val engines = List(engines) { StandinPromptEngine("e$it", group, scope, store) }
+    private val serverGroups =
+        List(if (serversMayFallSilent) engines + desks else 0) {
+            MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+        }
+    val engines = List(engines) { StandinPromptEngine("e$it", serverGroup(it), scope, store) }
 
     /** The endpoints of the plain service. */
-    val desks = List(desks) { StandinPromptEngine("d$it", group, scope, store, service = "desk") }
+    val desks = List(desks) { StandinPromptEngine("d$it", serverGroup(engines + it), scope, store, service = "desk") }
     private val subnet = nextSubnet.incrementAndGet()
     private val requestNumbers = AtomicLong()
     private val instances = ArrayList<RouterInstance?>()
     private val storeViews = ConcurrentHashMap<Int, String>()
 
+    private fun serverGroup(index: Int): EventLoopGroup = serverGroups.getOrNull(index) ?: group
+
     suspend fun start() {
         store.write("op/config", config)
         engines.forEach { it.start() }
@@ -216,7 +224,9 @@
         body: String,
         path: String = "/lookup/x",
         key: String = "k1",
-    ): CallerResponse = send(index, requestNumbers.incrementAndGet(), path, body, key = key)
+        timeoutMillis: Long = CALLER_TIMEOUT_MILLIS,
+    ): CallerResponse =
+        send(index, requestNumbers.incrementAndGet(), path, body, key = key, timeoutMillis = timeoutMillis)
 
     private suspend fun open(
         index: Int,
@@ -225,6 +235,7 @@
         body: String,
         headers: List<Pair<String, String>>,
         key: String,
+        timeoutMillis: Long = CALLER_TIMEOUT_MILLIS,
     ): ClientResult =
         http.open(
             ClientRequest(
@@ -237,7 +248,7 @@
                         "Host" to "h.example",
                         "Attempt-Id" to callId(number),
                         "X-Api-Key" to key,
-                        "Deadline-Ms" to "3000",
+                        "Deadline-Ms" to "$timeoutMillis",
                     ) + headers,
                 body = body.encodeToByteArray(),
                 preserveHostHeader = true,
@@ -253,8 +264,9 @@
         body: String,
         headers: List<Pair<String, String>> = emptyList(),
         key: String = "k1",
+        timeoutMillis: Long = CALLER_TIMEOUT_MILLIS,
     ): CallerResponse =
-        when (val result = open(index, number, path, body, headers, key)) {
+        when (val result = open(index, number, path, body, headers, key, timeoutMillis)) {
             is ClientResult.Answered -> {
                 val bytes = result.response.readAll(1_000_000)
                 CallerResponse(
@@ -280,7 +292,7 @@
         store.close()
         http.close()
         scope.cancel()
-        group.shutdownGracefully(100, 1_000, TimeUnit.MILLISECONDS)
+        (serverGroups + group).forEach { it.shutdownGracefully(100, 1_000, TimeUnit.MILLISECONDS) }
     }
 
     internal companion object {
@@ -292,6 +304,7 @@
         private const val SHARED_DOCUMENTS = 12
         private val ADDRESS_FIELD = Regex("\"address\":\"([^\"]*)\"")
         private const val STREAM_IDLE_MILLIS = 5_000L
+        private const val CALLER_TIMEOUT_MILLIS = 3_000L
 
         /** Twice the interval between the watches of the store. */
         private const val PEER_DISCOVERY_MILLIS = 1_600L
--- a/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
+++ b/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
@@ -32,10 +32,13 @@
         val waiting: Int,
     )
 
+    /** A request that has been read, with the time that its sender has left, in milliseconds. */
     class Arrival(
         val atMillis: Long,
         val parts: List<String>,
         val body: String,
+        val requestId: String,
+        val leftMillis: Long,
     )
 
     /** The weights of an engine. */
@@ -175,7 +178,8 @@
                 .orEmpty()
                 .map { it.substringBefore(':') }
         val body = exchange.body.decodeToString()
-        arrivals += Arrival(nowMillis(), parts, body)
+        val headers = exchange.headers
+        arrivals += Arrival(nowMillis(), parts, body, headers.get("Attempt-Id"), headers.get("Deadline-Ms").toLong())
         pauseSeconds?.let {
             val id = exchange.headers.get("Attempt-Id")
             exchange.respond(503, listOf("Attempt-Id" to id, "Not-Executed" to "1", "Retry-After" to it))
@@ -274,6 +278,12 @@
         }
     }
 
+    /**
+     * Reads and writes nothing for [millis], and goes on then as if nothing had happened. The [group] must have a single
+     * event loop that no other server uses.
+     */
+    fun fallSilent(millis: Long) = group.execute { Thread.sleep(millis) }
+
     /** Ends the engine, with all its connections. */
     fun crash() {
         crashes += nowMillis()
