Pass calls on that waited for a connection when their instance was cut off

Cause: when an instance finds that it is cut off, all its sends that may be left are left, and each counted as one that may have run. A send that was still connecting has reached nothing, but used up an attempt of its route, so that a call with one attempt, or with another run, wasn't passed on.

Such a send now counts as not sent. The connection of a send is recorded just before the call is written, so a send without one has written nothing.

--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -474,7 +474,9 @@
         if (passer == null || reach == null || !admitted.route.repeatable) return send()
         val service = reservation.endpoint.service
         val mayLeave = { !state.exchange.responseStarted && passer.applies(state, service) }
-        return leaveIfCutOff(reach, service, mayLeave, ::send)
+        val outcome = leaveIfCutOff(reach, service, mayLeave, ::send)
+        val unsent = outcome is SendOutcome.Broken && state.connection == null
+        return if (unsent) SendOutcome.NotRun("left while connecting", refused = false) else outcome
     }
 
     /** Returns whether the call may be sent elsewhere if [endpoint] doesn't respond, as far as can be told now. */
--- a/src/test/kotlin/lacewingweir/platform/CutOffInstanceTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/CutOffInstanceTest.kt
@@ -420,6 +420,24 @@
             .filter { it.first !in setOf("attempt-id", "date", "keep-alive") }
             .sortedBy { it.first }
 
+    /** No connection is open when the paths are cut, so some calls wait for one when their instance finds that out. */
+    @Test
+    fun `calls that were not sent yet when their instance was found to be cut off are served`() =
+        play {
+            load(0 until INSTANCES, WARM_UP_MILLIS)
+            delay(IDLE_MILLIS)
+            paths.cut(Cut.HANG, listOf(0))
+            val statuses =
+                coroutineScope {
+                    List(UNSENT_CALLS) {
+                        delay(UNSENT_PERIOD_MILLIS)
+                        async { fleet.lookUp(0, body("unsent"), "/once/x").status }
+                    }.awaitAll()
+                }
+            println("while the cut is detected: statuses=${statuses.groupingBy { it }.eachCount()}")
+            expectThat(statuses.filter { it != 200 }).isEmpty()
+        }
+
     @Test
     fun `answers and failures of servers pass through the other instance unchanged`() =
         play {
@@ -512,15 +530,22 @@
         const val LEAVE_AFTER_MILLIS = 300L
         const val EVENT_MILLIS = 50L
         const val LARGE_BODY = 200_000
+        const val UNSENT_CALLS = 60
+        const val UNSENT_PERIOD_MILLIS = 20L
         const val RATED_CALLS = 60
         const val RATED_PERIOD_MILLIS = 20L
         const val RATE_TOLERANCE = 0.3
         const val PREFILL_MILLIS = 10L
         val CONFIG =
-            RouterFleet.CONFIG.replace(
-                """{"name":"zeta","apiKeys":["k2"]}""",
-                """{"name":"cut","apiKeys":["k3"],"ratePerS":0.5,"burst":30},
-                {"name":"own","apiKeys":["k4"],"ratePerS":0.5,"burst":30}""",
-            )
+            RouterFleet.CONFIG
+                .replace(
+                    """{"name":"zeta","apiKeys":["k2"]}""",
+                    """{"name":"cut","apiKeys":["k3"],"ratePerS":0.5,"burst":30},
+                    {"name":"own","apiKeys":["k4"],"ratePerS":0.5,"burst":30}""",
+                ).replace(
+                    """"routes":[""",
+                    """"routes":[{"name":"once","host":"h.example","prefix":"/once/","kind":"idempotent",
+                    "timeoutMs":3000,"latencyTargetMs":500,"priority":0,"service":"desk","maxAttempts":1,"public":false},""",
+                )
     }
 }
