Show calls that reach more endpoints than their route allows when they are passed on

CutOffInstanceTest "a call that is passed on after a send" cuts an instance off while engines prefill five tags, which may be sent to two engines.

--- a/src/test/kotlin/lacewingweir/platform/CutOffInstanceTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/CutOffInstanceTest.kt
@@ -12,6 +12,7 @@
 import lacewingweir.testing.FaultProxy
 import lacewingweir.testing.eventually
 import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestInstance
 import org.junit.jupiter.api.Timeout
@@ -438,6 +439,42 @@
             expectThat(statuses.filter { it != 200 }).isEmpty()
         }
 
+    /** The paths are cut while engines prefill the prompts, whose answers they break off. */
+    @Tag("known-red")
+    @Test
+    fun `a call that is passed on after a send reaches no more endpoints than its route allows`() =
+        play {
+            load(0 until INSTANCES, WARM_UP_MILLIS)
+            for (engine in fleet.engines) {
+                engine.prefillMillis = BROKEN_OFF_MILLIS
+                engine.brokenOffParts = setOf(BROKEN_OFF_PART)
+            }
+            val statuses =
+                coroutineScope {
+                    val calls = List(PASSED_CALLS) { async { fleet.call(0, "$BROKEN_OFF_PART:100").status } }
+                    eventually("the calls reach engines") { fleet.engines.sumOf { brokenOff(it).size } >= PASSED_CALLS }
+                    paths.cut(Cut.HANG, listOf(0))
+                    calls.awaitAll()
+                }
+            val sends =
+                fleet.engines
+                    .flatMap(::brokenOff)
+                    .groupingBy { it.requestId }
+                    .eachCount()
+            fleet.engines.forEach { it.brokenOffParts = emptySet() }
+            println(
+                "passed on after a send: statuses=$statuses, calls by number of engines ${sends.values.groupingBy {
+                    it
+                }.eachCount()}",
+            )
+            expect {
+                that(sends.values.max()).isGreaterThan(1)
+                that(sends.filterValues { it > MAX_TAG_ENDPOINTS }).isEmpty()
+            }
+        }
+
+    private fun brokenOff(engine: StandinPromptEngine) = engine.arrivals.filter { BROKEN_OFF_PART in it.parts }
+
     @Test
     fun `answers and failures of servers pass through the other instance unchanged`() =
         play {
@@ -532,6 +569,10 @@
         const val LARGE_BODY = 200_000
         const val UNSENT_CALLS = 60
         const val UNSENT_PERIOD_MILLIS = 20L
+        const val PASSED_CALLS = 5
+        const val BROKEN_OFF_PART = "b0"
+        const val BROKEN_OFF_MILLIS = 800L
+        const val MAX_TAG_ENDPOINTS = 2
         const val RATED_CALLS = 60
         const val RATED_PERIOD_MILLIS = 20L
         const val RATE_TOLERANCE = 0.3
