Leave no room for a connection to a path that hangs

CutOffInstanceTest "calls that were not sent yet" got one 502 among 60 calls in one run of the whole class and in one of two repeats, at a load average of 7. The log of the second one shows why: the call had a new connection at the time at which its path hung ("carried=0 ageMs=0", sent and left 0.5 s later), so it may have run, and its route allows one attempt.

FaultProxy promises that new connections aren't established while a path hangs, and fills the backlog of its listener for that. Its listener could accept one connection after the backlog was full, before it noticed the pause, which made room for another. The backlog is filled a second time now; the listener waits after one connection at the latest. The check of the test is unchanged.

--- a/src/test/kotlin/lacewingweir/testing/FaultProxy.kt
+++ b/src/test/kotlin/lacewingweir/testing/FaultProxy.kt
@@ -157,6 +157,12 @@
      */
     fun hang() {
         hanging = true
+        fillBacklog()
+        // Meanwhile the listener may have accepted one more connection, and does not go on after that.
+        fillBacklog()
+    }
+
+    private fun fillBacklog() {
         while (fillers.size <= MAX_FILLERS) {
             val filler = Socket()
             try {
