Count no repeat as sent that no other instance took

A call with a grant for a repeat that no other instance takes is sent by the instance itself. Its grant had been marked as sent and read by the refused pass, so that it counted from then on, and not from when the endpoint read the call. The grant is marked now when an instance may have taken the call.

--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -141,14 +141,13 @@
         service: ServiceName,
     ): PassOutcome {
         if (passer?.applies(state, service) != true) return PassOutcome.NotSent("not cut off")
-        state.onPass()
-        val outcome =
-            try {
-                withTimeoutOrNull(state.remainingMillis) { passer.pass(state, service, admitted.route.repeatable) }
-                    ?: PassOutcome.Unknown("out of time")
-            } finally {
-                state.onSendEnd()
-            }
+        var outcome: PassOutcome = PassOutcome.Unknown("out of time")
+        try {
+            withTimeoutOrNull(state.remainingMillis) { passer.pass(state, service, admitted.route.repeatable) }
+                ?.let { outcome = it }
+        } finally {
+            if (outcome !is PassOutcome.NotSent) state.onPassed()
+        }
         if (outcome is PassOutcome.Unknown) {
             state.onLost()
             logger.info { "relay: id=${state.call.id} lost through=${state.triedInstances}: ${outcome.reason}" }
--- a/src/main/kotlin/lacewingweir/transport/relay/CallState.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallState.kt
@@ -93,13 +93,15 @@
     /** Records that the call is being written to a connection that had been used for [use]. */
     fun onSend(use: ConnectionUse) {
         connection = use
-        onPass()
+        unread = true
+        repeat?.sent()
     }
 
-    /** Records that the call is being passed on to an instance, which sends it to an endpoint. */
-    fun onPass() {
-        unread = true
+    /** Records that the call was passed on to an instance, which may have sent it to an endpoint. */
+    fun onPassed() {
         repeat?.sent()
+        unread = true
+        onSendEnd()
     }
 
     /** Records that the endpoint has read the call, as a response or the end of the connection shows. */
