Draw each part of a play of silent servers from its own seed

The parts of SilentServersTest ran beside each other on one generator, which isn't thread-safe, so a seed didn't repeat a play. Each has its own now. A booking may be received once, which the check of attempts now says (it allowed two, like the other routes). A tag may end at its route's timeout, which is drawn from 2.5 s on; the check of early ends took 3 s and would have blamed such an end. The times of repeats are computed in one place for three classes; requests are told apart by their id there, as before by their body, which was unique to each.

--- a/src/test/kotlin/lacewingweir/platform/RepeatsAcrossRestartsTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/RepeatsAcrossRestartsTest.kt
@@ -53,12 +53,7 @@
                         }.joinAll()
                     kills.cancel()
                 }
-                val repeatTimes =
-                    fleet.desks
-                        .flatMap { it.arrivals }
-                        .groupBy { it.body }
-                        .values
-                        .flatMap { arrivals -> arrivals.map { it.atMillis }.sorted().drop(1) }
+                val repeatTimes = StandinPromptEngine.repeatTimes(fleet.desks)
                 val windows = RepeatWindows(windowMillis = 10_000, ratio = 0.2, extra = REPEAT_EXTRA)
                 val greatestUse = windows.greatestUse(requestTimes, repeatTimes)
                 println(
--- a/src/test/kotlin/lacewingweir/platform/RepeatsReadLateTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/RepeatsReadLateTest.kt
@@ -35,12 +35,7 @@
                 fleet.desks.forEach { it.abortingBodies = bodies.toSet() }
                 delay(start + MILLIS_BETWEEN_BURSTS - StandinPromptEngine.nowMillis())
                 coroutineScope { burst(fleet, "failing", requestTimes) }
-                val repeatTimes =
-                    fleet.desks
-                        .flatMap { it.arrivals }
-                        .groupBy { it.requestId }
-                        .values
-                        .flatMap { arrivals -> arrivals.map { it.atMillis }.sorted().drop(1) }
+                val repeatTimes = StandinPromptEngine.repeatTimes(fleet.desks)
                 val windows = RepeatWindows(WINDOW_MILLIS, ratio = 0.2, extra = REPEAT_EXTRA)
                 val greatestUse = windows.greatestUse(requestTimes, repeatTimes)
                 val early = repeatTimes.count { it < start + MILLIS_BETWEEN_BURSTS }
--- a/src/test/kotlin/lacewingweir/platform/SilentServersTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/SilentServersTest.kt
@@ -27,12 +27,11 @@
 internal class SilentServersTest {
     private enum class Kind(
         val service: String,
-        val maxAttempts: Int,
         val perSecond: Double,
     ) {
-        TAG("engine", maxAttempts = 2, perSecond = 36.0),
-        LOOK_UP("desk", maxAttempts = 2, perSecond = 12.0),
-        BOOKING("desk", maxAttempts = 1, perSecond = 10.0),
+        TAG("engine", perSecond = 36.0),
+        LOOK_UP("desk", perSecond = 12.0),
+        BOOKING("desk", perSecond = 10.0),
     }
 
     private class Outcome(
@@ -45,15 +44,18 @@
 
     /** What is drawn for a play. */
     private class Draw(
-        seed: Long,
+        private val seed: Long,
     ) {
-        val random = Random(seed)
+        private val random = Random(seed)
         val timeoutMillis = if (random.nextBoolean()) 1_000L else 3_000L
         val share = random.nextDouble(0.6, 1.0)
         val periodMillis = random.nextLong(3_000, 11_000)
         val failing = if (random.nextBoolean()) random.nextDouble(0.3, 0.9) else 0.0
         val repeatExtra = listOf(5.0, 20.0, 56.0).random(random)
 
+        /** Returns a generator of its own for each [part] of the play, since the parts run beside each other. */
+        fun randomOf(part: String) = Random(seed + part.hashCode())
+
         override fun toString() =
             "timeoutMs=$timeoutMillis share=%.2f periodMs=$periodMillis failing=%.2f extra=$repeatExtra"
                 .format(share, failing)
@@ -73,34 +75,37 @@
             }
 
         private suspend fun silences() {
+            val random = draw.randomOf("silences")
             while (true) {
                 delay(draw.periodMillis)
                 for (servers in listOf(fleet.engines, fleet.desks)) {
-                    val silent = servers.shuffled(draw.random).take((servers.size * draw.share + 0.5).toInt())
-                    val millis = draw.random.nextLong(1_000, 1_400)
+                    val silent = servers.shuffled(random).take((servers.size * draw.share + 0.5).toInt())
+                    val millis = random.nextLong(1_000, 1_400)
                     silent.forEach { it.fallSilent(millis) }
                 }
             }
         }
 
         private suspend fun changes() {
+            val random = draw.randomOf("changes")
             var version = 1
             while (true) {
                 delay(draw.periodMillis - CHANGE_BEFORE_SILENCE_MILLIS)
                 version++
-                fleet.store.write("op/config", config(version, draw.random))
+                fleet.store.write("op/config", config(version, random))
                 delay(CHANGE_BEFORE_SILENCE_MILLIS)
             }
         }
 
         private suspend fun CoroutineScope.load(kind: Kind) {
+            val random = draw.randomOf(kind.name)
             val start = StandinPromptEngine.nowMillis()
             var number = 0
             while (true) {
                 val atMillis = (number++ * 1_000 / kind.perSecond).toLong()
                 if (atMillis > PLAY_MILLIS) return
                 delay(start + atMillis - StandinPromptEngine.nowMillis())
-                val instance = draw.random.nextInt(INSTANCES)
+                val instance = random.nextInt(INSTANCES)
                 launch { outcomes += send(kind, instance) }
             }
         }
@@ -113,34 +118,37 @@
             val (status, complete) =
                 when (kind) {
                     Kind.TAG -> fleet.stream(instance).let { it.status to it.complete }
-                    Kind.LOOK_UP ->
-                        fleet.lookUp(instance, "lookup", timeoutMillis = draw.timeoutMillis).let {
-                            it.status to
-                                it.complete
-                        }
-                    Kind.BOOKING ->
-                        fleet
-                            .lookUp(instance, "booking", "/reserve/x", timeoutMillis = draw.timeoutMillis)
-                            .let { it.status to it.complete }
+                    Kind.LOOK_UP -> request(instance, "/lookup/x")
+                    Kind.BOOKING -> request(instance, BOOKING_PATH)
                 }
             return Outcome(kind, sentAt, status, complete, StandinPromptEngine.nowMillis() - sentAt)
         }
 
+        private suspend fun request(
+            instance: Int,
+            path: String,
+        ): Pair<Int, Boolean> {
+            val response = fleet.lookUp(instance, body = path, path, timeoutMillis = draw.timeoutMillis)
+            return response.status to response.complete
+        }
+
+        private fun endpoints(service: String) = if (service == "engine") fleet.engines else fleet.desks
+
         fun greatestUse(service: String): Double {
-            val repeats =
-                arrivals(service).values.flatMap { arrivals -> arrivals.map { it.atMillis }.sorted().drop(1) }
+            val repeats = StandinPromptEngine.repeatTimes(endpoints(service))
             val requests = outcomes.filter { it.kind.service == service }.map { it.sentAtMillis }
             println("silence: service=$service requests=${requests.size} repeats=${repeats.size}")
             return RepeatWindows(WINDOW_MILLIS, ratio = 0.2, extra = draw.repeatExtra).greatestUse(requests, repeats)
         }
 
-        private fun arrivals(service: String) =
-            (if (service == "engine") fleet.engines else fleet.desks).flatMap { it.arrivals }.groupBy { it.requestId }
+        private fun arrivals(service: String) = endpoints(service).flatMap { it.arrivals }.groupBy { it.requestId }
+
+        private fun maxAttempts(request: StandinPromptEngine.Arrival) = if (request.body == BOOKING_PATH) 1 else 2
 
         /** Requests that were received more often than their routes allow. */
         fun excess(): List<String> =
-            listOf("engine" to 2, "desk" to 2).flatMap { (service, most) ->
-                arrivals(service).filterValues { it.size > most }.keys
+            listOf("engine", "desk").flatMap { service ->
+                arrivals(service).filterValues { it.size > maxAttempts(it.first()) }.keys
             }
 
         /**
@@ -152,12 +160,16 @@
                 arrivals("desk").values.mapNotNull { unsorted ->
                     val arrivals = unsorted.sortedBy { it.atMillis }
                     val first = arrivals.first()
-                    arrivals.drop(1).firstOrNull { it.atMillis - first.atMillis > 500 }?.let { first to it }
+                    arrivals
+                        .drop(
+                            1,
+                        ).firstOrNull { it.atMillis - first.atMillis > TOLERATED_MILLIS }
+                        ?.let { first to it }
                 }
             val tooMuch =
                 late.count { (first, again) ->
                     val callerEnd = first.atMillis + draw.timeoutMillis
-                    val allowedEnd = maxOf(first.atMillis + first.leftMillis, callerEnd) + 500
+                    val allowedEnd = maxOf(first.atMillis + first.leftMillis, callerEnd) + TOLERATED_MILLIS
                     again.atMillis + again.leftMillis > allowedEnd
                 }
             return late.size to tooMuch
@@ -166,8 +178,9 @@
         /** Calls that failed before their time was over, though all servers are sound. */
         fun endedEarly(): List<Outcome> =
             outcomes.filter {
-                val timeout = if (it.kind == Kind.TAG) 3_000 else draw.timeoutMillis
-                (it.status !in SERVED_OR_REFUSED || (it.status == 200 && !it.complete)) && it.millis < timeout - 50
+                val timeout = if (it.kind == Kind.TAG) TAG_TIMEOUT_MILLIS else draw.timeoutMillis
+                val failed = it.status !in SERVED_OR_REFUSED || (it.status == 200 && !it.complete)
+                failed && it.millis < timeout - END_MARGIN_MILLIS
             }
     }
 
@@ -223,6 +236,16 @@
 
     private companion object {
         const val SEEDS = 3L
+        const val BOOKING_PATH = "/reserve/x"
+
+        /** The least that is drawn for the route. */
+        const val TAG_TIMEOUT_MILLIS = 2_500L
+
+        /** Time by which a request may name more than is left. */
+        const val TOLERATED_MILLIS = 500L
+
+        /** Instances end a call shortly before its deadline. */
+        const val END_MARGIN_MILLIS = 50L
         const val INSTANCES = 6
         const val ENGINES = 6
         const val DESKS = 3
@@ -237,7 +260,7 @@
             random: Random,
         ): String {
             val idleMillis = random.nextInt(2_000, 30_000)
-            val tagMillis = random.nextInt(2_500, 3_001)
+            val tagMillis = random.nextLong(TAG_TIMEOUT_MILLIS, 3_001)
             return """{"version":$version,"limits":{"idleTimeoutMs":$idleMillis},"routes":[
             {"name":"tag","host":"h.example","prefix":"/tag/","kind":"stream",
             "timeoutMs":$tagMillis,"latencyTargetMs":500,"priority":0,"service":"engine","maxAttempts":2,
--- a/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
+++ b/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
@@ -308,5 +308,13 @@
         private const val SLOTS = 48
 
         fun nowMillis(): Long = System.nanoTime() / 1_000_000
+
+        /** Returns when [endpoints] received requests that one of them had received before. */
+        fun repeatTimes(endpoints: List<StandinPromptEngine>): List<Long> =
+            endpoints
+                .flatMap { it.arrivals }
+                .groupBy { it.requestId }
+                .values
+                .flatMap { arrivals -> arrivals.map { it.atMillis }.sorted().drop(1) }
     }
 }
