Let no run go back to an engine that has loaded other weights

The run had been stopped for a load of weights, the other engine was full, and it went back 0.7 s later, when its first engine had loaded the new weights.

Cause: places a run at the engine that stopped it with whatever weights that engine has then, and the request names these. The path for a last copy that finds no room did the same, though at once.

The engine must now have the weights of the run, and the request names them, so that an engine that has loaded others meanwhile refuses it.

FailedHandoverTest "a run does not go back": the engine got the request before, none now.

--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
@@ -295,9 +295,13 @@
         return engineChooser.chooseHandoverTarget(from, candidates, spec)?.let { reserveAgain(it, from) }
     }
 
-    /** Reserves load for a running request again at its own engine. */
+    /**
+     * Reserves load for a running request again at its own engine. Returns null if the engine has other weights by now,
+     * since the KV cache of the run was made under those that it had.
+     */
     @Synchronized
-    fun placeOnSameEngine(from: EndpointReservation): EndpointReservation = reserveAgain(from.state, from)
+    fun placeOnSameEngine(from: EndpointReservation): EndpointReservation? =
+        if (from.state.weights() == from.weights) reserveAgain(from.state, from) else null
 
     private fun reserveAgain(
         state: EndpointState,
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -228,14 +228,14 @@
             state.beginRepeat(run.repeat, RepeatCause.HANDOVER)
             reservation = run.reservation
             outcome = sendOnce(state, admitted, service, reservation, run.copy)
-            val repeat = if (outcome is SendOutcome.NotRun) handovers.goBack(run) else null
-            if (repeat != null) {
+            val back = if (outcome is SendOutcome.NotRun) handovers.goBack(run) else null
+            if (back != null) {
                 logger.info {
                     "relay: id=${state.call.id} goes back to=${run.source.endpoint.id} ${state.sendFacts}: $outcome"
                 }
-                state.beginRepeat(repeat, RepeatCause.HANDOVER)
-                reservation = tracker.placeOnSameEngine(run.source)
-                outcome = sendOnce(state, admitted, service, reservation, run.copy)
+                state.beginRepeat(back.repeat, RepeatCause.HANDOVER)
+                reservation = back.reservation
+                outcome = sendOnce(state, admitted, service, reservation, back.copy)
             }
         }
         return recordOutcome(state, admitted, outcome, reservation.endpoint)
--- a/src/main/kotlin/lacewingweir/transport/relay/RunHandovers.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/RunHandovers.kt
@@ -109,14 +109,16 @@
         }
 
     /**
-     * Returns a grant for a run that the other engine hasn't taken to go on at the engine that stopped it. Returns null
-     * if the run can't go on there.
+     * Lets a run that the other engine hasn't taken go on at the engine that stopped it. Returns null if it can't.
      */
-    fun goBack(run: HandedOverRun): RepeatGrant? {
+    fun goBack(run: HandedOverRun): HandedOverRun? {
         val source = run.source.endpoint
         val stoppedElsewhere = run.stopConfirmed && run.reservation.endpoint.id != source.id
         if (!stoppedElsewhere || tracker.drainingMillis(source.id) > MAX_DRAINING_MILLIS) return null
-        return repeatBudgets.tryRepeat(source.service, RepeatCause.HANDOVER)
+        val reservation = tracker.placeOnSameEngine(run.source) ?: return null
+        val repeat = repeatBudgets.tryRepeat(source.service, RepeatCause.HANDOVER)
+        if (repeat == null) reservation.end(ReservationOutcome.NOT_COUNTED)
+        return repeat?.let { HandedOverRun(run.source, reservation, run.copy, it, stopConfirmed = true) }
     }
 
     /** Removes a stream. Undoes its handover unless [takenOver] is set, which means that the run is continued. */
@@ -214,14 +216,10 @@
             is CopyResult.RunNotFound -> null.also { target.end(ReservationOutcome.NOT_COUNTED) }
             is CopyResult.Refused -> {
                 target.end(ReservationOutcome.NOT_COUNTED)
-                result.remainingCopy?.let {
-                    HandedOverRun(
-                        reservation,
-                        tracker.placeOnSameEngine(reservation),
-                        it,
-                        stream.repeat,
-                        stopConfirmed = true,
-                    )
+                result.remainingCopy?.let { copy ->
+                    tracker.placeOnSameEngine(reservation)?.let {
+                        HandedOverRun(reservation, it, copy, stream.repeat, stopConfirmed = true)
+                    }
                 }
             }
         }
--- a/src/test/kotlin/lacewingweir/platform/FailedHandoverTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/FailedHandoverTest.kt
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
 import strikt.api.expectThat
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isTrue
 import java.util.concurrent.CopyOnWriteArrayList
@@ -85,13 +86,14 @@
     private fun play(
         resumable: Boolean,
         stop: Stop = Stop.STOPPED,
+        weightsOfDraining: Int = 1,
+        log: MutableList<String> = CopyOnWriteArrayList(),
     ): RelayFixture.CallerResponse =
         runBlocking {
             RelayFixture(resumable = resumable).use { relay ->
                 relay.configure("k1")
                 // As in production: an endpoint that refuses gets no calls for a quarter of a second.
                 relay.limits = relay.limits.copy(placementWaitMillis = 1_000)
-                val log = CopyOnWriteArrayList<String>()
                 val engines = listOf("i-1", "i-2").map { Engine(it, log, stop) }
                 val endpoints =
                     engines.mapIndexed { i, engine -> relay.endpoint("i-${i + 1}", "engine", handler = engine::serve) }
@@ -99,7 +101,8 @@
                     val headers = listOf("Model" to "m", "Token-Counts" to "100,400")
                     val response = async { relay.call("stream", headers = headers) }
                     while (engines.none { it.started.isCompleted }) delay(5)
-                    relay.register(endpoints[engines.indexOfFirst { it.started.isCompleted }], "engine", "draining")
+                    val began = endpoints[engines.indexOfFirst { it.started.isCompleted }]
+                    relay.register(began, "engine", "draining", weights = weightsOfDraining)
                     response.await().also { println("handover: resumable=$resumable stop=$stop $log") }
                 }
             }
@@ -119,6 +122,15 @@
     fun `a stream that may not be resumed goes on if the engine with the copy refuses its run`() =
         expectComplete(play(resumable = false))
 
+    /** Guards against runs that go on with a KV cache of other weights. */
+    @Test
+    fun `a run does not go back to an engine that has loaded other weights`() {
+        val log = CopyOnWriteArrayList<String>()
+        play(resumable = false, weightsOfDraining = 2, log = log)
+        val began = log.first().substringBefore(' ')
+        expectThat(log.filter { it.startsWith(began) && "from=127" in it }).isEmpty()
+    }
+
     @Test
     fun `a stream that has ended is complete if its engine doesn't respond to the order to stop it`() =
         expectComplete(play(resumable = false, stop = Stop.ENDED_WITHOUT_RESPONSE))
