--- a/src/test/kotlin/lacewingweir/platform/CutOffInstanceTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/CutOffInstanceTest.kt
@@ -460,11 +460,8 @@
                     .groupingBy { it.requestId }
                     .eachCount()
             fleet.engines.forEach { it.brokenOffParts = emptySet() }
-            println(
-                "passed on after a send: statuses=$statuses, calls by number of engines ${sends.values.groupingBy {
-                    it
-                }.eachCount()}",
-            )
+            val callsBySends = sends.values.groupingBy { it }.eachCount()
+            println("passed on after a send: statuses=$statuses, calls by number of sends $callsBySends")
             expect {
                 that(sends.values.max()).isGreaterThan(1)
                 that(sends.filterValues { it > MAX_TAG_ENDPOINTS }).isEmpty()
--- a/src/test/kotlin/lacewingweir/platform/RepeatsReadLateTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/RepeatsReadLateTest.kt
@@ -30,11 +30,11 @@
                 val requestTimes = CopyOnWriteArrayList<Long>()
                 val start = StandinPromptEngine.nowMillis()
                 fleet.desks.forEach { it.fallSilent(SILENCE_MILLIS) }
-                coroutineScope { burst(fleet, "silent", requestTimes) }
+                burst(fleet, "silent", requestTimes)
                 val bodies = List(CALLS) { "failing$it" }
                 fleet.desks.forEach { it.abortingBodies = bodies.toSet() }
                 delay(start + MILLIS_BETWEEN_BURSTS - StandinPromptEngine.nowMillis())
-                coroutineScope { burst(fleet, "failing", requestTimes) }
+                burst(fleet, "failing", requestTimes)
                 val repeatTimes = StandinPromptEngine.repeatTimes(fleet.desks)
                 val windows = RepeatWindows(WINDOW_MILLIS, ratio = 0.2, extra = REPEAT_EXTRA)
                 val greatestUse = windows.greatestUse(requestTimes, repeatTimes)
