Reject responses with an invalid status

Callers got the answer of an endpoint whose status was 000, as `HTTP/1.1 0 Unknown Status (0)` with its body; the same for 99, 600, 1000 and other integers. An interim response with such a status was an answer too, and a 600 with the header of a refusal let a booking be sent a second time.

Cause: Netty's decoder takes any integer for a status, and nothing behind it checked the range.

The status is checked where heads are decoded, which all readers share: calls, control requests, the store, other instances. A response with any other status than three digits from 100 to 599 fails to decode, so it ends its connection and counts as a call that may have run. The check of a head inside a head moves to the same place. Malformed responses are logged with the defect, the receiver of the request and the use of the connection, and counted by defect: every 5 s in the log of `route`, as `lacewingweir_malformed_responses_total` in `serve`.

--- a/src/main/kotlin/lacewingweir/cli/router/RepeatReporter.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RepeatReporter.kt
@@ -4,6 +4,7 @@
 import lacewingweir.coordination.time.TimerService
 import lacewingweir.state.id.ServiceName
 import lacewingweir.transport.http.CloseReason
+import lacewingweir.transport.http.ResponseDefect
 import lacewingweir.transport.http.StatusPair
 import lacewingweir.transport.relay.RepeatFigures
 import java.util.Locale
@@ -12,8 +13,8 @@
 
 /**
  * Logs periodically the repeats of calls, the responses to other requests that were skipped, by status, the second
- * responses to answered requests, by both statuses, and the connections of callers that were closed before a complete
- * response, by reason.
+ * responses to answered requests, by both statuses, the malformed responses, by their senders and defects, and the
+ * connections of callers that were closed before a complete response, by reason.
  *
  * Totals count from the start of the process. Services without changes are left out.
  */
@@ -22,11 +23,13 @@
     private val repeats: () -> Map<ServiceName, RepeatFigures>,
     private val skippedResponses: () -> Map<Int, Long>,
     private val secondResponses: () -> Map<StatusPair, Long>,
+    private val malformedResponses: () -> Map<String, Map<ResponseDefect, Long>>,
     private val unansweredCloses: () -> Map<CloseReason, Long>,
 ) {
     private var reportedRepeats = emptyMap<ServiceName, RepeatFigures>()
     private var reportedSkipped = emptyMap<Int, Long>()
     private var reportedSecond = emptyMap<StatusPair, Long>()
+    private var reportedMalformed = emptyMap<String, Map<ResponseDefect, Long>>()
     private var reportedCloses = emptyMap<CloseReason, Long>()
 
     fun start() {
@@ -51,6 +54,9 @@
         val second = secondResponses()
         if (second != reportedSecond) logger.info { "responses: second=$second" }
         reportedSecond = second
+        val malformed = malformedResponses().filterValues { it.isNotEmpty() }
+        if (malformed != reportedMalformed) logger.info { "responses: malformed=$malformed" }
+        reportedMalformed = malformed
         val closes = unansweredCloses()
         if (closes != reportedCloses) logger.info { "connections: closed before a complete response=$closes" }
         reportedCloses = closes
--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -93,7 +93,8 @@
     private val ageClock = SuspendAwareClock()
     private val bounds = settings.bounds
     private val storeAddress = checkNotNull(HostPort.parse(settings.storeAddress))
-    private val store = PlatformStore(HttpClient(group, defaultIdleTimeoutMillis = STORE_IDLE_MILLIS), storeAddress)
+    private val storeClient = HttpClient(group, defaultIdleTimeoutMillis = STORE_IDLE_MILLIS)
+    private val store = PlatformStore(storeClient, storeAddress)
     private val endpointClient = HttpClient(group, defaultIdleTimeoutMillis = ENDPOINT_IDLE_MILLIS)
     private val peerClient =
         HttpClient(group, maxIdlePerAddress = MAX_IDLE_PEER_CONNECTIONS, defaultIdleTimeoutMillis = PEER_IDLE_MILLIS)
@@ -312,6 +313,13 @@
             repeatBudgets::figures,
             endpointClient::skippedResponses,
             endpointClient::secondResponseTotals,
+            {
+                mapOf(
+                    "endpoints" to endpointClient.malformedResponses,
+                    "store" to storeClient.malformedResponses,
+                    "instances" to peerClient.malformedResponses,
+                )
+            },
             callerServer::unansweredCloses,
         )
     private val readinessServer = createServer(settings.readinessListen, ::answerReadiness)
--- a/src/main/kotlin/lacewingweir/cli/serve/InstanceRuntime.kt
+++ b/src/main/kotlin/lacewingweir/cli/serve/InstanceRuntime.kt
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
+import io.prometheus.metrics.core.metrics.CounterWithCallback
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -24,6 +25,19 @@
     val http = HttpClient(group)
     val registry = PrometheusRegistry()
 
+    init {
+        CounterWithCallback
+            .builder()
+            .name("lacewingweir_malformed_responses_total")
+            .help("Malformed responses of endpoints and of the store, by defect.")
+            .labelNames("defect")
+            .callback { metric ->
+                http.malformedResponses.forEach { (defect, count) ->
+                    metric.call(count.toDouble(), defect.name.lowercase())
+                }
+            }.register(registry)
+    }
+
     override fun close() {
         scope.cancel()
         http.close()
--- a/src/main/kotlin/lacewingweir/transport/http/ClientConnection.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ClientConnection.kt
@@ -39,7 +39,8 @@
  *
  * [hasEnded] tells whether a request of this client with the id to the same server is over. [onAnswered] is called with
  * the id of a request as soon as a response names it, and [onSkipped] with the status of each response that is skipped.
- * Responses to requests that have been answered on the connection are reported to [secondResponses].
+ * Responses to requests that have been answered on the connection are reported to [secondResponses], and those that
+ * end the connection because they are malformed to [malformedResponses].
  */
 internal class ClientConnection(
     private val defaultIdleTimeoutMillis: Long,
@@ -47,6 +48,7 @@
     private val onAnswered: (id: String) -> Unit = {},
     private val onSkipped: (status: Int) -> Unit = {},
     private val secondResponses: SecondResponses = SecondResponses(),
+    private val malformedResponses: MalformedResponses = MalformedResponses(),
 ) : SimpleChannelInboundHandler<HttpObject>() {
     internal sealed interface Head {
         class Received(
@@ -299,11 +301,7 @@
             return
         }
         if (message.decoderResult().isFailure) {
-            fail("malformed response: ${message.decoderResult().cause().message}")
-            return
-        }
-        if (message is HttpResponse && message.holdsAnotherHead()) {
-            fail("malformed response: a head inside a head")
+            onMalformed(message.decoderResult().cause())
             return
         }
         if (message is HttpResponse) {
@@ -313,6 +311,13 @@
         if (message is HttpContent && !inInterimResponse) onContent(message)
     }
 
+    private fun onMalformed(cause: Throwable) {
+        val reason = cause.message.orEmpty().printable()
+        if (fail("malformed response: $reason")) {
+            malformedResponses.record(cause.responseDefect(), reason, current, use)
+        }
+    }
+
     private fun reportIdleData(message: HttpObject) {
         if (message is HttpResponse && message.decoderResult().isSuccess) {
             if (reportIfSecond(message, SecondResponseMoment.IDLE)) return
@@ -366,11 +371,13 @@
         ctx.close()
     }
 
-    private fun fail(reason: String) {
-        events.trySend(Event.Failure(reason))
+    /** Ends the connection. Returns false if it has failed before. */
+    private fun fail(reason: String): Boolean {
+        val first = events.trySend(Event.Failure(reason)).isSuccess
         events.close()
         state.set(CLOSED)
         context?.close()
+        return first
     }
 
     internal val isClosed: Boolean
--- a/src/main/kotlin/lacewingweir/transport/http/HttpClient.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/HttpClient.kt
@@ -54,6 +54,7 @@
     private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
     private val skipped = KeyedCounter<Int>()
     private val secondResponses = SecondResponses()
+    private val rejected = MalformedResponses()
     private val endedRequests = EndedRequests()
 
     /** The number of responses to other requests that were skipped so far, by status. */
@@ -64,6 +65,10 @@
     internal val secondResponseTotals: Map<StatusPair, Long>
         get() = secondResponses.totals
 
+    /** The number of responses that were rejected as malformed so far, by defect. */
+    public val malformedResponses: Map<ResponseDefect, Long>
+        get() = rejected.totals
+
     /** Sends [request] and waits for the head of the response. Closes the connection if the caller is cancelled. */
     public suspend fun open(request: ClientRequest): ClientResult {
         val connection =
@@ -174,6 +179,7 @@
                 onAnswered = { id -> endedRequests.add(request.address, id) },
                 onSkipped = skipped::increment,
                 secondResponses = secondResponses,
+                malformedResponses = rejected,
             )
         val handlers = listOf(HttpRequestEncoder(), connection.decoder, connection)
         val future = connect(request.host, request.port, request.connectTimeoutMillis, handlers)
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/platform/MalformedAnswerTest.kt
@@ -0,0 +1,116 @@
+package lacewingweir.platform
+
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.Timeout
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isIn
+import java.util.concurrent.atomic.AtomicInteger
+
+/**
+ * Guards against responses of endpoints with statuses such as 000 that reach callers as answers. Such a call may have
+ * run, so it is repeated only where its route allows that, and no booking is sent twice.
+ */
+@Timeout(30)
+internal class MalformedAnswerTest {
+    private val servers = ArrayList<RawServer>()
+    private val received = AtomicInteger()
+
+    @AfterEach
+    fun close() = servers.forEach { it.close() }
+
+    /** Sends a call to a service whose endpoints all respond with [response], in which `ID` stands for its id. */
+    private fun call(
+        kind: String,
+        response: String,
+        endpoints: Int = 2,
+    ): RelayFixture.CallerResponse =
+        RelayFixture(repeatExtra = 100_000.0).use { relay ->
+            relay.configure("k1")
+            repeat(endpoints) { i ->
+                val server =
+                    RawServer { request ->
+                        received.incrementAndGet()
+                        write(response.replace("ID", request.id))
+                        close()
+                    }
+                servers += server
+                if (kind ==
+                    "stream"
+                ) {
+                    relay.registerEngine("i-$i", server.port)
+                } else {
+                    relay.registerPlain("i-$i", server.port)
+                }
+            }
+            val prompt = listOf("Model" to "m", "Token-Counts" to "300,20", "Prompt-Prefix" to "part:300")
+            runBlocking { relay.call(kind, headers = if (kind == "stream") prompt else emptyList()) }
+        }
+
+    private fun response(
+        statusLine: String,
+        fields: String = NAMED,
+    ) = "$statusLine\r\n${fields}Content-Length: ${EVENTS.length}\r\n\r\n$EVENTS"
+
+    private fun expectBadGateway(
+        kind: String,
+        response: String,
+    ) {
+        received.set(0)
+        val answer = call(kind, response)
+        expectThat(answer.status).isEqualTo(BAD_GATEWAY)
+        expectThat(answer.body).not { get { contains("event-of-server") }.isEqualTo(true) }
+        expectThat(received.get()).isIn(if (kind == "non_idempotent") 1..1 else 1..2)
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = ["idempotent", "non_idempotent", "stream"])
+    fun `no caller gets an answer with status 000`(kind: String) {
+        expectBadGateway(kind, response("HTTP/1.1 000 None"))
+        expectBadGateway(kind, response("HTTP/1.1 000 None", "${NAMED}Content-Type: text/event-stream\r\n"))
+        expectBadGateway(kind, "HTTP/1.1 000 None\r\n$NAMED\r\n$EVENTS")
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = ["HTTP/1.1 099 x", "HTTP/1.1 99 x", "HTTP/1.1 600 x", "HTTP/1.1 2000 x"])
+    fun `no caller gets an answer with an invalid status line`(statusLine: String) {
+        expectBadGateway("idempotent", response(statusLine))
+        expectBadGateway("non_idempotent", response(statusLine))
+    }
+
+    /** A refusal proves that the call was not executed, so a malformed one must not lead to a second send. */
+    @ParameterizedTest
+    @ValueSource(strings = ["HTTP/1.1 600 Busy\r\nNot-Executed: 1"])
+    fun `no booking is sent again after a malformed refusal`(head: String) =
+        expectBadGateway("non_idempotent", "$head\r\n${NAMED}Content-Length: 0\r\n\r\n")
+
+    @Test
+    fun `a call that may be repeated is answered by a sound endpoint`() {
+        val sends = RawServer.Sends()
+        val sound = response("HTTP/1.1 200 OK")
+        RelayFixture(repeatExtra = 100_000.0).use { relay ->
+            relay.configure("k1")
+            repeat(2) { i ->
+                val server =
+                    RawServer(sends = sends) { request ->
+                        val malformed = request.send == 1
+                        write((if (malformed) response("HTTP/1.1 000 None") else sound).replace("ID", request.id))
+                    }
+                servers += server
+                relay.registerPlain("i-$i", server.port)
+            }
+            val answer = runBlocking { relay.call("idempotent") }
+            expectThat(answer.status to answer.body).isEqualTo(200 to EVENTS)
+        }
+    }
+
+    private companion object {
+        const val BAD_GATEWAY = 502
+        const val NAMED = "Attempt-Id: ID\r\nServer-Stamp: s\r\n"
+        const val EVENTS = "id: 1\ndata: event-of-server\n\n"
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/transport/http/MalformedResponseTest.kt
@@ -0,0 +1,127 @@
+package lacewingweir.transport.http
+
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.runBlocking
+import lacewingweir.testing.SocketServer
+import lacewingweir.testing.write
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.Timeout
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isNotNull
+
+/** Guards against responses with an invalid status that pass for answers. */
+@Timeout(20)
+internal class MalformedResponseTest {
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val client = HttpClient(group)
+    private val servers = ArrayList<SocketServer>()
+
+    @AfterEach
+    fun tearDown() {
+        client.close()
+        servers.forEach { it.close() }
+        group.shutdownGracefully()
+    }
+
+    /** Opens a request to a server that sends [response], and closes the connection then if it [closes]. */
+    private suspend fun open(
+        response: String,
+        closes: Boolean = true,
+    ): ClientResult {
+        val server =
+            SocketServer {
+                it.write(response)
+                if (closes) it.close()
+            }
+        servers += server
+        return client.open(ClientRequest("127.0.0.1", server.port, "GET", "/", headTimeoutMillis = TIMEOUT_MILLIS))
+    }
+
+    /** Expects that [response] is rejected at once, whether the connection is closed behind it or not. */
+    private fun expectNoAnswer(response: String): Unit =
+        runBlocking {
+            for (closes in listOf(true, false)) {
+                expectThat(open(response, closes)).isA<ClientResult.Unknown>().get { timedOut }.isFalse()
+            }
+        }
+
+    @Test
+    fun `malformed responses are counted by their defects`() {
+        expectNoAnswer("HTTP/1.1 000 None\r\n\r\n")
+        expectNoAnswer("HTTP/1.1 200 OK\r\nX-Field: HTTP/1.1 500 Error\r\n\r\n")
+        expectNoAnswer("HTTP/1.1 200 OK\r\nX-Field: \u0000\r\n\r\n")
+        runBlocking { open("HTTP/1.1 200 OK\r\nX-Fie") }
+        val counts =
+            mapOf(
+                ResponseDefect.STATUS to 2L,
+                ResponseDefect.HEAD_IN_HEAD to 2L,
+                ResponseDefect.OTHER to 2L,
+                ResponseDefect.INCOMPLETE_HEAD to 1L,
+            )
+        expectThat(client.malformedResponses).isEqualTo(counts)
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = ["000 None", "999 OK"])
+    fun `a malformed head that arrives in two parts is no answer`(start: String) {
+        val response = "HTTP/1.1 $start\r\nContent-Length: 5\r\n\r\nwhole"
+        for (firstBytes in 1 until response.length) {
+            val server =
+                SocketServer { socket ->
+                    socket.write(response.take(firstBytes))
+                    Thread.sleep(2)
+                    socket.write(response.drop(firstBytes))
+                }
+            servers += server
+            val request = ClientRequest("127.0.0.1", server.port, "GET", "/", headTimeoutMillis = TIMEOUT_MILLIS)
+            expectThat(runBlocking { client.open(request) }).isA<ClientResult.Unknown>().get { timedOut }.isFalse()
+        }
+    }
+
+    private fun body(response: String): String? =
+        runBlocking { (open(response) as ClientResult.Answered).response.readAll(100_000, TIMEOUT_MILLIS) }
+            ?.decodeToString()
+
+    @ParameterizedTest
+    @ValueSource(strings = ["000", "0", "00", "99", "099", "20", "600", "999", "1000", "2000", "0200", "+200", "2x0"])
+    fun `a status that is not three digits from 100 to 599 is no answer`(status: String) {
+        expectNoAnswer("HTTP/1.1 $status OK\r\nContent-Length: 5\r\n\r\nwhole")
+        expectNoAnswer("HTTP/1.1 $status OK\r\n\r\nwhole")
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = ["-200", "200OK", "2 00", "200\u0000", "0xC8", ""])
+    fun `a status that is no number is no answer`(status: String) =
+        expectNoAnswer("HTTP/1.1 $status OK\r\nContent-Length: 5\r\n\r\nwhole")
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = ["HTTP/1.1 000 None", "HTTP/1.1 099 None"],
+    )
+    fun `nothing behind a malformed interim response is an answer`(interim: String) =
+        expectNoAnswer("$interim\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = [
+            "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 \r\n", "HTTP/1.1 200\r\n", "HTTP/1.0 200 OK\r\n", "HTTP/1.2 599 x\r\n",
+            "HTTP/1.1 299 OK\r\n!#$%&'*+-.^_`|~09azAZ: v\r\n", "HTTP/1.1 200 OK\r\nX-Empty:\r\n",
+            "HTTP/1.1 404 \u00e9\r\nX-Field:\tv \u00e9 \t\r\n",
+        ],
+    )
+    fun `an unusual but valid head is an answer`(head: String) {
+        expectThat(body("${head}Content-Length: 5\r\n\r\nwhole")).isNotNull().isEqualTo("whole")
+        expectThat(body("$head\r\nwhole")).isNotNull().isEqualTo("whole")
+    }
+
+    private companion object {
+        const val TIMEOUT_MILLIS = 2_000L
+    }
+}
