Reject responses with a blank in the name of a field

Callers got answers in whose head the name of a field held a blank or a tab, also right before the colon, with the name cut there. `Content-Length x: 5` cut the body to 5 bytes, complete; the cut names of the id and of the server's stamp counted as the real ones; and `Not-Executed : 1` made a refusal, so a booking was sent a second time. A line that begins with a blank changed the value of the field before it, and a line without a colon passed. Control bytes were rejected already.

Cause: in responses, Netty ends a name at the first blank, and joins folded lines.

The decoder now rejects a name that doesn't end at its colon, in heads and in trailers. A folded line is rejected too, which RFC 9112 (5.2) allows: a name with a blank at its beginning can't be told from it.

--- a/src/main/kotlin/lacewingweir/transport/http/MalformedResponses.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/MalformedResponses.kt
@@ -9,6 +9,8 @@
 /** What makes a response malformed. */
 public enum class ResponseDefect {
     STATUS,
+    FIELD_NAME,
+    LINE_FOLDING,
 
     /** The head broke off and goes on with that of another response. */
     HEAD_IN_HEAD,
--- a/src/main/kotlin/lacewingweir/transport/http/ResponseDecoder.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ResponseDecoder.kt
@@ -7,12 +7,15 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpStatusClass
+import io.netty.util.AsciiString
 
 /**
  * Decodes responses, and tells whether more has arrived than was decoded.
  *
- * Netty accepts any integer as a status. What a server in trouble sends would pass for its answer, so a status that
- * RFC 9110 doesn't allow makes a response malformed here. The decoder then fails with a [MalformedResponseException].
+ * Netty reads responses leniently: it accepts any integer as a status, ends the name of a field at the first blank and
+ * joins folded lines. What a server in trouble sends would pass for its answer, so all of that makes a response
+ * malformed here, as RFC 9110 and RFC 9112 require or allow. The decoder then fails with a
+ * [MalformedResponseException].
  *
  * [answersHead] tells whether the response in progress is that to a `HEAD` request, which has no body.
  */
@@ -20,6 +23,8 @@
     private val answersHead: () -> Boolean,
 ) : HttpResponseDecoder() {
     private var inHead = false
+    private var hasFoldedLine = false
+    private var lastByte: Byte = 0
 
     /** Whether bytes have arrived that are not decoded yet. Valid while a decoded message is being handled. */
     val hasMoreBytes: Boolean
@@ -30,8 +35,10 @@
         buffer: ByteBuf,
         out: MutableList<Any>,
     ) {
+        val start = buffer.readerIndex()
         super.decode(context, buffer, out)
         if (!inHead) return
+        for (i in start until buffer.readerIndex()) scanForFolding(buffer.getByte(i))
         val response = out.firstOrNull() as? HttpResponse ?: return
         if (response.decoderResult().isSuccess) {
             findDefect(response)?.let { response.decoderResult = DecoderResult.failure(it) }
@@ -39,8 +46,14 @@
         inHead = false
     }
 
+    private fun scanForFolding(byte: Byte) {
+        if (lastByte == LINE_FEED && (byte == SPACE || byte == TAB)) hasFoldedLine = true
+        lastByte = byte
+    }
+
     private fun findDefect(response: HttpResponse): MalformedResponseException? =
         when {
+            hasFoldedLine -> MalformedResponseException(ResponseDefect.LINE_FOLDING, "a line begins with a blank")
             response.holdsAnotherHead() ->
                 MalformedResponseException(ResponseDefect.HEAD_IN_HEAD, "a head inside a head")
             else -> null
@@ -52,15 +65,35 @@
             throw MalformedResponseException(ResponseDefect.STATUS, "status '$status'")
         }
         inHead = true
+        hasFoldedLine = false
+        lastByte = 0
         return super.createMessage(initialLine)
     }
 
+    /** Called for the fields of heads and of trailers. */
+    override fun splitHeaderName(
+        line: ByteArray,
+        start: Int,
+        length: Int,
+    ): AsciiString {
+        val name = super.splitHeaderName(line, start, length)
+        if (line[start + length] != COLON) {
+            throw MalformedResponseException(ResponseDefect.FIELD_NAME, "a blank behind '$name' in the name of a field")
+        }
+        return name
+    }
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean {
         val final = message is HttpResponse && message.status().codeClass() != HttpStatusClass.INFORMATIONAL
         return (final && answersHead()) || super.isContentAlwaysEmpty(message)
     }
 
     private companion object {
+        const val COLON = ':'.code.toByte()
+        const val SPACE = ' '.code.toByte()
+        const val TAB = '\t'.code.toByte()
+        const val LINE_FEED = '\n'.code.toByte()
+
         val VALID_STATUS = Regex("[1-5][0-9]{2}")
     }
 }
--- a/src/test/kotlin/lacewingweir/platform/MalformedAnswerTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/MalformedAnswerTest.kt
@@ -12,8 +12,9 @@
 import java.util.concurrent.atomic.AtomicInteger
 
 /**
- * Guards against responses of endpoints with statuses such as 000 that reach callers as answers. Such a call may have
- * run, so it is repeated only where its route allows that, and no booking is sent twice.
+ * Guards against malformed responses of endpoints that reach callers as answers: statuses such as 000, and heads with a
+ * field name that holds a blank or a control byte. Such a call may have run, so it is repeated only where its route
+ * allows that, and no booking is sent twice.
  */
 @Timeout(30)
 internal class MalformedAnswerTest {
@@ -82,9 +83,32 @@
         expectBadGateway("non_idempotent", response(statusLine))
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = ["X Field", "X\tField", "X-Field ", "X-Field\t", " X-Field", "X\u0001Field", "X\u0000Field"])
+    fun `no caller gets an answer with a blank or a control byte in the name of a field`(name: String) {
+        for (kind in listOf("idempotent", "non_idempotent", "stream")) {
+            expectBadGateway(kind, response("HTTP/1.1 200 OK", "$NAMED$name: value\r\n"))
+            expectBadGateway(kind, response("HTTP/1.1 500 Error", "$NAMED$name: value\r\n"))
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = ["Content-Length x: 5", "Content-Length : 5", "Content-Encoding x: gzip", " Content-Length: 5"],
+    )
+    fun `no caller gets a part of a body because of a blank in the name of a field`(field: String) {
+        expectBadGateway("idempotent", "HTTP/1.1 200 OK\r\n$NAMED$field\r\n\r\n$EVENTS")
+        expectBadGateway("non_idempotent", "HTTP/1.1 200 OK\r\n$NAMED$field\r\n\r\n$EVENTS")
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = ["Attempt-Id x: ID\r\nServer-Stamp: s\r\n", "Attempt-Id: ID\r\nServer-Stamp : s\r\n"])
+    fun `no caller gets an answer that names its request in a malformed field`(fields: String) =
+        expectBadGateway("non_idempotent", response("HTTP/1.1 200 OK", fields))
+
     /** A refusal proves that the call was not executed, so a malformed one must not lead to a second send. */
     @ParameterizedTest
-    @ValueSource(strings = ["HTTP/1.1 600 Busy\r\nNot-Executed: 1"])
+    @ValueSource(strings = ["HTTP/1.1 503 Busy\r\nNot-Executed : 1", "HTTP/1.1 600 Busy\r\nNot-Executed: 1"])
     fun `no booking is sent again after a malformed refusal`(head: String) =
         expectBadGateway("non_idempotent", "$head\r\n${NAMED}Content-Length: 0\r\n\r\n")
 
--- a/src/test/kotlin/lacewingweir/transport/http/MalformedResponseTest.kt
+++ b/src/test/kotlin/lacewingweir/transport/http/MalformedResponseTest.kt
@@ -15,8 +15,12 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isNotNull
+import strikt.assertions.isNull
 
-/** Guards against responses with an invalid status that pass for answers. */
+/**
+ * Guards against malformed responses that pass for answers: a status, a version, the name of a field or the framing of
+ * a body that RFC 9110 and RFC 9112 don't allow.
+ */
 @Timeout(20)
 internal class MalformedResponseTest {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
@@ -55,12 +59,16 @@
     @Test
     fun `malformed responses are counted by their defects`() {
         expectNoAnswer("HTTP/1.1 000 None\r\n\r\n")
+        expectNoAnswer("HTTP/1.1 200 OK\r\nX Field: v\r\n\r\n")
+        expectNoAnswer("HTTP/1.1 200 OK\r\nX-Field: v\r\n folded\r\n\r\n")
         expectNoAnswer("HTTP/1.1 200 OK\r\nX-Field: HTTP/1.1 500 Error\r\n\r\n")
         expectNoAnswer("HTTP/1.1 200 OK\r\nX-Field: \u0000\r\n\r\n")
         runBlocking { open("HTTP/1.1 200 OK\r\nX-Fie") }
         val counts =
             mapOf(
                 ResponseDefect.STATUS to 2L,
+                ResponseDefect.FIELD_NAME to 2L,
+                ResponseDefect.LINE_FOLDING to 2L,
                 ResponseDefect.HEAD_IN_HEAD to 2L,
                 ResponseDefect.OTHER to 2L,
                 ResponseDefect.INCOMPLETE_HEAD to 1L,
@@ -69,7 +77,7 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = ["000 None", "999 OK"])
+    @ValueSource(strings = ["000 None", "200 OK\r\nX Field: v", "200 OK\r\nX-Field: v\r\n folded", "200 OK\r\n X: v"])
     fun `a malformed head that arrives in two parts is no answer`(start: String) {
         val response = "HTTP/1.1 $start\r\nContent-Length: 5\r\n\r\nwhole"
         for (firstBytes in 1 until response.length) {
@@ -85,6 +93,12 @@
         }
     }
 
+    private fun expectIncomplete(response: String): Unit =
+        runBlocking {
+            val result = open(response)
+            if (result is ClientResult.Answered) expectThat(result.response.readAll(100_000, TIMEOUT_MILLIS)).isNull()
+        }
+
     private fun body(response: String): String? =
         runBlocking { (open(response) as ClientResult.Answered).response.readAll(100_000, TIMEOUT_MILLIS) }
             ?.decodeToString()
@@ -103,11 +117,43 @@
 
     @ParameterizedTest
     @ValueSource(
-        strings = ["HTTP/1.1 000 None", "HTTP/1.1 099 None"],
+        strings = [
+            "X Field", "X\tField", "X-Field ", "X-Field\t", "Content-Type x", "Transfer-Encoding x", "X\u0000Field",
+            "X\u0001Field", "X\u000bField", "X\u007fField", "X\u0080Field", "X\rField", "X(Field", "X/Field", "",
+            "no colon\r\nX-Field", "no-colon\r\nX-Field",
+        ],
+    )
+    fun `a field name that is no token is no answer`(name: String) {
+        expectNoAnswer("HTTP/1.1 200 OK\r\n$name: value\r\nContent-Length: 5\r\n\r\nwhole")
+        expectNoAnswer("HTTP/1.1 500 Error\r\nContent-Length: 5\r\n$name: value\r\n\r\nwhole")
+        expectNoAnswer("HTTP/1.1 200 OK\r\n$name: value\r\n\r\nwhole")
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = ["Content-Length x", "Content-Length ", "Content-Length\t", " Content-Length"])
+    fun `a length whose field name holds a blank is no answer`(name: String) =
+        expectNoAnswer("HTTP/1.1 200 OK\r\n$name: 5\r\n\r\nwhole and more")
+
+    @ParameterizedTest
+    @ValueSource(strings = [" X-Field: value", "\tX-Field: value", " Content-Length: 5", " folded"])
+    fun `a line of a head that begins with a blank is no answer`(line: String) {
+        expectNoAnswer("HTTP/1.1 200 OK\r\n$line\r\nContent-Length: 5\r\n\r\nwhole")
+        expectNoAnswer("HTTP/1.1 200 OK\r\nX-Other: value\r\n$line\r\nContent-Length: 5\r\n\r\nwhole")
+        expectNoAnswer("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n$line\r\n\r\nwhole")
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = ["HTTP/1.1 000 None", "HTTP/1.1 099 None", "HTTP/1.1 102 OK\r\nX Field: v"],
     )
     fun `nothing behind a malformed interim response is an answer`(interim: String) =
         expectNoAnswer("$interim\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
 
+    @ParameterizedTest
+    @ValueSource(strings = ["X Field: v", "X-Field : v", "X\u0001Field: v", "no colon"])
+    fun `a body with a malformed trailer is incomplete`(trailer: String) =
+        expectIncomplete("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n$trailer\r\n\r\n")
+
     @ParameterizedTest
     @ValueSource(
         strings = [
