Reject responses with another version or an unknown transfer coding

Callers, the store's readers, probes and instances that pass calls on took responses for answers whose version was HTTP/7.3, HTTP/2.0 or in lower case, and those in a transfer coding that nobody had asked for: `Transfer-Encoding: gzip` was read up to the end of the connection and passed on without the field, encoded. A request that got 101 waited for its deadline. Same cause as of invalid statuses and names: Netty reads responses leniently, and nothing behind it checks.

The decoder now rejects a version other than HTTP/1.x, a transfer coding other than `chunked`, and 101, since the client never asks for another protocol. Lengths, chunk sizes, ends of chunks, missing last chunks, and a length beside chunks were sound before; their cases stay as tests.

--- a/src/main/kotlin/lacewingweir/transport/http/MalformedResponses.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/MalformedResponses.kt
@@ -8,9 +8,11 @@
 
 /** What makes a response malformed. */
 public enum class ResponseDefect {
+    VERSION,
     STATUS,
     FIELD_NAME,
     LINE_FOLDING,
+    TRANSFER_CODING,
 
     /** The head broke off and goes on with that of another response. */
     HEAD_IN_HEAD,
--- a/src/main/kotlin/lacewingweir/transport/http/ResponseDecoder.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ResponseDecoder.kt
@@ -3,19 +3,22 @@
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.DecoderResult
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.util.AsciiString
 
 /**
  * Decodes responses, and tells whether more has arrived than was decoded.
  *
- * Netty reads responses leniently: it accepts any integer as a status, ends the name of a field at the first blank and
- * joins folded lines. What a server in trouble sends would pass for its answer, so all of that makes a response
- * malformed here, as RFC 9110 and RFC 9112 require or allow. The decoder then fails with a
- * [MalformedResponseException].
+ * Netty reads responses leniently: it accepts any integer as a status and any version, ends the name of a field at the
+ * first blank, joins folded lines and reads a body in an unknown transfer coding up to the end of the connection. What
+ * a server in trouble sends would pass for its answer, so all of that makes a response malformed here, as RFC 9110 and
+ * RFC 9112 require or allow. The decoder then fails with a [MalformedResponseException].
  *
  * [answersHead] tells whether the response in progress is that to a `HEAD` request, which has no body.
  */
@@ -51,17 +54,28 @@
         lastByte = byte
     }
 
-    private fun findDefect(response: HttpResponse): MalformedResponseException? =
-        when {
+    private fun findDefect(response: HttpResponse): MalformedResponseException? {
+        val codings = response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
+        return when {
             hasFoldedLine -> MalformedResponseException(ResponseDefect.LINE_FOLDING, "a line begins with a blank")
+            codings.any { !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(it) } ->
+                MalformedResponseException(
+                    ResponseDefect.TRANSFER_CODING,
+                    "transfer coding '${codings.joinToString()}'",
+                )
             response.holdsAnotherHead() ->
                 MalformedResponseException(ResponseDefect.HEAD_IN_HEAD, "a head inside a head")
             else -> null
         }
+    }
 
     override fun createMessage(initialLine: Array<String>): HttpMessage {
-        val status = initialLine[1]
-        if (!VALID_STATUS.matches(status)) {
+        val (version, status) = initialLine
+        if (!VALID_VERSION.matches(version)) {
+            throw MalformedResponseException(ResponseDefect.VERSION, "version '$version'")
+        }
+        // The client never asks a server to switch protocols.
+        if (!VALID_STATUS.matches(status) || status == SWITCHING_PROTOCOLS) {
             throw MalformedResponseException(ResponseDefect.STATUS, "status '$status'")
         }
         inHead = true
@@ -94,6 +108,9 @@
         const val TAB = '\t'.code.toByte()
         const val LINE_FEED = '\n'.code.toByte()
 
+        /** RFC 9110 has a recipient read a higher minor version as the highest that it knows. */
+        val VALID_VERSION = Regex("""HTTP/1\.[0-9]""")
         val VALID_STATUS = Regex("[1-5][0-9]{2}")
+        val SWITCHING_PROTOCOLS: String = HttpResponseStatus.SWITCHING_PROTOCOLS.codeAsText().toString()
     }
 }
--- a/src/test/kotlin/lacewingweir/platform/MalformedAnswerTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/MalformedAnswerTest.kt
@@ -77,7 +77,7 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = ["HTTP/1.1 099 x", "HTTP/1.1 99 x", "HTTP/1.1 600 x", "HTTP/1.1 2000 x"])
+    @ValueSource(strings = ["HTTP/1.1 099 x", "HTTP/1.1 99 x", "HTTP/1.1 600 x", "HTTP/1.1 2000 x", "HTTP/7.3 200 OK"])
     fun `no caller gets an answer with an invalid status line`(statusLine: String) {
         expectBadGateway("idempotent", response(statusLine))
         expectBadGateway("non_idempotent", response(statusLine))
--- a/src/test/kotlin/lacewingweir/transport/http/MalformedResponseTest.kt
+++ b/src/test/kotlin/lacewingweir/transport/http/MalformedResponseTest.kt
@@ -59,16 +59,20 @@
     @Test
     fun `malformed responses are counted by their defects`() {
         expectNoAnswer("HTTP/1.1 000 None\r\n\r\n")
+        expectNoAnswer("HTTP/7.3 200 OK\r\n\r\n")
         expectNoAnswer("HTTP/1.1 200 OK\r\nX Field: v\r\n\r\n")
         expectNoAnswer("HTTP/1.1 200 OK\r\nX-Field: v\r\n folded\r\n\r\n")
+        expectNoAnswer("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n")
         expectNoAnswer("HTTP/1.1 200 OK\r\nX-Field: HTTP/1.1 500 Error\r\n\r\n")
         expectNoAnswer("HTTP/1.1 200 OK\r\nX-Field: \u0000\r\n\r\n")
         runBlocking { open("HTTP/1.1 200 OK\r\nX-Fie") }
         val counts =
             mapOf(
                 ResponseDefect.STATUS to 2L,
+                ResponseDefect.VERSION to 2L,
                 ResponseDefect.FIELD_NAME to 2L,
                 ResponseDefect.LINE_FOLDING to 2L,
+                ResponseDefect.TRANSFER_CODING to 2L,
                 ResponseDefect.HEAD_IN_HEAD to 2L,
                 ResponseDefect.OTHER to 2L,
                 ResponseDefect.INCOMPLETE_HEAD to 1L,
@@ -115,6 +119,13 @@
     fun `a status that is no number is no answer`(status: String) =
         expectNoAnswer("HTTP/1.1 $status OK\r\nContent-Length: 5\r\n\r\nwhole")
 
+    @ParameterizedTest
+    @ValueSource(
+        strings = ["HTTP/2.0", "HTTP/7.3", "HTTP/11", "HTTP/1.10", "HTTP/1", "HTTP/1.", "http/1.1", "HTCP/1.1", "ICY"],
+    )
+    fun `a version other than HTTP 1 is no answer`(version: String) =
+        expectNoAnswer("$version 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
+
     @ParameterizedTest
     @ValueSource(
         strings = [
@@ -144,7 +155,7 @@
 
     @ParameterizedTest
     @ValueSource(
-        strings = ["HTTP/1.1 000 None", "HTTP/1.1 099 None", "HTTP/1.1 102 OK\r\nX Field: v"],
+        strings = ["HTTP/1.1 000 None", "HTTP/1.1 099 None", "HTTP/1.1 102 OK\r\nX Field: v", "HTTP/3.1 102 OK"],
     )
     fun `nothing behind a malformed interim response is an answer`(interim: String) =
         expectNoAnswer("$interim\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
@@ -154,6 +165,49 @@
     fun `a body with a malformed trailer is incomplete`(trailer: String) =
         expectIncomplete("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n$trailer\r\n\r\n")
 
+    @ParameterizedTest
+    @ValueSource(strings = ["5 x", "5 5", "5x", "-5", "+5", "0x5", " 5", "5\u00005", "5,5", "", "5\tx", "5\u000b"])
+    fun `a body with a malformed chunk size is incomplete`(size: String) =
+        expectIncomplete("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n$size\r\nwhole\r\n0\r\n\r\n")
+
+    @ParameterizedTest
+    @ValueSource(strings = ["x\r\n", "", "\n", "\r", "\rx", "\r\r\n"])
+    fun `a body whose chunk has no end is incomplete`(end: String) =
+        expectIncomplete("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole${end}0\r\n\r\n")
+
+    @ParameterizedTest
+    @ValueSource(strings = ["", "0", "0\r\n", "0\r\nA: b\r\n", "5\r\nmor"])
+    fun `a body without a last chunk is incomplete`(rest: String) =
+        expectIncomplete("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n$rest")
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = [
+            "gzip, chunked", "chunked, gzip", "chunked, chunked", "chunked\r\nTransfer-Encoding: chunked", "gzip",
+            "identity", "xchunked", "chunked;q=1", "",
+        ],
+    )
+    fun `a transfer coding that was not asked for is no answer`(coding: String) =
+        expectNoAnswer("HTTP/1.1 200 OK\r\nTransfer-Encoding: $coding\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = ["-5", "+5", "5x", "5 5", "0x5", "5,6", "5, 6", "", "99999999999999999999", "5\r\nContent-Length: 6"],
+    )
+    fun `a length that is no number is no answer`(length: String) =
+        expectNoAnswer("HTTP/1.1 200 OK\r\nContent-Length: $length\r\n\r\nwhole and more")
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = [
+            "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+            "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\nConnection: Upgrade\r\n",
+        ],
+    )
+    fun `a head with contradictory framing is no answer`(head: String) =
+        expectNoAnswer("$head\r\n5\r\nwhole\r\n0\r\n\r\n")
+
     @ParameterizedTest
     @ValueSource(
         strings = [
@@ -167,6 +221,13 @@
         expectThat(body("$head\r\nwhole")).isNotNull().isEqualTo("whole")
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = ["5", "05", "5;a=b", "5 ;a=b", "5;a", "5;a=\"b c\""])
+    fun `an unusual but valid chunk size is read`(size: String) {
+        val chunks = "$size\r\nwhole\r\n0\r\nX-Trailer: v\r\n\r\n"
+        expectThat(body("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n$chunks")).isEqualTo("whole")
+    }
+
     private companion object {
         const val TIMEOUT_MILLIS = 2_000L
     }
