Observe a write before it begins, so that a cut response isn't complete

A server answered a long upload at once with a body that ends with its connection, sent part of it and reset the connection while the upload was still being written. On a reused connection the client could take that part for a complete response.

Cause: the failed write is what tells a reset from an orderly end, since Netty closes the connection then. The listener was added after the write had been handed to the event loop. A reused connection has a read outstanding, so if the sending thread paused between the two calls, the event loop read the part, failed to write, closed and reported the end of the body before anybody listened.

The promise of the write now has its listener before the write begins, and the event loop fails it before it reports the end of the connection.

--- a/src/main/kotlin/lacewingweir/transport/http/ClientConnection.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ClientConnection.kt
@@ -140,8 +140,11 @@
         requests++
         current = request
         request.id?.let { carriedIds += it.hashCode() }
-        lastWrite =
-            ctx.writeAndFlush(message).addListener { if (!it.isSuccess) fail("write failed: ${it.cause()?.message}") }
+        // The event loop of a reused connection may reach the end of the response before this thread goes on.
+        val written = ctx.newPromise()
+        written.addListener { if (!it.isSuccess) fail("write failed: ${it.cause()?.message}") }
+        lastWrite = written
+        ctx.writeAndFlush(message, written)
     }
 
     /** Waits for the head of the response to [request]. Skips a few responses to other requests. */
