Bound the send buffer, so that a cut response to an upload isn't complete

An endpoint answered an upload of 3.5 MB at once with a body that ends with its connection, sent part of it and closed with the upload unread. Its end of output comes just before the reset then, and callers got the part as a complete answer, look-ups and bookings.

Cause: a request counts as written once the socket buffer has taken it up, and that buffer grows to megabytes. The end of output is an orderly end of the body unless a write fails, and there was nothing left to write.

The send buffer of connections to servers has a bound of 256 KiB, so an upload that its server isn't reading is still being written when the connection ends, and fails. Requests that fit into the buffers of both hosts can't be told: RFC 9112 (section 8) calls their responses complete.

--- a/src/main/kotlin/lacewingweir/transport/http/HttpClient.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/HttpClient.kt
@@ -203,6 +203,7 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis.toInt())
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.AUTO_READ, false)
+            .option(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
             .handler(
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(channel: SocketChannel) {
@@ -264,6 +265,13 @@
     private companion object {
         /** Servers that announce no timeout usually keep idle connections open for minutes. */
         const val DEFAULT_IDLE_TIMEOUT_MILLIS: Long = 60_000
+
+        /**
+         * A request counts as written once the socket buffer has taken it up. In a buffer without this bound, a request
+         * of several megabytes counts as written while its server has received little of it, and a connection that
+         * breaks then seems to end the response in an orderly way.
+         */
+        const val SEND_BUFFER_BYTES: Int = 256 * 1024
         val BODYLESS_METHODS: Set<String> = setOf("GET", "HEAD", "DELETE", "OPTIONS")
     }
 
