Find a malformed second response inside a body

A server that breaks off a body and responds again on the same connection fills the body with the second response. If that one had a blank in the name of a field, its head counted as text of the body, which was passed on as complete.

Cause: the detector of second heads took a name with a blank as proof that the bytes are no head.

It now reads such names like the decoder did: they end at the first blank, so a malformed field that names a request counts too. Text without a field that names a request still belongs to the body.

A second head with a status of fewer than three digits, or another version, isn't found: bytes would have to be held back for any text that begins with `HTTP/`.

--- a/src/main/kotlin/lacewingweir/transport/http/SecondHeadDetector.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/SecondHeadDetector.kt
@@ -97,8 +97,10 @@
         for (line in lines.drop(1).dropLast(1)) {
             if (line.isEmpty() && !headers.isEmpty) containsUnnamedHead = true
             val colon = line.indexOf(':')
-            if (colon <= 0 || line.take(colon).any { it.isWhitespace() }) return Verdict.NO_HEAD
-            headers.add(line.take(colon), line.drop(colon + 1).trim())
+            if (colon <= 0) return Verdict.NO_HEAD
+            // The second response may be malformed, so a blank ends the name of a field as well.
+            val name = line.take(colon).trimStart().takeWhile { !it.isWhitespace() }
+            headers.add(name, line.drop(colon + 1).trim())
             if (namedRequest(headers) != null) return Verdict.HEAD
         }
         // A line feed alone doesn't end a line of a head.
--- a/src/test/kotlin/lacewingweir/transport/http/SecondHeadDetectorTest.kt
+++ b/src/test/kotlin/lacewingweir/transport/http/SecondHeadDetectorTest.kt
@@ -54,6 +54,16 @@
         for (size in 1..body.length) expectThat(read(body, size)).isEqualTo("answer " to true)
     }
 
+    @Test
+    fun `a malformed head that names a request is found wherever the body is split`() {
+        val named = listOf("Id x: 7", "Id\tx: 7", "Id : 7", " Id: 7")
+        val malformed = listOf("X Field: v", "X-Field : v", "\tX-Field: v", " : v").map { "$it\r\nId: 7" }
+        for (fields in named + malformed) {
+            val body = "answer HTTP/1.1 000 None\r\n$fields\r\n\r\nno"
+            for (size in 1..body.length) expectThat(read(body, size)).isEqualTo("answer " to true)
+        }
+    }
+
     @Test
     fun `a body that ends within a head and is followed by its rest was filled up`() {
         val head = "HTTP/1.1 500 Internal Server Error\r\nContent-"
