Count a malformed response before its request fails

MalformedResponseTest "malformed responses are counted by their defects" failed once in 8 runs: the last response was missing from the counts.

Cause: the failure woke up the request first, and the response was counted after that. It is counted first now; all failures of a connection arise on its event loop, so a flag tells the first one.

Evidence: the missing count was the one of the response just before the reading.

--- a/src/main/kotlin/lacewingweir/transport/http/ClientConnection.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ClientConnection.kt
@@ -90,6 +90,9 @@
     private var inInterimResponse = false
     private var interimResponses = 0
 
+    /** Whether the connection has failed. Used on its event loop only. */
+    private var failed = false
+
     @Volatile
     private var lastWrite: ChannelFuture? = null
 
@@ -316,9 +319,8 @@
 
     private fun onMalformed(cause: Throwable) {
         val reason = cause.message.orEmpty().printable()
-        if (fail("malformed response: $reason")) {
-            malformedResponses.record(cause.responseDefect(), reason, current, use)
-        }
+        if (!failed) malformedResponses.record(cause.responseDefect(), reason, current, use)
+        fail("malformed response: $reason")
     }
 
     private fun reportIdleData(message: HttpObject) {
@@ -374,13 +376,12 @@
         ctx.close()
     }
 
-    /** Ends the connection. Returns false if it has failed before. */
-    private fun fail(reason: String): Boolean {
-        val first = events.trySend(Event.Failure(reason)).isSuccess
+    private fun fail(reason: String) {
+        failed = true
+        events.trySend(Event.Failure(reason))
         events.close()
         state.set(CLOSED)
         context?.close()
-        return first
     }
 
     internal val isClosed: Boolean
