--- a/src/main/kotlin/lacewingweir/transport/http/HttpClient.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/HttpClient.kt
@@ -54,7 +54,7 @@
     private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
     private val skipped = KeyedCounter<Int>()
     private val secondResponses = SecondResponses()
-    private val rejected = MalformedResponses()
+    private val malformed = MalformedResponses()
     private val endedRequests = EndedRequests()
 
     /** The number of responses to other requests that were skipped so far, by status. */
@@ -67,7 +67,7 @@
 
     /** The number of responses that were rejected as malformed so far, by defect. */
     public val malformedResponses: Map<ResponseDefect, Long>
-        get() = rejected.totals
+        get() = malformed.totals
 
     /** Sends [request] and waits for the head of the response. Closes the connection if the caller is cancelled. */
     public suspend fun open(request: ClientRequest): ClientResult {
@@ -179,7 +179,7 @@
                 onAnswered = { id -> endedRequests.add(request.address, id) },
                 onSkipped = skipped::increment,
                 secondResponses = secondResponses,
-                malformedResponses = rejected,
+                malformedResponses = malformed,
             )
         val handlers = listOf(HttpRequestEncoder(), connection.decoder, connection)
         val future = connect(request.host, request.port, request.connectTimeoutMillis, handlers)
--- a/src/main/kotlin/lacewingweir/transport/http/ResponseDecoder.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ResponseDecoder.kt
@@ -25,8 +25,11 @@
 internal class ResponseDecoder(
     private val answersHead: () -> Boolean,
 ) : HttpResponseDecoder() {
+    /** Whether a status line has been decoded, but not the whole head behind it. */
     private var inHead = false
     private var hasFoldedLine = false
+
+    /** The last byte of the present head that was scanned for folded lines. */
     private var lastByte: Byte = 0
 
     /** Whether bytes have arrived that are not decoded yet. Valid while a decoded message is being handled. */
@@ -41,6 +44,7 @@
         val start = buffer.readerIndex()
         super.decode(context, buffer, out)
         if (!inHead) return
+        // A message is given out as soon as its head ends, so all bytes that were read belong to the head.
         for (i in start until buffer.readerIndex()) scanForFolding(buffer.getByte(i))
         val response = out.firstOrNull() as? HttpResponse ?: return
         if (response.decoderResult().isSuccess) {
@@ -91,6 +95,7 @@
         length: Int,
     ): AsciiString {
         val name = super.splitHeaderName(line, start, length)
+        // The name given ends at the colon, or at the first blank before it.
         if (line[start + length] != COLON) {
             throw MalformedResponseException(ResponseDefect.FIELD_NAME, "a blank behind '$name' in the name of a field")
         }
--- a/src/test/kotlin/lacewingweir/cli/io/OperatorClientTest.kt
+++ b/src/test/kotlin/lacewingweir/cli/io/OperatorClientTest.kt
@@ -12,6 +12,7 @@
 import strikt.assertions.isEqualTo
 import java.net.ServerSocket
 
+/** Guards against commands that take malformed or lost answers for those of an instance. */
 @Timeout(20)
 internal class OperatorClientTest {
     private fun call(response: String): OperatorCallResult =
--- a/src/test/kotlin/lacewingweir/platform/MalformedAnswerTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/MalformedAnswerTest.kt
@@ -8,6 +8,7 @@
 import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.isIn
 import java.util.concurrent.atomic.AtomicInteger
 
@@ -28,11 +29,10 @@
     private fun call(
         kind: String,
         response: String,
-        endpoints: Int = 2,
     ): RelayFixture.CallerResponse =
         RelayFixture(repeatExtra = 100_000.0).use { relay ->
             relay.configure("k1")
-            repeat(endpoints) { i ->
+            repeat(2) { i ->
                 val server =
                     RawServer { request ->
                         received.incrementAndGet()
@@ -40,13 +40,8 @@
                         close()
                     }
                 servers += server
-                if (kind ==
-                    "stream"
-                ) {
-                    relay.registerEngine("i-$i", server.port)
-                } else {
-                    relay.registerPlain("i-$i", server.port)
-                }
+                val register = if (kind == "stream") relay::registerEngine else relay::registerPlain
+                register("i-$i", server.port)
             }
             val prompt = listOf("Model" to "m", "Token-Counts" to "300,20", "Prompt-Prefix" to "part:300")
             runBlocking { relay.call(kind, headers = if (kind == "stream") prompt else emptyList()) }
@@ -57,6 +52,7 @@
         fields: String = NAMED,
     ) = "$statusLine\r\n${fields}Content-Length: ${EVENTS.length}\r\n\r\n$EVENTS"
 
+    /** Expects that the caller gets 502 and nothing of [response], and that only a call that may be is repeated. */
     private fun expectBadGateway(
         kind: String,
         response: String,
@@ -64,7 +60,7 @@
         received.set(0)
         val answer = call(kind, response)
         expectThat(answer.status).isEqualTo(BAD_GATEWAY)
-        expectThat(answer.body).not { get { contains("event-of-server") }.isEqualTo(true) }
+        expectThat(answer.body.contains("event-of-server")).isFalse()
         expectThat(received.get()).isIn(if (kind == "non_idempotent") 1..1 else 1..2)
     }
 
--- a/src/test/kotlin/lacewingweir/transport/http/ResponseFramingTest.kt
+++ b/src/test/kotlin/lacewingweir/transport/http/ResponseFramingTest.kt
@@ -3,47 +3,31 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import kotlinx.coroutines.runBlocking
+import lacewingweir.testing.SocketServer
+import lacewingweir.testing.reset
+import lacewingweir.testing.write
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNull
-import java.net.ServerSocket
 import java.net.Socket
-import java.net.SocketException
-import kotlin.concurrent.thread
 
 /** Tests responses that begin or end in rare ways, sent by a server that writes prepared bytes. */
 internal class ResponseFramingTest {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val client = HttpClient(group)
-    private val sockets = ArrayList<ServerSocket>()
+    private val servers = ArrayList<SocketServer>()
 
     @AfterEach
     fun tearDown() {
         client.close()
-        sockets.forEach { it.close() }
+        servers.forEach { it.close() }
         group.shutdownGracefully()
     }
 
-    private fun server(respond: (Socket) -> Unit): Int {
-        val server = ServerSocket(0).also { sockets += it }
-        thread(isDaemon = true) {
-            try {
-                while (true) {
-                    val socket = server.accept()
-                    socket.getInputStream().read(ByteArray(4_096))
-                    respond(socket)
-                }
-            } catch (_: SocketException) {
-                // The test has ended.
-            }
-        }
-        return server.localPort
-    }
-
-    private fun Socket.write(text: String) = getOutputStream().run { write(text.toByteArray()).also { flush() } }
+    private fun server(respond: (Socket) -> Unit): Int = SocketServer(respond).also { servers += it }.port
 
     private suspend fun open(port: Int) =
         client.open(ClientRequest("127.0.0.1", port, "GET", "/", headTimeoutMillis = 2_000))
@@ -104,8 +88,7 @@
                 server {
                     it.write("HTTP/1.1 200 OK\r\n\r\nfirst ")
                     Thread.sleep(50)
-                    it.setSoLinger(true, 0)
-                    it.close()
+                    it.reset()
                 }
             expectThat(body(port)).isNull()
         }
