Describe contention, uneven endpoints and rollouts of software versions, and add their settings

Cause: two deployments bring uneven engines and contention, and a third one orders rollouts of software versions; none of these has a place in the settings. Result: no behaviour changes; nothing was measured.

--- a/src/main/kotlin/lacewingweir/protocol/settings/RouterSettings.kt
+++ b/src/main/kotlin/lacewingweir/protocol/settings/RouterSettings.kt
@@ -20,6 +20,10 @@
  * @property repeatExtra the number of repeats that the fleet may send in addition to [repeatRatio] within
  *   [repeatWindowSeconds].
  * @property rateWindowSeconds the length of the window over which the customers' rates are limited.
+ * @property exposeShare the share of a service's requests that a bad software version may receive in a rollout, or null
+ *   if the operators don't order rollouts of software versions.
+ * @property exposeSlack the number of requests that it may receive in addition to [exposeShare].
+ * @property rollbackMillis the maximum time from the 50th bad answer of a software version until it receives no request.
  */
 @Serializable
 internal data class PlatformBounds(
@@ -31,6 +35,31 @@
     val repeatExtra: Double = 10.0,
     val repeatWindowSeconds: Double = 10.0,
     val rateWindowSeconds: Double = 8.0,
+    val exposeShare: Double? = null,
+    val exposeSlack: Double = 0.0,
+    val rollbackMillis: Long = 5_000,
+)
+
+/**
+ * Parts of the platform's terms that apply to a deployment.
+ *
+ * @property pressure whether callers compete for scarce capacity, so that waiting and refused requests are ranked.
+ * @property rollout whether the operators order rollouts of software versions.
+ */
+@Serializable
+internal data class Agreements(
+    val pressure: Boolean = false,
+    val rollout: Boolean = false,
+)
+
+/**
+ * How requests are assigned to endpoints.
+ *
+ * @property learnSpeeds whether the speed of each endpoint is learned and used where the endpoints of a service differ.
+ */
+@Serializable
+internal data class PlacementSettings(
+    val learnSpeeds: Boolean = false,
 )
 
 /**
@@ -50,6 +79,8 @@
     val storeAddress: String,
     val cores: Int = 1,
     val bounds: PlatformBounds = PlatformBounds(),
+    val agreements: Agreements = Agreements(),
+    val placement: PlacementSettings = PlacementSettings(),
 ) {
     val domain: FailureDomain
         get() = FailureDomain(failureDomain)
@@ -73,6 +104,11 @@
                 add("bounds.keyWithdrawalMillis: must exceed $MIN_KEY_WITHDRAWAL_MILLIS")
             }
             if (bounds.orderLeaseMillis < 1) add("bounds.orderLeaseMillis: must be positive")
+            if (bounds.exposeShare != null && bounds.exposeShare !in 0.0..1.0) {
+                add("bounds.exposeShare: must be between 0 and 1")
+            }
+            if (bounds.exposeSlack < 0.0) add("bounds.exposeSlack: must not be negative")
+            if (bounds.rollbackMillis < 1) add("bounds.rollbackMillis: must be positive")
         }
 
     internal companion object {
