Spread requests over engines under contention, and order them by route

All 68 instances sent to the same engine for 50 to 100 ms (40 calls and more), then to the next, while others were idle: 12 of 42 engines got the calls of a second. An instance subtracted what an engine processes from the report of each of its 67 peers, so their backlog was invisible after some milliseconds (expected 145 ms, took 1,626 ms), and an engine with new weights seemed the best to all.

Change, where the agreement pressure holds: the peers' backlog counts as reported; a request is compared on a random sample of the engines, one home engine and the best cached one, the fewer the older the views are; a prefix whose requests overload one engine has several homes; the route's priority orders requests of customers with the same priority.

--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -136,6 +136,7 @@
             slotShare = { endpoint, slots ->
                 slotShare(endpoint, slots, settings.name, peerDigests.names(), directory.snapshot.peers.size)
             },
+            contended = { settings.agreements.pressure },
         )
     private val repeatWindowMillis = (bounds.repeatWindowSeconds * MILLIS_PER_SECOND).toLong()
     private val repeatSharers =
--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
@@ -55,7 +55,8 @@
 
 /**
  * [limitShare] returns the requests per second of this instance at an endpoint that accepts `perSecond` from all, and
- * [slotShare] how many of the `slots` of a brittle endpoint this instance may use at once.
+ * [slotShare] how many of the `slots` of a brittle endpoint this instance may use at once. [contended] tells whether
+ * callers compete for the capacity of a service, so that instances must not all choose the same engine.
  */
 internal class EndpointTracker(
     private val clock: MonotonicClock,
@@ -64,10 +65,11 @@
     private val random: Random = Random.Default,
     private val limitShare: (EndpointTag, perSecond: Double) -> Double = { _, perSecond -> perSecond },
     private val slotShare: (EndpointTag, slots: Int) -> Int = { _, slots -> slots },
+    private val contended: (ServiceName) -> Boolean = { false },
 ) {
     private val states = HashMap<EndpointId, EndpointState>()
     private val peerLoads = PeerLoads(clock)
-    private val engineChooser = EngineChooser(clock, domain, weightsAgePolicy, peerLoads, random)
+    private val engineChooser = EngineChooser(clock, domain, weightsAgePolicy, peerLoads, random, contended)
     private val prefills = RecentPrefills()
     private var statesByTag: Map<EndpointTag, EndpointState> = emptyMap()
 
@@ -96,6 +98,9 @@
         drainingListeners += listener
     }
 
+    /** Returns whether callers compete for the capacity of the service. */
+    fun isContended(service: ServiceName): Boolean = contended(service)
+
     /** Returns whether the engine is about to load weights or to leave. */
     @Synchronized
     fun isDraining(id: EndpointId): Boolean = states[id]?.isDraining(clock.nowMillis()) ?: false
--- a/src/main/kotlin/lacewingweir/coordination/placement/EngineChooser.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EngineChooser.kt
@@ -9,14 +9,20 @@
 import lacewingweir.state.fleet.EndpointEntry
 import lacewingweir.state.fleet.EngineSpec
 import lacewingweir.state.fleet.Prompt
+import lacewingweir.state.id.EndpointId
 import lacewingweir.state.id.FailureDomain
 import lacewingweir.state.id.ModelName
 import lacewingweir.state.id.ServiceName
 import lacewingweir.state.id.WeightsNumber
 import lacewingweir.state.placement.EngineView
+import lacewingweir.state.placement.PlacementRate
+import lacewingweir.state.placement.PrefixRates
 import lacewingweir.state.placement.PromptQuery
 import lacewingweir.state.placement.chooseEngine
 import lacewingweir.state.placement.handoverTarget
+import lacewingweir.state.placement.homeEngines
+import lacewingweir.state.placement.sampleCandidates
+import lacewingweir.state.placement.sampleSize
 import lacewingweir.state.time.MonotonicClock
 import kotlin.random.Random
 
@@ -43,8 +49,11 @@
     private val weightsAgePolicy: WeightsAgePolicy,
     private val peerLoads: PeerLoads,
     private val random: Random,
+    private val contended: (ServiceName) -> Boolean = { false },
 ) {
     private val speeds = HashMap<ServiceName, PrefillSpeed>()
+    private val prefixRates = PrefixRates()
+    private val placements = PlacementRate()
 
     /** Chooses an engine for a prompt. Returns null if none of [candidates] accepts it now and begins it in time. */
     fun choose(
@@ -55,8 +64,76 @@
         target: WeightsTarget?,
     ): EndpointChoice? {
         val now = clock.nowMillis()
-        val usable = candidates.filter { it.acceptsPrompts(now) && weightsAgePolicy.isAllowed(it.weights(), target) }
-        if (usable.isEmpty()) return null
+        val accepting = candidates.filter { it.acceptsPrompts(now) && weightsAgePolicy.isAllowed(it.weights(), target) }
+        if (accepting.isEmpty()) return null
+        if (!contended(request.service)) return chooseAmong(accepting, request, prompt, spec, target)
+        val homes = homesOf(request, prompt, accepting)
+        return chooseAmong(sampleOf(accepting, request, prompt, homes), request, prompt, spec, target, homes)
+            ?: chooseAmong(accepting, request, prompt, spec, target, homes)
+    }
+
+    /** Returns the engines on which a prompt is compared while peers place requests that this instance doesn't see. */
+    private fun sampleOf(
+        engines: List<EndpointState>,
+        request: PlacementRequest,
+        prompt: Prompt,
+        homes: List<EndpointId>,
+    ): List<EndpointState> {
+        val now = clock.nowMillis()
+        val unseen = placements.perMilli(now) * peerLoads.summedAgeMillis()
+        val ids = engines.map { it.entry.id }
+        val kept =
+            homes.randomOrNull(random)?.let(::setOf).orEmpty() + setOfNotNull(bestCached(engines, request, prompt))
+        val sample = sampleCandidates(ids, kept, sampleSize(ids.size, unseen), random)
+        return engines.filter { it.entry.id in sample }
+    }
+
+    /** Returns an engine that is known to cache most of the prompt, if that is a large part of it. */
+    private fun bestCached(
+        engines: List<EndpointState>,
+        request: PlacementRequest,
+        prompt: Prompt,
+    ): EndpointId? {
+        val partTokens = IntArray(prompt.parts.size) { prompt.parts[it].tokens }
+        val hashes = HashMap<WeightsNumber?, LongArray>()
+        val cached =
+            engines.associateWith { engine ->
+                val weights = engine.weights()
+                val hash = hashes.getOrPut(weights) { prompt.prefixHashes(cacheSalt(weights, request.cacheIsolation)) }
+                engine.prefixes.cachedTokens(hash, partTokens)
+            }
+        val most = cached.values.max()
+        if (most < prompt.inputTokens * MIN_CACHED_SHARE) return null
+        return cached
+            .filterValues { it == most }
+            .keys
+            .random(random)
+            .entry.id
+    }
+
+    /** Returns the home engines of the prompt's shared prefix: more than one if its requests overload a single one. */
+    private fun homesOf(
+        request: PlacementRequest,
+        prompt: Prompt,
+        engines: List<EndpointState>,
+    ): List<EndpointId> {
+        val shared = prompt.parts.size - 1
+        if (shared <= 0) return emptyList()
+        val hash = prompt.prefixHashes(request.cacheIsolation.orEmpty())[shared - 1]
+        val ownTokens = (prompt.inputTokens - prompt.parts.take(shared).sumOf { it.tokens }).coerceAtLeast(0)
+        val rate = prefixRates.record(hash, ownTokens.toDouble(), clock.nowMillis()) * (peerLoads.peers + 1)
+        val speed = speeds[request.service]?.tokensPerMilli ?: PrefillSpeed.INITIAL_TOKENS_PER_MILLI
+        return homeEngines(hash, engines.map { it.entry.id }, rate / speed)
+    }
+
+    private fun chooseAmong(
+        usable: List<EndpointState>,
+        request: PlacementRequest,
+        prompt: Prompt,
+        spec: EngineSpec?,
+        target: WeightsTarget?,
+        homes: List<EndpointId>? = null,
+    ): EndpointChoice? {
         val partTokens = IntArray(prompt.parts.size) { prompt.parts[it].tokens }
         val prefixHashes =
             usable
@@ -79,8 +156,9 @@
         val speed = speeds.getOrPut(request.service) { PrefillSpeed() }
         val copyMillisPerToken = spec?.transferMillisPerToken ?: Double.MAX_VALUE
         val choice =
-            chooseEngine(query(request, prompt, partTokens), views, speed.tokensPerMilli, copyMillisPerToken)
+            chooseEngine(query(request, prompt, partTokens), views, speed.tokensPerMilli, copyMillisPerToken, homes)
                 ?: return null
+        placements.record(clock.nowMillis())
         val state = usable.first { it.entry.id == choice.engine }
         return EndpointChoice(
             state = state,
@@ -150,7 +228,7 @@
         val recoveryPenalty = (1.0 - state.health.slotShare(clock.nowMillis())) * RECOVERING_MILLIS
         return EngineView(
             id = state.entry.id,
-            backlogTokens = state.backlogTokens + peerLoads.backlogTokens(tag, speed),
+            backlogTokens = state.backlogTokens + peerBacklog(state, speed),
             running = (state.running + peerLoads.running(tag)).toDouble(),
             slots = state.entry.slots,
             memoryShare = if (memory > 0) usedMemory.toDouble() / memory else 0.0,
@@ -163,7 +241,22 @@
         )
     }
 
+    /**
+     * Returns the peers' tokens that wait for prefill. Under contention, peers place new requests as fast as the engine
+     * processes those that they have reported, so nothing is subtracted.
+     */
+    private fun peerBacklog(
+        state: EndpointState,
+        tokensPerMilli: Double,
+    ): Double {
+        val drained = if (contended(state.entry.service)) 0.0 else tokensPerMilli
+        return peerLoads.backlogTokens(state.entry.tag, drained)
+    }
+
     private companion object {
+        /** An engine that caches less than this share of a prompt is compared only if it is in the sample. */
+        const val MIN_CACHED_SHARE: Double = 0.25
+
         /** Added cost of an engine in another failure domain; about one round trip. */
         const val REMOTE_DOMAIN_MILLIS: Double = 2.0
 
--- a/src/main/kotlin/lacewingweir/coordination/placement/PeerLoads.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/PeerLoads.kt
@@ -16,9 +16,21 @@
     )
 
     private val byPeer = HashMap<String, Map<EndpointTag, ReceivedLoad>>()
+    private val digestTimes = HashMap<String, Pair<Long, Long>>()
+
+    /** The number of peers whose latest digests are valid. */
+    val peers: Int
+        get() = clock.nowMillis().let { now -> digestTimes.values.count { (_, validUntil) -> validUntil >= now } }
+
+    /** Returns the sum of the ages of the peers' valid digests, in milliseconds. */
+    fun summedAgeMillis(): Long {
+        val now = clock.nowMillis()
+        return digestTimes.values.sumOf { (received, validUntil) -> if (validUntil >= now) now - received else 0 }
+    }
 
     fun onDigest(digest: InstanceDigest) {
         val now = clock.nowMillis()
+        digestTimes[digest.instance] = now to now + digest.validityMillis
         val validUntil = now + digest.validityMillis
         byPeer[digest.instance] = digest.loads.associate { it.endpoint to ReceivedLoad(it, now, validUntil) }
     }
--- a/src/main/kotlin/lacewingweir/state/placement/EnginePlacement.kt
+++ b/src/main/kotlin/lacewingweir/state/placement/EnginePlacement.kt
@@ -55,17 +55,22 @@
  * null if the request is expected to begin in time on none of them.
  *
  * [tokensPerMilli] is the prefill speed, [copyMillisPerToken] the time to copy a cached token from another engine.
+ * [homes] are the home engines of the shared prefix; if it is null, the prefix has one home among [engines].
  */
 internal fun chooseEngine(
     query: PromptQuery,
     engines: List<EngineView>,
     tokensPerMilli: Double,
     copyMillisPerToken: Double,
+    homes: List<EndpointId>? = null,
 ): EngineChoice? {
-    val home = query.sharedHash?.let { hash -> engines.maxByOrNull { rendezvousScore(hash, it.id) }?.id }
+    val homeIds =
+        homes ?: listOfNotNull(
+            query.sharedHash?.let { hash -> engines.maxByOrNull { rendezvousScore(hash, it.id) }?.id },
+        )
     val choices =
         engines.mapNotNull { engine ->
-            val assumed = if (engine.id == home) query.sharedTokens * ASSUMED_HOME_CACHED_SHARE else 0.0
+            val assumed = if (engine.id in homeIds) query.sharedTokens * ASSUMED_HOME_CACHED_SHARE else 0.0
             val copied = if (engine.cachedTokens < assumed) 0.0 else engine.copyableTokens
             val uncached = (query.inputTokens - maxOf(engine.cachedTokens, assumed) - copied).coerceAtLeast(0.0)
             val prefill = (engine.backlogTokens + uncached) / tokensPerMilli + copied * copyMillisPerToken
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -19,6 +19,7 @@
 import lacewingweir.coordination.placement.ReservationOutcome
 import lacewingweir.coordination.reach.ReachMonitor
 import lacewingweir.coordination.stream.StreamVersions
+import lacewingweir.state.contention.engineRank
 import lacewingweir.state.fleet.EndpointEntry
 import lacewingweir.state.fleet.RequestKind
 import lacewingweir.state.fleet.RoutePolicy
@@ -423,12 +424,18 @@
         reach?.awaitProbes(endpoint.service)
     }
 
+    private fun engineRank(
+        admitted: Admitted,
+        service: ServiceName,
+    ) = engineRank(admitted.customer?.priority, admitted.route.priority, tracker.isContended(service))
+
     private fun outboundCall(
         state: CallState,
         admitted: Admitted,
         reservation: EndpointReservation,
         cacheCopy: KvCacheCopy?,
     ): OutboundCall {
+        val service = reservation.endpoint.service
         val toEngine = state.call.prompt != null
         val remaining = state.remainingMillis
         val mayUseAnother = mayUseAnother(state, admitted, reservation.endpoint)
@@ -444,7 +451,7 @@
             customer = admitted.customer?.id,
             cacheSalt = if (toEngine) reservation.salt else null,
             weights = if (toEngine) reservation.weights else null,
-            priority = if (toEngine) (admitted.customer?.priority ?: admitted.route.priority) else null,
+            priority = if (toEngine) engineRank(admitted, service) else null,
             resumeAfter = state.progress.lastId ?: state.call.resumeAfter,
             cacheSource = reservation.cacheSource,
             cacheCopy = cacheCopy,
