Learn the speed of each endpoint and place requests by it where endpoints differ

All engines of a service counted with one moving average of prefill speed, so engines of different speeds got the same tokens and the slow ones filled up.

The time of an engine is that in which any request was there, so waiting behind others doesn't count. If they differ by 1.25 and three standard errors, engines are chosen by their own speeds. Engines are drawn by how much work they get if the requests until the next digest fill up the cheap engines to an equal level, and large requests go to the fast engines, in so far as these have the capacity. Endpoints without engines are chosen by running calls times the mean time of a call. Setting: placement.learnSpeeds.

Reports of peers' load are kept by endpoint, since a placement went through all peers for each engine.

--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -126,6 +126,7 @@
             slotShare = { endpoint, slots ->
                 slotShare(endpoint, slots, settings.name, peerDigests.names(), directory.snapshot.peers.size)
             },
+            learnSpeeds = settings.placement.learnSpeeds,
         )
     private val repeatWindowMillis = (bounds.repeatWindowSeconds * MILLIS_PER_SECOND).toLong()
     private val repeatSharers =
@@ -500,6 +501,7 @@
         targets = directory.observedTargetAges(),
         leaving = directory.recentlyLeaving(),
         unreachable = servicesWithoutPassedCalls().map { it.value }.sorted(),
+        speeds = tracker.takeSpeeds(),
     )
 
     private fun servicesWithoutPassedCalls(): Set<ServiceName> =
--- a/src/main/kotlin/lacewingweir/coordination/gossip/InstanceDigest.kt
+++ b/src/main/kotlin/lacewingweir/coordination/gossip/InstanceDigest.kt
@@ -52,8 +52,9 @@
 )
 
 /**
- * The state that an instance sends to its peers periodically. All but [prefills] are totals instead of changes, so lost
- * and duplicated datagrams do no harm; a lost prefill costs at most a prefix that is read again.
+ * The state that an instance sends to its peers periodically. All but [prefills] and [speeds] are totals instead of
+ * changes, so lost and duplicated datagrams do no harm; a lost prefill costs at most a prefix that is read again, and
+ * a lost sample of a speed only delays an estimate.
  *
  * @property run identifies the run of the instance; a later run normally has a higher number
  * @property number orders the digests of one run
@@ -69,6 +70,7 @@
  * @property leaving endpoints that have recently said in a response that they leave
  * @property targets ages of recent target weights that the instance has observed
  * @property unreachable services whose endpoints the instance doesn't reach, or doesn't send calls of others to
+ * @property speeds samples of the speeds of endpoints since the previous digest
  */
 @Serializable
 internal data class InstanceDigest(
@@ -86,6 +88,7 @@
     @CborLabel(12) val targets: List<TargetAge> = emptyList(),
     @CborLabel(13) val leaving: List<EndpointTag> = emptyList(),
     @CborLabel(14) val unreachable: List<String> = emptyList(),
+    @CborLabel(17) val speeds: List<SpeedSample> = emptyList(),
 ) {
     /** How long the digest describes its instance if no later one arrives. */
     val validityMillis: Long
--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointReservation.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointReservation.kt
@@ -44,6 +44,8 @@
     internal val memoryTokens = choice.memoryTokens
     internal val prefilled = choice.prefilled
     internal val cacheIsolation = choice.cacheIsolation
+    internal val notPrefillMillis = choice.notPrefillMillis
+    internal val callsPerSlot = choice.callsPerSlot
     internal val prefillSpeed = choice.prefillSpeed.takeIf { measuresPrefillSpeed }
     val expectedMillis: Double = choice.expectedMillis
 
@@ -80,11 +82,12 @@
 
     /**
      * Records that the first event of the answer arrived, so the prefill of the prompt is complete. Returns false if
-     * this was recorded before, or if the reservation was withdrawn or has ended.
+     * this was recorded before, or if the reservation was withdrawn or has ended. The time of an answer that is
+     * [complete] by then says nothing about the speed of prefill.
      */
-    fun onFirstEvent(): Boolean {
+    fun onFirstEvent(complete: Boolean = false): Boolean {
         val first = phase.compareAndSet(WAITING, ANSWERING)
-        if (first) tracker.onFirstEvent(this)
+        if (first) tracker.onFirstEvent(this, complete)
         return first
     }
 
--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
@@ -16,6 +16,7 @@
 import lacewingweir.coordination.gossip.EngineWeights
 import lacewingweir.coordination.gossip.InstanceDigest
 import lacewingweir.coordination.gossip.PrefilledPrefix
+import lacewingweir.coordination.gossip.SpeedSample
 import lacewingweir.state.fleet.EndpointEntry
 import lacewingweir.state.health.EndpointHealth
 import lacewingweir.state.id.EndpointId
@@ -26,6 +27,8 @@
 import lacewingweir.state.id.SoftwareVersion
 import lacewingweir.state.id.WeightsNumber
 import lacewingweir.state.limit.pauseAfterRefusalMillis
+import lacewingweir.state.placement.EndpointSpeeds
+import lacewingweir.state.placement.SpeedFigures
 import lacewingweir.state.time.MonotonicClock
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.random.Random
@@ -55,7 +58,8 @@
 
 /**
  * [limitShare] returns the requests per second of this instance at an endpoint that accepts `perSecond` from all, and
- * [slotShare] how many of the `slots` of a brittle endpoint this instance may use at once.
+ * [slotShare] how many of the `slots` of a brittle endpoint this instance may use at once. If [learnSpeeds] is set,
+ * endpoints of a service are treated as equally fast only until they prove to differ.
  */
 internal class EndpointTracker(
     private val clock: MonotonicClock,
@@ -64,10 +68,12 @@
     private val random: Random = Random.Default,
     private val limitShare: (EndpointTag, perSecond: Double) -> Double = { _, perSecond -> perSecond },
     private val slotShare: (EndpointTag, slots: Int) -> Int = { _, slots -> slots },
+    learnSpeeds: Boolean = false,
 ) {
     private val states = HashMap<EndpointId, EndpointState>()
     private val peerLoads = PeerLoads(clock)
-    private val engineChooser = EngineChooser(clock, domain, weightsAgePolicy, peerLoads, random)
+    private val learnedSpeeds = if (learnSpeeds) LearnedSpeeds(clock) else null
+    private val engineChooser = EngineChooser(clock, domain, weightsAgePolicy, peerLoads, random, learnedSpeeds)
     private val prefills = RecentPrefills()
     private var statesByTag: Map<EndpointTag, EndpointState> = emptyMap()
 
@@ -132,6 +138,7 @@
             }
         }
         statesByTag = states.values.associateBy { it.entry.tag }
+        learnedSpeeds?.onFleet(snapshot)
         notifyDraining()
     }
 
@@ -152,6 +159,7 @@
     @Synchronized
     fun onDigest(digest: InstanceDigest) {
         peerLoads.onDigest(digest)
+        learnedSpeeds?.onPeerSamples(digest.speeds)
         for (prefix in digest.prefills) {
             statesByTag[prefix.endpoint]?.prefixes?.recordPrefill(prefix.hash, prefix.tokens)
         }
@@ -204,6 +212,14 @@
     @Synchronized
     fun takePrefills(): List<PrefilledPrefix> = prefills.take()
 
+    /** Returns the samples of endpoints' speeds from this instance's requests since the last call. */
+    @Synchronized
+    fun takeSpeeds(): List<SpeedSample> = learnedSpeeds?.takeSamples().orEmpty()
+
+    /** Returns what is known of the speeds of each service's endpoints; nothing if they are not learned. */
+    @Synchronized
+    fun speedFigures(): Map<ServiceName, SpeedFigures> = learnedSpeeds?.figures().orEmpty()
+
     /** Marks engines that this instance is about to instruct to load weights. */
     @Synchronized
     fun markLoading(ids: List<EndpointId>) {
@@ -317,13 +333,26 @@
     )
 
     private fun placeWithoutPrompt(candidates: List<EndpointState>): EndpointReservation {
-        val best = candidates.minBy { occupancy(it) + if (it.entry.domain == domain) 0.0 else REMOTE_DOMAIN_OCCUPANCY }
-        return reserve(EndpointChoice(best))
+        val uneven = learnedSpeeds?.unevenSpeeds(candidates.first().entry.service)
+        val best =
+            candidates.minBy {
+                occupancy(it, uneven) + if (it.entry.domain == domain) 0.0 else REMOTE_DOMAIN_OCCUPANCY
+            }
+        val slots = best.entry.slots.coerceAtLeast(1)
+        val calls = best.running + peerLoads.running(best.entry.tag) + 1.0
+        return reserve(EndpointChoice(best, callsPerSlot = (calls / slots).coerceAtLeast(1.0)))
     }
 
-    private fun occupancy(state: EndpointState): Double {
+    /** Returns the used share of the slots. With [uneven] speeds, it is weighted by the time that a call takes. */
+    private fun occupancy(
+        state: EndpointState,
+        uneven: EndpointSpeeds?,
+    ): Double {
+        val slots = state.entry.slots.coerceAtLeast(1)
         val others = peerLoads.running(state.entry.tag)
-        return (state.running + others + random.nextDouble(TIE_BREAK_REQUESTS)) / state.entry.slots.coerceAtLeast(1)
+        val calls = state.running + others + random.nextDouble(TIE_BREAK_REQUESTS)
+        if (uneven == null) return calls / slots
+        return (calls + 1.0) / slots * (uneven.middle / uneven.speed(state.entry.tag))
     }
 
     private fun reserve(choice: EndpointChoice): EndpointReservation {
@@ -369,7 +398,10 @@
     fun outdatedWeightsFigures() = OutdatedWeightsFigures(outdatedSends, outdatedRefusals, withdrawals)
 
     @Synchronized
-    internal fun onFirstEvent(reservation: EndpointReservation) {
+    internal fun onFirstEvent(
+        reservation: EndpointReservation,
+        complete: Boolean,
+    ) {
         val state = reservation.state
         state.backlogTokens = (state.backlogTokens - reservation.uncachedTokens).coerceAtLeast(0.0)
         reservation.prefilled?.let { prefilled ->
@@ -378,10 +410,12 @@
         }
         // An engine that produces first tokens is healthy, even if other requests time out in its queue.
         state.health = state.health.onSuccess(clock.nowMillis())
-        reservation.prefillSpeed?.observe(
-            reservation.uncachedTokens,
-            (clock.nowMillis() - reservation.placedAtMillis).toDouble(),
-        )
+        val millis = (clock.nowMillis() - reservation.placedAtMillis).toDouble()
+        reservation.prefillSpeed?.observe(reservation.uncachedTokens, millis)
+        if (!complete && reservation.uncachedTokens > 0.0) {
+            val prefillMillis = maxOf(millis - SEND_MILLIS - reservation.notPrefillMillis, millis / 2)
+            learnedSpeeds?.onPrefilled(state.entry.tag, reservation.uncachedTokens, prefillMillis)
+        }
     }
 
     @Synchronized
@@ -395,6 +429,10 @@
         state.memoryTokens = (state.memoryTokens - reservation.memoryTokens).coerceAtLeast(0)
         if (inPrefill) state.backlogTokens = (state.backlogTokens - reservation.uncachedTokens).coerceAtLeast(0.0)
         val now = clock.nowMillis()
+        if (outcome == ReservationOutcome.SERVED && reservation.callsPerSlot > 0.0) {
+            val millis = (now - reservation.placedAtMillis).toDouble()
+            learnedSpeeds?.onCallEnded(state.entry.tag, reservation.callsPerSlot, millis)
+        }
         when (outcome) {
             ReservationOutcome.SERVED -> state.health = state.health.onSuccess(now)
             ReservationOutcome.FAILED -> recordFailure(state, state.health.onFailure(now))
@@ -555,6 +593,9 @@
         const val REMOTE_DOMAIN_OCCUPANCY: Double = 0.1
         const val TIE_BREAK_REQUESTS: Double = 0.5
 
+        /** Time for sending a request to an engine and for its first event to arrive. */
+        const val SEND_MILLIS: Double = 10.0
+
         /**
          * Allows time for the load, loading state or current weights of an endpoint to arrive after it rejected a
          * request.
--- a/src/main/kotlin/lacewingweir/coordination/placement/EngineChooser.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EngineChooser.kt
@@ -13,8 +13,10 @@
 import lacewingweir.state.id.ModelName
 import lacewingweir.state.id.ServiceName
 import lacewingweir.state.id.WeightsNumber
+import lacewingweir.state.placement.EndpointSpeeds
 import lacewingweir.state.placement.EngineView
 import lacewingweir.state.placement.PromptQuery
+import lacewingweir.state.placement.UnevenEngines
 import lacewingweir.state.placement.chooseEngine
 import lacewingweir.state.placement.handoverTarget
 import lacewingweir.state.time.MonotonicClock
@@ -24,6 +26,9 @@
  * A chosen endpoint and the load to reserve there: [uncachedTokens] wait for prefill, and [memoryTokens] of KV cache
  * memory are used. [cacheSource] is the engine from which it should copy the cached prompt parts that it lacks.
  * [model] is null for requests without a prompt.
+ *
+ * The time to the first event is expected to contain [notPrefillMillis] for other things than prefill. [callsPerSlot]
+ * of a request without a prompt is the number of calls that share a slot with it, itself included.
  */
 internal class EndpointChoice(
     val state: EndpointState,
@@ -35,14 +40,18 @@
     val cacheIsolation: String? = null,
     val cacheSource: EndpointEntry? = null,
     val model: ModelName? = null,
+    val notPrefillMillis: Double = 0.0,
+    val callsPerSlot: Double = 0.0,
 )
 
+/** [learnedSpeeds] is null if endpoints always count as equally fast. */
 internal class EngineChooser(
     private val clock: MonotonicClock,
     private val domain: FailureDomain,
     private val weightsAgePolicy: WeightsAgePolicy,
     private val peerLoads: PeerLoads,
     private val random: Random,
+    private val learnedSpeeds: LearnedSpeeds? = null,
 ) {
     private val speeds = HashMap<ServiceName, PrefillSpeed>()
 
@@ -65,12 +74,13 @@
                 .associateWith { prompt.prefixHashes(cacheSalt(it, request.cacheIsolation)) }
         val cached = usable.associateWith { it.prefixes.cachedTokens(prefixHashes.getValue(it.weights()), partTokens) }
         val sources = CacheSources(cached, MIN_COPY_TOKENS)
+        val uneven = learnedSpeeds?.unevenSpeeds(request.service)
         val views =
             usable.map {
                 val cachedAtSource = sources.sourceFor(it)?.let(cached::getValue) ?: 0.0
                 val penalty = weightsAgePolicy.penaltyMillis(it.weights(), target, prompt.longAnswer)
                 val toBegin = weightsAgePolicy.remainingMillis(it.weights(), target)?.toDouble()
-                view(it, spec, penalty, toBegin ?: Double.POSITIVE_INFINITY)
+                view(it, spec, penalty, toBegin ?: Double.POSITIVE_INFINITY, uneven)
                     .copy(
                         cachedTokens = cached.getValue(it),
                         copyableTokens = (cachedAtSource - cached.getValue(it)).coerceAtLeast(0.0),
@@ -78,9 +88,9 @@
             }
         val speed = speeds.getOrPut(request.service) { PrefillSpeed() }
         val copyMillisPerToken = spec?.transferMillisPerToken ?: Double.MAX_VALUE
-        val choice =
-            chooseEngine(query(request, prompt, partTokens), views, speed.tokensPerMilli, copyMillisPerToken)
-                ?: return null
+        val query = query(request, prompt, partTokens)
+        val unevenEngines = uneven?.let { UnevenEngines(random, spreadMillis(), it.sizeSplit) }
+        val choice = chooseEngine(query, views, speed.tokensPerMilli, copyMillisPerToken, unevenEngines) ?: return null
         val state = usable.first { it.entry.id == choice.engine }
         return EndpointChoice(
             state = state,
@@ -96,6 +106,7 @@
                     ?.takeIf { cached.getValue(it) > cached.getValue(state) }
                     ?.entry,
             model = prompt.model,
+            notPrefillMillis = choice.notPrefillMillis,
         )
     }
 
@@ -141,9 +152,11 @@
         spec: EngineSpec?,
         weightsPenaltyMillis: Double,
         millisToBegin: Double = Double.POSITIVE_INFINITY,
+        uneven: EndpointSpeeds? = null,
     ): EngineView {
         val tag = state.entry.tag
-        val speed = speeds[state.entry.service]?.tokensPerMilli ?: PrefillSpeed.INITIAL_TOKENS_PER_MILLI
+        val learned = uneven?.speed(tag)
+        val speed = learned ?: speeds[state.entry.service]?.tokensPerMilli ?: PrefillSpeed.INITIAL_TOKENS_PER_MILLI
         val memory = spec?.memoryTokens ?: 0
         val usedMemory = state.memoryTokens + peerLoads.memoryTokens(tag)
         val domainPenalty = if (state.entry.domain == domain) 0.0 else REMOTE_DOMAIN_MILLIS
@@ -160,10 +173,21 @@
             penaltyMillis =
                 domainPenalty + recoveryPenalty + random.nextDouble(TIE_BREAK_MILLIS),
             weightsPenaltyMillis = weightsPenaltyMillis,
+            tokensPerMilli = learned,
+            fast = uneven?.isFast(tag) ?: false,
         )
     }
 
+    private fun spreadMillis() = maxOf(MIN_SPREAD_MILLIS, peerLoads.intervalMillis * SPREAD_SHARE)
+
     private companion object {
+        /**
+         * Time that engines need for the requests of all instances within one interval of digests, as a share of it:
+         * less than their utilization, since instances also see a part of these requests.
+         */
+        const val SPREAD_SHARE: Double = 0.15
+        const val MIN_SPREAD_MILLIS: Double = 5.0
+
         /** Added cost of an engine in another failure domain; about one round trip. */
         const val REMOTE_DOMAIN_MILLIS: Double = 2.0
 
--- a/src/main/kotlin/lacewingweir/coordination/placement/PeerLoads.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/PeerLoads.kt
@@ -5,7 +5,12 @@
 import lacewingweir.state.id.EndpointTag
 import lacewingweir.state.time.MonotonicClock
 
-/** Load of the peers at each endpoint, from their latest digests. Not thread-safe; the owner synchronizes. */
+/**
+ * Load of the peers at each endpoint, from their latest digests. Not thread-safe; the owner synchronizes.
+ *
+ * A placement asks for the load of up to a hundred engines, and only few of the peers have load at a given one, so
+ * reports are kept by endpoint.
+ */
 internal class PeerLoads(
     private val clock: MonotonicClock,
 ) {
@@ -15,12 +20,26 @@
         val validUntilMillis: Long,
     )
 
-    private val byPeer = HashMap<String, Map<EndpointTag, ReceivedLoad>>()
+    private val byEndpoint = HashMap<EndpointTag, HashMap<String, ReceivedLoad>>()
+    private val endpointsByPeer = HashMap<String, List<EndpointTag>>()
+
+    /** Mean time between the digests of a peer, in milliseconds; zero without peers. */
+    var intervalMillis: Double = 0.0
+        private set
 
     fun onDigest(digest: InstanceDigest) {
         val now = clock.nowMillis()
+        intervalMillis += INTERVAL_SAMPLE_WEIGHT * (digest.intervalMillis - intervalMillis)
         val validUntil = now + digest.validityMillis
-        byPeer[digest.instance] = digest.loads.associate { it.endpoint to ReceivedLoad(it, now, validUntil) }
+        for (endpoint in endpointsByPeer[digest.instance].orEmpty()) {
+            val loads = byEndpoint[endpoint] ?: continue
+            loads.remove(digest.instance)
+            if (loads.isEmpty()) byEndpoint.remove(endpoint)
+        }
+        endpointsByPeer[digest.instance] = digest.loads.map { it.endpoint }
+        for (load in digest.loads) {
+            byEndpoint.getOrPut(load.endpoint) { HashMap() }[digest.instance] = ReceivedLoad(load, now, validUntil)
+        }
     }
 
     /** Returns the number of requests that all peers have running at the endpoint. */
@@ -46,6 +65,10 @@
 
     private fun recentLoads(endpoint: EndpointTag): List<ReceivedLoad> {
         val now = clock.nowMillis()
-        return byPeer.values.mapNotNull { loads -> loads[endpoint]?.takeIf { it.validUntilMillis >= now } }
+        return byEndpoint[endpoint]?.values?.filter { it.validUntilMillis >= now }.orEmpty()
+    }
+
+    private companion object {
+        const val INTERVAL_SAMPLE_WEIGHT: Double = 0.02
     }
 }
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/state/placement/EndpointSpeeds.kt
@@ -0,0 +1,249 @@
+/**
+ * Learns how fast each endpoint of one service works, from samples of many instances.
+ *
+ * An engine processes prompts one after the other, and a request waits there behind requests that its instance doesn't
+ * know yet. So the time of an engine is not the sum of its requests' times, but the time in which any of them was
+ * there. Two periods are kept. The lasting one tells whether the endpoints of the service differ at all; the recent
+ * one follows slow phases and returns to the lasting speed when it has no samples. Each estimate starts with the weight
+ * of a few samples at the level that it falls back to.
+ */
+package lacewingweir.state.placement
+
+import lacewingweir.state.id.EndpointTag
+import kotlin.math.exp
+import kotlin.math.sqrt
+
+/** Speeds of a service's endpoints in work per millisecond. [samples] were received since the start. */
+internal data class SpeedFigures(
+    val isUneven: Boolean,
+    val lowerQuartile: Double,
+    val middle: Double,
+    val upperQuartile: Double,
+    val samples: Long,
+)
+
+/**
+ * [typicalWork] is the amount of work of a typical sample. [serial] endpoints work on one request after the other, and
+ * others on several at the same time. Not thread-safe; the owner synchronizes.
+ *
+ * An endpoint that restarts has another tag, so its old samples don't count.
+ */
+internal class EndpointSpeeds(
+    private val typicalWork: Double,
+    private val serial: Boolean,
+) {
+    private class Sample(
+        val work: Double,
+        val startMillis: Double,
+        val endMillis: Double,
+    )
+
+    /** Sums over samples, each with a weight that decreases with its age. */
+    private class Sums(
+        var work: Double = 0.0,
+        var millis: Double = 0.0,
+        var samples: Double = 0.0,
+    ) {
+        fun scale(factor: Double) {
+            work *= factor
+            millis *= factor
+            samples *= factor
+        }
+
+        fun add(
+            other: Sums,
+            factor: Double,
+        ) {
+            work += other.work * factor
+            millis += other.millis * factor
+            samples += other.samples * factor
+        }
+
+        /** Returns the speed, if [priorWork] at [priorSpeed] is added to the samples. */
+        fun speed(
+            priorWork: Double,
+            priorSpeed: Double,
+        ) = (work + priorWork) / (millis + priorWork / priorSpeed)
+    }
+
+    private class Estimate(
+        var speed: Double,
+    ) {
+        val history = ArrayDeque<Sample>()
+        var recent = Sums()
+        val lasting = Sums()
+        var lastingSpeed = speed
+    }
+
+    private val estimates = HashMap<EndpointTag, Estimate>()
+    private val sizes = WorkSizes()
+    private var endpointCount = 0
+    private var updatedAtMillis = Long.MIN_VALUE
+    private var meanSquareDeviation = if (serial) SERIAL_SQUARE_DEVIATION else INITIAL_SQUARE_DEVIATION
+    private var samples = 0L
+    private var lowerQuartile = 0.0
+    private var upperQuartile = 0.0
+    private var fastSpeed = Double.POSITIVE_INFINITY
+    private var uneven = false
+
+    /** The median of the lasting speeds, or zero without samples. */
+    var middle: Double = 0.0
+        private set
+
+    /** Which requests should go to fast endpoints, or null if the sizes of requests are too similar to matter. */
+    var sizeSplit: SizeSplit? = null
+        private set
+
+    /** Discards the samples of all but [endpoints]. */
+    fun retain(endpoints: Set<EndpointTag>) {
+        estimates.keys.retainAll(endpoints)
+        endpointCount = endpoints.size
+    }
+
+    /** Adds a sample: the endpoint did [work] in the [millis] before [endMillis]. */
+    fun observe(
+        endpoint: EndpointTag,
+        work: Double,
+        millis: Double,
+        endMillis: Long,
+        nowMillis: Long,
+    ) {
+        if (work <= 0.0 || millis <= 0.0) return
+        update(nowMillis)
+        samples++
+        sizes.add(work)
+        val estimate = estimates.getOrPut(endpoint) { Estimate(middle) }
+        val counted =
+            if (middle ==
+                0.0
+            ) {
+                millis
+            } else {
+                millis.coerceIn(work / middle / MAX_FACTOR, work / middle * MAX_FACTOR)
+            }
+        if (!serial && estimate.speed > 0.0) {
+            val deviation = counted * estimate.speed / work - 1.0
+            meanSquareDeviation += DEVIATION_SAMPLE_WEIGHT * (deviation * deviation - meanSquareDeviation)
+        }
+        if (estimate.history.size == MAX_HISTORY) estimate.history.removeFirst()
+        estimate.history.addLast(Sample(work, endMillis - counted, endMillis.toDouble()))
+    }
+
+    /** Returns whether the speeds differ so much that endpoints must not be treated as equal. */
+    fun isUneven(nowMillis: Long): Boolean {
+        update(nowMillis)
+        return uneven
+    }
+
+    /** Returns the current speed of an endpoint; [middle] without samples. */
+    fun speed(endpoint: EndpointTag): Double = estimates[endpoint]?.speed ?: middle
+
+    /** Returns whether the endpoint is one of the fast ones of an uneven service, apart from slow phases. */
+    fun isFast(endpoint: EndpointTag): Boolean = (estimates[endpoint]?.lastingSpeed ?: middle) > fastSpeed
+
+    fun figures(nowMillis: Long): SpeedFigures {
+        update(nowMillis)
+        return SpeedFigures(uneven, lowerQuartile, middle, upperQuartile, samples)
+    }
+
+    private fun update(nowMillis: Long) {
+        if (updatedAtMillis == Long.MIN_VALUE) updatedAtMillis = nowMillis
+        val elapsedMillis = nowMillis - updatedAtMillis
+        if (elapsedMillis < UPDATE_PERIOD_MILLIS) return
+        updatedAtMillis = nowMillis
+        val lastingShare = exp(-elapsedMillis / LASTING_DECAY_MILLIS)
+        sizes.scale(lastingShare)
+        for (estimate in estimates.values) {
+            while (estimate.history.isNotEmpty() && estimate.history.first().endMillis < nowMillis - HISTORY_MILLIS) {
+                estimate.history.removeFirst()
+            }
+            estimate.recent = recentSums(estimate.history, nowMillis)
+            estimate.lasting.scale(lastingShare)
+            estimate.lasting.add(estimate.recent, elapsedMillis / RECENT_DECAY_MILLIS)
+        }
+        val known = estimates.values.filter { it.lasting.millis > 0.0 }
+        if (known.isEmpty()) return
+        middle = known.map { it.lasting.work / it.lasting.millis }.sorted().let { it[it.size / 2] }
+        val priorWork = PRIOR_SAMPLES * typicalWork
+        for (estimate in known) {
+            estimate.lastingSpeed = estimate.lasting.speed(priorWork, middle)
+            estimate.speed = estimate.recent.speed(priorWork, estimate.lastingSpeed)
+        }
+        updateUneven(known.filter { it.lasting.samples >= MIN_SAMPLES })
+    }
+
+    private fun recentSums(
+        history: Collection<Sample>,
+        nowMillis: Long,
+    ): Sums {
+        val sums = Sums()
+        var countedUntil = Double.NEGATIVE_INFINITY
+        for (sample in history.sortedBy { it.startMillis }) {
+            val weight = exp((sample.endMillis - nowMillis) / RECENT_DECAY_MILLIS)
+            val from = if (serial) maxOf(sample.startMillis, countedUntil) else sample.startMillis
+            sums.work += sample.work * weight
+            sums.samples += weight
+            if (sample.endMillis > from) {
+                sums.millis += (sample.endMillis - from) * weight
+                countedUntil = sample.endMillis
+            }
+        }
+        return sums
+    }
+
+    private fun updateUneven(sampled: List<Estimate>) {
+        if (sampled.size < 2 || sampled.size * MIN_SAMPLED_SHARE < endpointCount) {
+            uneven = false
+            return
+        }
+        val sorted = sampled.map { it.lastingSpeed }.sorted()
+        lowerQuartile = sorted[sorted.size / 4]
+        upperQuartile = sorted[sorted.size * 3 / 4]
+        val count = sampled.map { it.lasting.samples }.sorted()[sampled.size / 2]
+        // The variance of a mean with exponential weights is that of one sample, divided by twice the sum of weights.
+        val error = sqrt(meanSquareDeviation / (2 * count))
+        val threshold = (if (uneven) EVEN_RATIO else UNEVEN_RATIO) + ERROR_FACTOR * error
+        uneven = upperQuartile >= threshold * lowerQuartile
+        fastSpeed = sqrt(lowerQuartile * upperQuartile)
+        val fastShare = sorted.filter { it > fastSpeed }.sum() / sorted.sum()
+        sizeSplit = if (uneven && serial) sizes.split(fastShare, middle) else null
+    }
+
+    private companion object {
+        /** Slow phases of endpoints last some seconds. */
+        const val RECENT_DECAY_MILLIS: Double = 5_000.0
+        const val LASTING_DECAY_MILLIS: Double = 30_000.0
+        const val UPDATE_PERIOD_MILLIS: Long = 500
+
+        /** Older samples have less than a tenth of the weight of new ones. */
+        const val HISTORY_MILLIS: Long = 12_000
+        const val MAX_HISTORY: Int = 128
+
+        /** Weight of the level that an estimate falls back to, in typical samples. */
+        const val PRIOR_SAMPLES: Double = 3.0
+
+        /** Greatest ratio of a sample's speed and [middle], and the inverse; limits the effect of a false sample. */
+        const val MAX_FACTOR: Double = 5.0
+
+        /** Endpoints with fewer lasting samples don't count in the quartiles. */
+        const val MIN_SAMPLES: Double = 8.0
+
+        /** At least one in this number of endpoints must have samples. */
+        const val MIN_SAMPLED_SHARE: Int = 3
+
+        /** Ratio of the quartiles from which a service counts as uneven, and the one from which it no longer does. */
+        const val UNEVEN_RATIO: Double = 1.25
+        const val EVEN_RATIO: Double = 1.15
+
+        /**
+         * Standard errors added to the ratio. The quartiles of equal endpoints differ by 1.35 standard errors, and call
+         * times of a plain service vary much.
+         */
+        const val ERROR_FACTOR: Double = 3.0
+
+        /** The sizes of prompts hardly affect the speed of prefill. */
+        const val SERIAL_SQUARE_DEVIATION: Double = 0.1
+        const val INITIAL_SQUARE_DEVIATION: Double = 4.0
+        const val DEVIATION_SAMPLE_WEIGHT: Double = 0.01
+    }
+}
--- a/src/main/kotlin/lacewingweir/state/placement/EnginePlacement.kt
+++ b/src/main/kotlin/lacewingweir/state/placement/EnginePlacement.kt
@@ -16,7 +16,9 @@
  * [cachedTokens] of the prompt are known to be cached there, and [copyableTokens] more can be copied from another
  * engine. [backlogTokens] wait for prefill. [penaltyMillis] is the added cost of recent failures and distance.
  * [weightsPenaltyMillis] ranks engines with outdated weights behind others, and is no part of the wait. Requests may
- * begin there for the next [millisToBegin] only, which is infinite unless its weights are outdated.
+ * begin there for the next [millisToBegin] only, which is infinite unless its weights are outdated. [tokensPerMilli] is
+ * the learned prefill speed of this engine, or null if the engines of its service count as equal, and [fast] tells
+ * whether it is one of the fast ones otherwise.
  */
 internal data class EngineView(
     val id: EndpointId,
@@ -29,6 +31,8 @@
     val penaltyMillis: Double,
     val weightsPenaltyMillis: Double = 0.0,
     val millisToBegin: Double = Double.POSITIVE_INFINITY,
+    val tokensPerMilli: Double? = null,
+    val fast: Boolean = false,
 )
 
 /**
@@ -43,24 +47,37 @@
     val usableMillis: Double = Double.POSITIVE_INFINITY,
 )
 
-/** The chosen engine, the expected time to first token in milliseconds, and the tokens to prefill there. */
+/**
+ * The chosen engine, the expected time to first token in milliseconds, and the tokens to prefill there.
+ * [notPrefillMillis] of the expected time are for copies and for a slot or memory.
+ */
 internal data class EngineChoice(
     val engine: EndpointId,
     val expectedMillis: Double,
     val uncachedTokens: Double,
+    val notPrefillMillis: Double = 0.0,
+)
+
+/** A choice with its [cost] in milliseconds, and the [speed] of its engine. */
+private class RankedChoice(
+    val choice: EngineChoice,
+    val cost: Double,
+    val speed: Double,
 )
 
 /**
  * Returns the engine of [engines] with the shortest expected time to first token, with a preference for new weights, or
  * null if the request is expected to begin in time on none of them.
  *
- * [tokensPerMilli] is the prefill speed, [copyMillisPerToken] the time to copy a cached token from another engine.
+ * [tokensPerMilli] is the prefill speed of engines without a learned one, [copyMillisPerToken] the time to copy a
+ * cached token from another engine. [uneven] is null if they count as equally fast.
  */
 internal fun chooseEngine(
     query: PromptQuery,
     engines: List<EngineView>,
     tokensPerMilli: Double,
     copyMillisPerToken: Double,
+    uneven: UnevenEngines? = null,
 ): EngineChoice? {
     val home = query.sharedHash?.let { hash -> engines.maxByOrNull { rendezvousScore(hash, it.id) }?.id }
     val choices =
@@ -68,14 +85,25 @@
             val assumed = if (engine.id == home) query.sharedTokens * ASSUMED_HOME_CACHED_SHARE else 0.0
             val copied = if (engine.cachedTokens < assumed) 0.0 else engine.copyableTokens
             val uncached = (query.inputTokens - maxOf(engine.cachedTokens, assumed) - copied).coerceAtLeast(0.0)
-            val prefill = (engine.backlogTokens + uncached) / tokensPerMilli + copied * copyMillisPerToken
-            val wait = prefill + queueMillis(engine)
-            val choice = EngineChoice(engine.id, wait + engine.penaltyMillis, uncached)
-            if (beginsInTime(wait, engine)) choice to choice.expectedMillis + engine.weightsPenaltyMillis else null
+            val speed = engine.tokensPerMilli ?: tokensPerMilli
+            val copyMillis = copied * copyMillisPerToken
+            val queueMillis = queueMillis(engine)
+            val wait = (engine.backlogTokens + uncached) / speed + copyMillis + queueMillis
+            val choice =
+                EngineChoice(
+                    engine = engine.id,
+                    expectedMillis = wait + engine.penaltyMillis,
+                    uncachedTokens = uncached,
+                    notPrefillMillis = copyMillis + queueMillis,
+                )
+            val mismatchMillis = uneven?.mismatchMillis(engine.fast, uncached) ?: 0.0
+            val cost = choice.expectedMillis + engine.weightsPenaltyMillis + mismatchMillis
+            if (beginsInTime(wait, engine)) RankedChoice(choice, cost, speed) else null
         }
     // An engine with outdated weights is better than none that serves the request in time.
-    val usable = choices.filter { (choice) -> choice.expectedMillis <= query.usableMillis }.ifEmpty { choices }
-    return usable.minByOrNull { (_, cost) -> cost }?.first
+    val usable = choices.filter { it.choice.expectedMillis <= query.usableMillis }.ifEmpty { choices }
+    val chosen = if (uneven == null) usable.minByOrNull { it.cost } else uneven.draw(usable, { it.cost }, { it.speed })
+    return chosen?.choice
 }
 
 private fun beginsInTime(
--- a/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
@@ -126,8 +126,9 @@
     private fun recordEvent(
         outbound: OutboundCall,
         reservation: EndpointReservation,
+        complete: Boolean = false,
     ): Boolean {
-        if (reservation.onFirstEvent()) logBegin(outbound, reservation)
+        if (reservation.onFirstEvent(complete)) logBegin(outbound, reservation)
         return !reservation.isWithdrawn
     }
 
@@ -166,7 +167,7 @@
                 response.readAll(MAX_RESPONSE_BYTES, BODY_IDLE_TIMEOUT_MILLIS, buffered::tryAdd)
                     ?: return brokenAfterHead("incomplete or too large response")
             if (!head.success) return SendOutcome.ErrorResponse(head, body)
-            if (!recordEvent(outbound, reservation)) return SendOutcome.Withdrawn
+            if (!recordEvent(outbound, reservation, complete = true)) return SendOutcome.Withdrawn
             exchange.respond(head.status, head.headers, body)
             return SendOutcome.Delivered(head.status)
         }
