Merge the learned speeds of endpoints

Uneven services use the learned speeds, several homes for popular prefixes and ranks of routes; services under contention whose endpoints are alike keep the sample of engines.

--- a/src/main/kotlin/lacewingweir/coordination/placement/EngineChooser.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EngineChooser.kt
@@ -14,10 +14,12 @@
 import lacewingweir.state.id.ModelName
 import lacewingweir.state.id.ServiceName
 import lacewingweir.state.id.WeightsNumber
+import lacewingweir.state.placement.EndpointSpeeds
 import lacewingweir.state.placement.EngineView
 import lacewingweir.state.placement.PlacementRate
 import lacewingweir.state.placement.PrefixRates
 import lacewingweir.state.placement.PromptQuery
+import lacewingweir.state.placement.UnevenEngines
 import lacewingweir.state.placement.chooseEngine
 import lacewingweir.state.placement.handoverTarget
 import lacewingweir.state.placement.homeEngines
@@ -30,6 +32,9 @@
  * A chosen endpoint and the load to reserve there: [uncachedTokens] wait for prefill, and [memoryTokens] of KV cache
  * memory are used. [cacheSource] is the engine from which it should copy the cached prompt parts that it lacks.
  * [model] is null for requests without a prompt.
+ *
+ * The time to the first event is expected to contain [notPrefillMillis] for other things than prefill. [callsPerSlot]
+ * of a request without a prompt is the number of calls that share a slot with it, itself included.
  */
 internal class EndpointChoice(
     val state: EndpointState,
@@ -41,8 +46,11 @@
     val cacheIsolation: String? = null,
     val cacheSource: EndpointEntry? = null,
     val model: ModelName? = null,
+    val notPrefillMillis: Double = 0.0,
+    val callsPerSlot: Double = 0.0,
 )
 
+/** [learnedSpeeds] is null if endpoints always count as equally fast. */
 internal class EngineChooser(
     private val clock: MonotonicClock,
     private val domain: FailureDomain,
@@ -50,6 +58,7 @@
     private val peerLoads: PeerLoads,
     private val random: Random,
     private val contended: (ServiceName) -> Boolean = { false },
+    private val learnedSpeeds: LearnedSpeeds? = null,
 ) {
     private val speeds = HashMap<ServiceName, PrefillSpeed>()
     private val prefixRates = PrefixRates()
@@ -66,12 +75,17 @@
         val now = clock.nowMillis()
         val accepting = candidates.filter { it.acceptsPrompts(now) && weightsAgePolicy.isAllowed(it.weights(), target) }
         if (accepting.isEmpty()) return null
-        if (!contended(request.service)) return chooseAmong(accepting, request, prompt, spec, target)
+        val isUneven = unevenSpeeds(request.service) != null
+        if (!isUneven && !contended(request.service)) return chooseAmong(accepting, request, prompt, spec, target)
         val homes = homesOf(request, prompt, accepting)
-        return chooseAmong(sampleOf(accepting, request, prompt, homes), request, prompt, spec, target, homes)
-            ?: chooseAmong(accepting, request, prompt, spec, target, homes)
+        val sample = if (isUneven) accepting else sampleOf(accepting, request, prompt, homes)
+        return chooseAmong(sample, request, prompt, spec, target, homes)
+            ?: chooseAmong(accepting, request, prompt, spec, target, homes).takeIf { sample.size < accepting.size }
     }
 
+    /** Returns the learned speeds of a service's engines, or null if these count as equally fast. */
+    private fun unevenSpeeds(service: ServiceName): EndpointSpeeds? = learnedSpeeds?.unevenSpeeds(service)
+
     /** Returns the engines on which a prompt is compared while peers place requests that this instance doesn't see. */
     private fun sampleOf(
         engines: List<EndpointState>,
@@ -142,12 +156,13 @@
                 .associateWith { prompt.prefixHashes(cacheSalt(it, request.cacheIsolation)) }
         val cached = usable.associateWith { it.prefixes.cachedTokens(prefixHashes.getValue(it.weights()), partTokens) }
         val sources = CacheSources(cached, MIN_COPY_TOKENS)
+        val uneven = unevenSpeeds(request.service)
         val views =
             usable.map {
                 val cachedAtSource = sources.sourceFor(it)?.let(cached::getValue) ?: 0.0
                 val penalty = weightsAgePolicy.penaltyMillis(it.weights(), target, prompt.longAnswer)
                 val toBegin = weightsAgePolicy.remainingMillis(it.weights(), target)?.toDouble()
-                view(it, spec, penalty, toBegin ?: Double.POSITIVE_INFINITY)
+                view(it, spec, penalty, toBegin ?: Double.POSITIVE_INFINITY, uneven)
                     .copy(
                         cachedTokens = cached.getValue(it),
                         copyableTokens = (cachedAtSource - cached.getValue(it)).coerceAtLeast(0.0),
@@ -155,9 +170,10 @@
             }
         val speed = speeds.getOrPut(request.service) { PrefillSpeed() }
         val copyMillisPerToken = spec?.transferMillisPerToken ?: Double.MAX_VALUE
+        val query = query(request, prompt, partTokens)
+        val unevenEngines = uneven?.let { UnevenEngines(random, spreadMillis(), it.sizeSplit) }
         val choice =
-            chooseEngine(query(request, prompt, partTokens), views, speed.tokensPerMilli, copyMillisPerToken, homes)
-                ?: return null
+            chooseEngine(query, views, speed.tokensPerMilli, copyMillisPerToken, unevenEngines, homes) ?: return null
         placements.record(clock.nowMillis())
         val state = usable.first { it.entry.id == choice.engine }
         return EndpointChoice(
@@ -174,6 +190,7 @@
                     ?.takeIf { cached.getValue(it) > cached.getValue(state) }
                     ?.entry,
             model = prompt.model,
+            notPrefillMillis = choice.notPrefillMillis,
         )
     }
 
@@ -219,9 +236,11 @@
         spec: EngineSpec?,
         weightsPenaltyMillis: Double,
         millisToBegin: Double = Double.POSITIVE_INFINITY,
+        uneven: EndpointSpeeds? = null,
     ): EngineView {
         val tag = state.entry.tag
-        val speed = speeds[state.entry.service]?.tokensPerMilli ?: PrefillSpeed.INITIAL_TOKENS_PER_MILLI
+        val learned = uneven?.speed(tag)
+        val speed = learned ?: speeds[state.entry.service]?.tokensPerMilli ?: PrefillSpeed.INITIAL_TOKENS_PER_MILLI
         val memory = spec?.memoryTokens ?: 0
         val usedMemory = state.memoryTokens + peerLoads.memoryTokens(tag)
         val domainPenalty = if (state.entry.domain == domain) 0.0 else REMOTE_DOMAIN_MILLIS
@@ -238,9 +257,13 @@
             penaltyMillis =
                 domainPenalty + recoveryPenalty + random.nextDouble(TIE_BREAK_MILLIS),
             weightsPenaltyMillis = weightsPenaltyMillis,
+            tokensPerMilli = learned,
+            fast = uneven?.isFast(tag) ?: false,
         )
     }
 
+    private fun spreadMillis() = maxOf(MIN_SPREAD_MILLIS, peerLoads.intervalMillis * SPREAD_SHARE)
+
     /**
      * Returns the peers' tokens that wait for prefill. Under contention, peers place new requests as fast as the engine
      * processes those that they have reported, so nothing is subtracted.
@@ -257,6 +280,13 @@
         /** An engine that caches less than this share of a prompt is compared only if it is in the sample. */
         const val MIN_CACHED_SHARE: Double = 0.25
 
+        /**
+         * Time that engines need for the requests of all instances within one interval of digests, as a share of it:
+         * less than their utilization, since instances also see a part of these requests.
+         */
+        const val SPREAD_SHARE: Double = 0.15
+        const val MIN_SPREAD_MILLIS: Double = 5.0
+
         /** Added cost of an engine in another failure domain; about one round trip. */
         const val REMOTE_DOMAIN_MILLIS: Double = 2.0
 
