Roll out software versions in fenced steps with a bounded exposure

Cause: operators order rollouts of software versions (op/rollout/SERVICE), and instances sent calls to endpoints of any version that was registered.

Each instance bounds its share of calls to the target alone and stops a bad target alone. Digest field 16 has the counts. RolloutLease takes a log prefix.

--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -28,6 +28,7 @@
 import lacewingweir.coordination.gossip.PeerDigests
 import lacewingweir.coordination.placement.EndpointStatements
 import lacewingweir.coordination.placement.EndpointTracker
+import lacewingweir.coordination.placement.VersionRules
 import lacewingweir.coordination.placement.WeightsAgePolicy
 import lacewingweir.coordination.reach.PassTargets
 import lacewingweir.coordination.reach.ReachMonitor
@@ -39,6 +40,8 @@
 import lacewingweir.coordination.time.CoroutineTimerService
 import lacewingweir.coordination.time.PartFailures
 import lacewingweir.coordination.time.keepRunning
+import lacewingweir.coordination.versions.VersionRolloutAgent
+import lacewingweir.coordination.versions.VersionRollouts
 import lacewingweir.coordination.weights.RolloutLease
 import lacewingweir.coordination.weights.WeightsRollout
 import lacewingweir.platform.PlatformEndpointProtocol
@@ -50,6 +53,7 @@
 import lacewingweir.platform.PlatformRequestDecoder
 import lacewingweir.platform.PlatformStore
 import lacewingweir.platform.PlatformWeightsControl
+import lacewingweir.platform.VersionRolloutCodec
 import lacewingweir.protocol.settings.HostPort
 import lacewingweir.protocol.settings.RouterSettings
 import lacewingweir.state.fleet.CallerLimits
@@ -115,6 +119,15 @@
     private val startedAtMillis = clock.nowMillis()
     private val startedAtUnixMillis = System.currentTimeMillis()
     private val weightsAgePolicy = WeightsAgePolicy(ageClock) { bounds.weightsMillis }
+    private val versionRollouts =
+        bounds.exposeShare?.let { share ->
+            VersionRollouts(
+                share,
+                bounds.exposeSlack,
+                clock,
+                instances = { directory.snapshot.peers.size },
+            )
+        }
     private val tracker =
         EndpointTracker(
             clock,
@@ -126,7 +139,28 @@
             slotShare = { endpoint, slots ->
                 slotShare(endpoint, slots, settings.name, peerDigests.names(), directory.snapshot.peers.size)
             },
+            versionRules = versionRollouts?.rules ?: VersionRules(),
         )
+    private val versionRolloutAgent =
+        versionRollouts?.let { rollouts ->
+            VersionRolloutAgent(
+                store,
+                rollouts,
+                RolloutLease(
+                    store,
+                    ageClock,
+                    PlatformKeys.VERSION_ROLLOUT_LEASE,
+                    settings.name,
+                    bounds.orderLeaseMillis,
+                    logPrefix = "version-rollout",
+                ),
+                VersionRolloutCodec.items,
+                timers,
+                clock,
+                fleet = { directory.snapshot },
+                runningAt = tracker::runningAt,
+            )
+        }
     private val repeatWindowMillis = (bounds.repeatWindowSeconds * MILLIS_PER_SECOND).toLong()
     private val repeatSharers =
         BudgetSharers(maxOf(repeatWindowMillis, LOST_PEER_MEMORY_MILLIS), PEER_DISCOVERY_MILLIS)
@@ -233,6 +267,7 @@
             { relayLimits },
             reach = reach,
             passer = CallPasser(peerClient, PlatformPassProtocol, reach, passTargets),
+            onAnswer = { versionRollouts?.onAnswer(it) },
             awaitDisconnects = loopLag::awaitNextPass,
         )
     private val relayLimits = RelayLimits(maxKeyProofAgeMillis = bounds.keyWithdrawalMillis - KEY_CHECK_MARGIN_MILLIS)
@@ -335,6 +370,8 @@
     suspend fun start() {
         directory.observe { snapshot ->
             snapshot.config?.let { rateLimiter.configure(it, snapshot.hotCustomers) }
+            // The tracker uses the rules of the rollouts, which must know the endpoints before it does.
+            versionRollouts?.onFleet(snapshot)
             tracker.onFleet(snapshot)
             quarantine.onFleet(snapshot)
             streamVersions.onFleet(snapshot)
@@ -359,6 +396,7 @@
         begunStreamsWriter.start()
         timers.every("hot customers", HOT_CUSTOMERS_PERIOD_MILLIS) { storeHotCustomers() }
         rollout.start()
+        versionRolloutAgent?.start()
         trafficReporter.start()
         admissionReporter.start()
         repeatReporter.start()
@@ -389,6 +427,7 @@
         callerServer.beginDrain()
         passedCallServer.beginDrain()
         rollout.stop()
+        versionRolloutAgent?.stop()
         val endMillis =
             clock.nowMillis() + (bounds.shutdownSeconds * MILLIS_PER_SECOND).toLong() - SHUTDOWN_MARGIN_MILLIS
         delay(ROTATION_EXIT_MILLIS)
@@ -500,6 +539,7 @@
         targets = directory.observedTargetAges(),
         leaving = directory.recentlyLeaving(),
         unreachable = servicesWithoutPassedCalls().map { it.value }.sorted(),
+        versions = versionRollouts?.tallies().orEmpty(),
     )
 
     private fun servicesWithoutPassedCalls(): Set<ServiceName> =
@@ -524,6 +564,7 @@
         if (result !is PeerDigests.AcceptResult.Updated) return
         rateLimiter.onDigest(digest, result.previous)
         tracker.onDigest(digest)
+        versionRollouts?.onDigest(digest)
         directory.onTargetAges(digest.instance, digest.targets)
         directory.onLeaving(digest.leaving, source = digest.instance)
         digest.crashNews?.let(quarantine::onNews)
--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetDirectory.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetDirectory.kt
@@ -60,6 +60,7 @@
     private var targetMoments = StoredTargetMoments()
     private var servedVersionsKey: String? = null
     private var servedVersions = StoredVersions()
+    private val versionRollouts = VersionRolloutItems()
     private var contactRestoredAt: ClockReading? = null
 
     /** Endpoints whose items were removed, which an older copy of the store still contains. */
@@ -93,6 +94,7 @@
         val known = endpointsByKey.keys + peersByKey.keys + setOfNotNull(leaderKey, servedVersionsKey)
         val absent = known.filter { it !in present }
         absent.forEach(::itemRemoved)
+        versionRollouts.onListed(present, listingRestored)
         if (blockListKey !in present) blockList = StoredBlockList(removals = blockList.removals)
         if (targetMomentsKey !in present) targetMoments = StoredTargetMoments()
         changes.forEach(::apply)
@@ -188,18 +190,10 @@
             is FleetUpdate.Peer -> peersByKey[key] = update.entry
             FleetUpdate.RolloutLeader -> leaderKey = key
             is FleetUpdate.HotCustomers -> hotCustomers = update.customers
-            is FleetUpdate.BlockList -> {
-                blockListKey = key
-                blockList = blockList.copy(ids = update.ids, revision = revisions.getValue(key))
-            }
-            is FleetUpdate.TargetMoments -> {
-                targetMomentsKey = key
-                targetMoments = StoredTargetMoments(update.moments, revisions.getValue(key))
-            }
-            is FleetUpdate.ServedVersions -> {
-                servedVersionsKey = key
-                servedVersions = StoredVersions(update.versions, revisions.getValue(key))
-            }
+            is FleetUpdate.BlockList -> blockListWritten(key, update)
+            is FleetUpdate.TargetMoments, is FleetUpdate.ServedVersions -> recordWritten(key, update)
+            is FleetUpdate.VersionRolloutUpdate ->
+                versionRollouts.onWritten(key, update, revisions.getValue(key))
             is FleetUpdate.BegunStreams -> streamObservers.forEach { it(update.streams) }
             is FleetUpdate.Unreadable -> {
                 logger.warn { "directory: unreadable item key=$key reason=${update.reason}" }
@@ -208,6 +202,28 @@
         }
     }
 
+    private fun blockListWritten(
+        key: String,
+        update: FleetUpdate.BlockList,
+    ) {
+        blockListKey = key
+        blockList = blockList.copy(ids = update.ids, revision = revisions.getValue(key))
+    }
+
+    private fun recordWritten(
+        key: String,
+        update: FleetUpdate,
+    ) {
+        if (update is FleetUpdate.TargetMoments) {
+            targetMomentsKey = key
+            targetMoments = StoredTargetMoments(update.moments, revisions.getValue(key))
+        }
+        if (update is FleetUpdate.ServedVersions) {
+            servedVersionsKey = key
+            servedVersions = StoredVersions(update.versions, revisions.getValue(key))
+        }
+    }
+
     /** Decodes an item. Whatever it holds, a failure concerns this item only. */
     private fun read(
         key: String,
@@ -283,6 +299,7 @@
     private fun itemRemoved(key: String) {
         if (key == leaderKey) leaderKey = null
         if (key == servedVersionsKey) servedVersions = StoredVersions()
+        versionRollouts.onRemoved(key)
         peersByKey.remove(key)
         val entry = endpointsByKey[key] ?: return
         val graceMillis = contactRestoredAt?.let { EXPIRY_GRACE_MILLIS - clock.ageMillis(it) } ?: 0
@@ -327,6 +344,7 @@
                 servedVersions,
                 passed,
                 listings,
+                versionRollouts.toStored(),
             )
         current.set(next)
         observers.forEach { it(next) }
--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetSnapshot.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetSnapshot.kt
@@ -9,10 +9,13 @@
 import lacewingweir.state.id.EndpointId
 import lacewingweir.state.id.ModelName
 import lacewingweir.state.id.ServiceName
+import lacewingweir.state.id.SoftwareVersion
 import lacewingweir.state.id.SuspectId
 import lacewingweir.state.id.WeightsNumber
 import lacewingweir.state.stream.ServedVersion
 import lacewingweir.state.time.ClockReading
+import lacewingweir.state.versions.RolloutOrder
+import lacewingweir.state.versions.RolloutStep
 
 /**
  * The current target [weights] of a model, and the [dates] from which this and earlier targets count, in ascending
@@ -62,6 +65,27 @@
     val revision: Long = 0,
 )
 
+/** An order of the operators and the revision of its item without the store's era. */
+internal data class StoredOrder(
+    val order: RolloutOrder,
+    val revision: Long,
+)
+
+/**
+ * The rollouts of software versions according to the store.
+ *
+ * [revision] is that of the item with [steps] and [allowed], or zero if there is none. [allowed] are the versions that
+ * serve without an order. [statuses] is what operators are told.
+ */
+internal data class StoredRollouts(
+    val orders: Map<ServiceName, StoredOrder> = emptyMap(),
+    val steps: Map<ServiceName, RolloutStep> = emptyMap(),
+    val statuses: Map<ServiceName, FleetUpdate.VersionStatus> = emptyMap(),
+    val allowed: Map<ServiceName, Set<SoftwareVersion>> = emptyMap(),
+    val revision: Long = 0,
+    val leaderPresent: Boolean = false,
+)
+
 /**
  * An immutable snapshot of the state of the fleet. [config] is null until the first configuration was read.
  *
@@ -80,6 +104,7 @@
     val servedVersions: StoredVersions = StoredVersions(),
     val passedEndpoints: List<EndpointEntry> = emptyList(),
     val listings: Int = 0,
+    val rollouts: StoredRollouts = StoredRollouts(),
 ) {
     private val byService: Map<ServiceName, List<EndpointEntry>> = endpoints.values.groupBy { it.service }
 
--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetUpdate.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetUpdate.kt
@@ -7,11 +7,15 @@
 import lacewingweir.state.fleet.TargetMoment
 import lacewingweir.state.id.CustomerId
 import lacewingweir.state.id.ModelName
+import lacewingweir.state.id.ServiceName
+import lacewingweir.state.id.SoftwareVersion
 import lacewingweir.state.id.StreamTag
 import lacewingweir.state.id.SuspectId
 import lacewingweir.state.id.WeightsNumber
 import lacewingweir.state.stream.ServedVersion
 import lacewingweir.state.stream.StreamOrigin
+import lacewingweir.state.versions.RolloutOrder
+import lacewingweir.state.versions.RolloutStep
 
 internal sealed interface FleetUpdate {
     class Config(
@@ -60,6 +64,30 @@
     /** An instance holds the lease for coordinating the loading of weights. */
     data object RolloutLeader : FleetUpdate
 
+    /** An item of rollouts of software versions. */
+    sealed interface VersionRolloutUpdate : FleetUpdate
+
+    /** The operators have ordered a rollout of a software version. */
+    data class VersionOrder(
+        val order: RolloutOrder,
+    ) : VersionRolloutUpdate
+
+    /** The steps of all rollouts of software versions, and the versions that serve without an order, by service. */
+    data class VersionSteps(
+        val steps: List<RolloutStep>,
+        val allowed: Map<ServiceName, Set<SoftwareVersion>> = emptyMap(),
+    ) : VersionRolloutUpdate
+
+    /** What the operators are told about the rollout of [target] on [service]. */
+    data class VersionStatus(
+        val service: ServiceName,
+        val target: SoftwareVersion,
+        val state: String,
+    ) : VersionRolloutUpdate
+
+    /** An instance holds the lease for deciding on rollouts of software versions. */
+    data object VersionRolloutLeader : VersionRolloutUpdate
+
     /**
      * The value can't be decoded as the type that its key requires.
      *
--- a/src/main/kotlin/lacewingweir/coordination/gossip/InstanceDigest.kt
+++ b/src/main/kotlin/lacewingweir/coordination/gossip/InstanceDigest.kt
@@ -51,6 +51,20 @@
     @CborLabel(3) val tokens: Int,
 )
 
+/**
+ * Answers that an instance has got since an order, as totals, from the [target] version of a rollout or from the old
+ * ones. The rollout is identified by its tag and the route by the hash of its id.
+ */
+@Serializable
+internal data class VersionTally(
+    @CborLabel(1) val rollout: Int,
+    @CborLabel(2) val route: Int,
+    @CborLabel(3) val target: Boolean,
+    @CborLabel(4) val answers: Long,
+    @CborLabel(5) val bad: Long,
+    @CborLabel(6) val latencyMillis: Long,
+)
+
 /**
  * The state that an instance sends to its peers periodically. All but [prefills] are totals instead of changes, so lost
  * and duplicated datagrams do no harm; a lost prefill costs at most a prefix that is read again.
@@ -68,6 +82,7 @@
  *   datagram that reported it at once was lost; null if there is nothing
  * @property leaving endpoints that have recently said in a response that they leave
  * @property targets ages of recent target weights that the instance has observed
+ * @property versions answers since the orders of the rollouts of software versions that run
  * @property unreachable services whose endpoints the instance doesn't reach, or doesn't send calls of others to
  */
 @Serializable
@@ -86,6 +101,7 @@
     @CborLabel(12) val targets: List<TargetAge> = emptyList(),
     @CborLabel(13) val leaving: List<EndpointTag> = emptyList(),
     @CborLabel(14) val unreachable: List<String> = emptyList(),
+    @CborLabel(16) val versions: List<VersionTally> = emptyList(),
 ) {
     /** How long the digest describes its instance if no later one arrives. */
     val validityMillis: Long
--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointReservation.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointReservation.kt
@@ -50,7 +50,16 @@
     /** The engine from which the chosen engine should copy the cached prompt parts that it lacks. */
     val cacheSource: EndpointEntry? = choice.cacheSource
     private val phase = AtomicInteger(WAITING)
+
+    /** The time from the placement to the first event of the answer, or null before it. */
+    @Volatile
+    var millisToFirstEvent: Long? = null
+        private set
     val endpoint: EndpointEntry = state.entry
+
+    /** The time since the placement, in milliseconds. */
+    val ageMillis: Long
+        get() = tracker.millisSince(placedAtMillis)
     val weights: WeightsNumber? = state.weights()
     internal val model = choice.model
 
@@ -84,7 +93,10 @@
      */
     fun onFirstEvent(): Boolean {
         val first = phase.compareAndSet(WAITING, ANSWERING)
-        if (first) tracker.onFirstEvent(this)
+        if (first) {
+            millisToFirstEvent = tracker.millisSince(placedAtMillis)
+            tracker.onFirstEvent(this)
+        }
         return first
     }
 
--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
@@ -64,6 +64,7 @@
     private val random: Random = Random.Default,
     private val limitShare: (EndpointTag, perSecond: Double) -> Double = { _, perSecond -> perSecond },
     private val slotShare: (EndpointTag, slots: Int) -> Int = { _, slots -> slots },
+    private val versionRules: VersionRules = VersionRules(),
 ) {
     private val states = HashMap<EndpointId, EndpointState>()
     private val peerLoads = PeerLoads(clock)
@@ -244,6 +245,7 @@
             .orEmpty()
             .filter { it.id !in request.excluded && it.tag !in request.received }
             .filter { request.software == null || it.software == request.software }
+            .filter { versionRules.accepts(it, request.software != null) }
             .mapNotNull { states[it.id] }
 
     /** Returns whether the service has an endpoint with this version that accepts new requests in general. */
@@ -251,7 +253,7 @@
     fun serves(
         service: ServiceName,
         software: SoftwareVersion,
-    ): Boolean = fleet?.usable(service).orEmpty().any { it.software == software }
+    ): Boolean = fleet?.usable(service).orEmpty().any { it.software == software && versionRules.accepts(it, true) }
 
     /** Returns whether the request might be placed now or later, as far as exclusions and versions go. */
     @Synchronized
@@ -260,15 +262,34 @@
     /** Chooses an endpoint and reserves load there. Returns null if no endpoint accepts the request now. */
     @Synchronized
     fun place(request: PlacementRequest): EndpointReservation? {
-        val snapshot = fleet ?: return null
         val now = clock.nowMillis()
         val candidates = usableStates(request).filter { closedMillis(it, now) == 0L && mayHaveRoom(it, now) }
+        val preferred = candidates.filter { versionRules.prefers(it.entry) }
+        val choice = if (preferred.size < candidates.size) choosePreferred(request, preferred, now) else null
+        return (choice ?: choose(request, candidates, now))?.let(::reserve)
+    }
+
+    /** Chooses one of the [preferred] endpoints, unless the request would be refused there or wait for longer. */
+    private fun choosePreferred(
+        request: PlacementRequest,
+        preferred: List<EndpointState>,
+        now: Long,
+    ): EndpointChoice? =
+        choose(request, preferred.filter { runningAt(it.entry.id) < it.entry.slots }, now)
+            ?.takeIf { it.expectedMillis <= request.usableMillis }
+
+    private fun choose(
+        request: PlacementRequest,
+        candidates: List<EndpointState>,
+        now: Long,
+    ): EndpointChoice? {
+        val snapshot = fleet ?: return null
         val notAvoided = candidates.filterNot { it.avoidedUntilMillis > now }.ifEmpty { candidates }
         val healthy = notAvoided.filterNot { it.health.isEjected(now) }.ifEmpty { notAvoided }
         if (healthy.isEmpty()) return null
-        val prompt = request.prompt ?: return placeWithoutPrompt(healthy)
+        val prompt = request.prompt ?: return chooseWithoutPrompt(healthy)
         val spec = snapshot.engineSpec(request.service)
-        return engineChooser.choose(request, prompt, healthy, spec, snapshot.weights[prompt.model])?.let(::reserve)
+        return engineChooser.choose(request, prompt, healthy, spec, snapshot.weights[prompt.model])
     }
 
     /**
@@ -290,6 +311,7 @@
             snapshot
                 .usable(service)
                 .filter { it.id != from.endpoint.id && it.id !in excluded }
+                .filter { versionRules.accepts(it, true) }
                 .mapNotNull { states[it.id] }
                 .filter { closedMillis(it, now) == 0L && mayHaveRoom(it, now) }
         return engineChooser.chooseHandoverTarget(from, candidates, spec)?.let { reserveAgain(it, from) }
@@ -316,9 +338,9 @@
         ),
     )
 
-    private fun placeWithoutPrompt(candidates: List<EndpointState>): EndpointReservation {
+    private fun chooseWithoutPrompt(candidates: List<EndpointState>): EndpointChoice {
         val best = candidates.minBy { occupancy(it) + if (it.entry.domain == domain) 0.0 else REMOTE_DOMAIN_OCCUPANCY }
-        return reserve(EndpointChoice(best))
+        return EndpointChoice(best)
     }
 
     private fun occupancy(state: EndpointState): Double {
@@ -333,6 +355,7 @@
             limitedSends++
         }
         if (targetOf(choice.model)?.outdatedSince(state.weights()) != null) outdatedSends++
+        versionRules.onPlaced(state.entry)
         state.running++
         state.backlogTokens += choice.uncachedTokens
         state.memoryTokens += choice.memoryTokens
@@ -351,6 +374,8 @@
     internal fun millisToBegin(reservation: EndpointReservation): Long? =
         weightsAgePolicy.remainingMillis(reservation.weights, targetOf(reservation.model))
 
+    internal fun millisSince(millis: Long): Long = clock.nowMillis() - millis
+
     @Synchronized
     internal fun onWithdrawn() {
         withdrawals++
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/coordination/placement/VersionRules.kt
@@ -0,0 +1,18 @@
+package lacewingweir.coordination.placement
+
+import lacewingweir.state.fleet.EndpointEntry
+
+/**
+ * What a rollout of a software version requires of placements. By default there is no rollout.
+ *
+ * The functions are called under the lock of the tracker, so they must not call it.
+ *
+ * @property accepts returns whether an endpoint may get a call, which goes on with a stream or not
+ * @property prefers returns whether a new call goes to an endpoint rather than to others that are accepted
+ * @property onPlaced is called for each placement, those of repeats and handovers included
+ */
+internal class VersionRules(
+    val accepts: (EndpointEntry, continuesStream: Boolean) -> Boolean = { _, _ -> true },
+    val prefers: (EndpointEntry) -> Boolean = { true },
+    val onPlaced: (EndpointEntry) -> Unit = {},
+)
--- /dev/null
+++ b/src/main/kotlin/lacewingweir/coordination/versions/VersionRollouts.kt
@@ -0,0 +1,328 @@
+/**
+ * Follows the rollouts of software versions at one instance: which endpoints may get calls, and what their answers
+ * show.
+ *
+ * The steps come from the store, where the lease holder writes them. Without it and without the store, an instance
+ * keeps the shares of calls as they are, and stops calls to a target on its own when too many bad answers are known.
+ * A final phase is remembered, so that a store restored from an older copy can't take it back for the same order.
+ */
+package lacewingweir.coordination.versions
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import lacewingweir.coordination.fleet.FleetSnapshot
+import lacewingweir.coordination.fleet.StoredOrder
+import lacewingweir.coordination.gossip.InstanceDigest
+import lacewingweir.coordination.gossip.VersionTally
+import lacewingweir.coordination.placement.VersionRules
+import lacewingweir.state.fleet.EndpointEntry
+import lacewingweir.state.id.EndpointId
+import lacewingweir.state.id.ServiceName
+import lacewingweir.state.id.SoftwareVersion
+import lacewingweir.state.time.MonotonicClock
+import lacewingweir.state.versions.AnswerTally
+import lacewingweir.state.versions.ExposureCredit
+import lacewingweir.state.versions.RolloutPhase
+import lacewingweir.state.versions.RolloutStep
+import lacewingweir.state.versions.StepFacts
+import lacewingweir.state.versions.mayServe
+import lacewingweir.state.versions.mustStopAlone
+import lacewingweir.state.versions.nextPhase
+import kotlin.random.Random
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * @property exposeShare the share of a service's calls that a bad version may get
+ * @property exposeSlack the calls that it may get in addition
+ * @property instances returns the number of instances of the fleet
+ * @property unixMillis returns the time of day, in which the steps are dated
+ */
+internal class VersionRollouts(
+    private val exposeShare: Double,
+    private val exposeSlack: Double,
+    private val clock: MonotonicClock,
+    private val unixMillis: () -> Long = System::currentTimeMillis,
+    private val instances: () -> Int,
+    private val random: Random = Random.Default,
+) {
+    private val counts = RolloutCounts()
+    private val rollouts = HashMap<ServiceName, ServiceRollout>()
+
+    /** Versions that were there before any order. */
+    private val seen = HashMap<ServiceName, Set<SoftwareVersion>>()
+    private var stored: Map<ServiceName, Set<SoftwareVersion>> = emptyMap()
+    private var fleet: FleetSnapshot? = null
+    private var firstFleetMillis = 0L
+
+    /** When an endpoint of an allowed version was last registered. */
+    private val lastAllowedMillis = HashMap<ServiceName, Long>()
+
+    val rules = VersionRules(::accepts, ::prefers, ::onPlaced)
+
+    /** The versions that serve without an order, for the store. Null until all endpoints that run must be known. */
+    @get:Synchronized
+    val baseline: Map<ServiceName, Set<SoftwareVersion>>?
+        get() = if (isWarm()) seen - rollouts.keys + stored else null
+
+    private fun isWarm() = fleet != null && clock.nowMillis() - firstFleetMillis >= WARM_UP_MILLIS
+
+    /** Applies a new snapshot of the fleet. */
+    @Synchronized
+    fun onFleet(snapshot: FleetSnapshot) {
+        if (fleet == null) firstFleetMillis = clock.nowMillis()
+        fleet = snapshot
+        stored = snapshot.rollouts.allowed
+        for ((service, step) in snapshot.rollouts.steps) applyStep(service, step, snapshot.rollouts.orders[service])
+        val active = rollouts.values.filterNot { it.step.phase.isFinal }
+        counts.retain(active.mapTo(HashSet()) { it.step.tag })
+        for ((service, endpoints) in snapshot.endpoints.values.groupBy { it.service }) {
+            onEndpoints(service, endpoints, snapshot.rollouts.orders[service])
+        }
+    }
+
+    private fun applyStep(
+        service: ServiceName,
+        step: RolloutStep,
+        order: StoredOrder?,
+    ) {
+        val known = rollouts[service]
+        when {
+            known == null -> rollouts[service] = rollout(step)
+            known.step.isSameRollout(step) ->
+                if (step.phase > known.step.phase &&
+                    !known.step.phase.isFinal
+                ) {
+                    known.update(step)
+                }
+            // A restored store may show an earlier rollout than that of the order.
+            order == null || !known.step.belongsTo(order) -> rollouts[service] = rollout(step)
+        }
+    }
+
+    private fun rollout(step: RolloutStep): ServiceRollout {
+        val now = unixMillis()
+        // An instance that starts within a rollout must not add to the slack with each start.
+        val isNew = now - step.startUnixMillis < NEW_ROLLOUT_MILLIS
+        val bonus = if (isNew) exposeSlack * SLACK_USED / instances().coerceAtLeast(1) else 0.0
+        return ServiceRollout(step, ExposureCredit(random.nextDouble() + bonus.coerceAtMost(1.0)), now)
+    }
+
+    private fun onEndpoints(
+        service: ServiceName,
+        endpoints: List<EndpointEntry>,
+        order: StoredOrder?,
+    ) {
+        val rollout = rollouts[service]
+        if (service !in stored && rollout == null) {
+            val present = endpoints.mapNotNullTo(LinkedHashSet()) { it.software } - setOfNotNull(order?.order?.target)
+            val known = seen[service]
+            if (known == null) {
+                seen[service] = present
+            } else if (!isWarm()) {
+                seen[service] = known + present
+            }
+        }
+        val now = clock.nowMillis()
+        val allowed = allowedVersions(service)
+        if (endpoints.any { it.software == null || it.software in allowed } || service !in lastAllowedMillis) {
+            lastAllowedMillis[service] = now
+        }
+        val usable = endpoints.filterNot { it.leaving }
+        if (rollout != null) {
+            val old = usable.filter { rollout.isOld(it) }.sumOf { it.slots }
+            val target = usable.filter { it.software == rollout.step.target }.sumOf { it.slots }
+            rollout.slotRatio = if (old == 0) 1.0 else minOf(1.0, target.toDouble() / old)
+        }
+    }
+
+    private fun ServiceRollout.isOld(endpoint: EndpointEntry) =
+        endpoint.software == null || endpoint.software in step.old
+
+    /** Returns the versions that may serve, including the target of a rollout that runs. */
+    private fun allowedVersions(service: ServiceName): Set<SoftwareVersion> {
+        val step = rollouts[service]?.applied ?: return stored[service] ?: seen[service].orEmpty()
+        return when (step.phase) {
+            RolloutPhase.ROLLED_BACK -> step.old
+            RolloutPhase.COMPLETED -> setOf(step.target)
+            else -> step.old + step.target
+        }
+    }
+
+    @Synchronized
+    private fun accepts(
+        endpoint: EndpointEntry,
+        continuesStream: Boolean,
+    ): Boolean {
+        val rollout = rollouts[endpoint.service]
+        val version = endpoint.software
+        val accepted =
+            rollout?.applied?.mayServe(version, continuesStream, rollout.isDue)
+                ?: (version == null || version in allowedVersions(endpoint.service))
+        return accepted || (version != rollout?.step?.target && lacksAllowed(endpoint.service))
+    }
+
+    /** Without an endpoint of an allowed version for some time, others serve, except a target that was rolled back. */
+    private fun lacksAllowed(service: ServiceName): Boolean {
+        val last = lastAllowedMillis[service] ?: return true
+        if (clock.nowMillis() - last < ABSENCE_MILLIS) return false
+        val allowed = allowedVersions(service)
+        return fleet?.endpoints?.values.orEmpty().none {
+            it.service == service && (it.software == null || it.software in allowed)
+        }
+    }
+
+    @Synchronized
+    private fun prefers(endpoint: EndpointEntry): Boolean {
+        val rollout = rollouts[endpoint.service] ?: return true
+        return !rollout.isDue || endpoint.software == rollout.step.target
+    }
+
+    @Synchronized
+    private fun onPlaced(endpoint: EndpointEntry) {
+        rollouts[endpoint.service]?.onPlaced(endpoint.software)
+    }
+
+    /** Counts the end of a send. */
+    @Synchronized
+    fun onAnswer(answer: VersionAnswer) {
+        val rollout = rollouts[answer.service]?.takeUnless { it.step.phase.isFinal } ?: return
+        val isTarget = answer.version == rollout.step.target
+        val route = answer.route.value.hashCode()
+        val slowMillis = rollout.oldMean(route)?.let { it * SLOW_FACTOR }
+        val isBad = answer.failed || (slowMillis != null && answer.comparedMillis > slowMillis)
+        counts.add(rollout.step.tag, route, isTarget, AnswerTally(1, if (isBad) 1 else 0, answer.comparedMillis))
+        // Twenty bad answers may come within less than the period of the checks.
+        if (isBad && isTarget) check(rollout)
+    }
+
+    /** Returns the own totals for the digest. */
+    @Synchronized
+    fun tallies(): List<VersionTally> = counts.ownTallies()
+
+    @Synchronized
+    fun onDigest(digest: InstanceDigest) = counts.onDigest(digest)
+
+    /** Judges the evidence that this instance knows. Must be called several times a second. */
+    @Synchronized
+    fun check() {
+        rollouts.values.filterNot { it.step.phase.isFinal }.forEach(::check)
+    }
+
+    private fun check(rollout: ServiceRollout) {
+        val step = rollout.step
+        if (!rollout.observe(counts.evidence(step.tag), unixMillis())) return
+        logger.warn {
+            "version-rollout: stopped here service=${step.service} target=${step.target} phase=${step.phase} " +
+                rollout.describe()
+        }
+    }
+
+    /** Describes the evidence on a service for the log. */
+    @Synchronized
+    fun describe(service: ServiceName): String = rollouts[service]?.describe() ?: "no evidence"
+
+    /**
+     * Returns the steps that the lease holder writes next: those in force, new ones for new orders, and next phases.
+     * [runningAt] returns the calls that run or wait at an endpoint. It is called without a lock.
+     */
+    fun nextSteps(runningAt: (EndpointId) -> Int): Map<ServiceName, RolloutStep> {
+        val endpoints = fleetSnapshot()?.endpoints?.values.orEmpty()
+        val running = endpoints.filter { isInRollout(it.service) }.associate { it.id to runningAt(it.id) }
+        return nextSteps(running)
+    }
+
+    @Synchronized
+    private fun fleetSnapshot() = fleet
+
+    @Synchronized
+    private fun isInRollout(service: ServiceName) = rollouts[service]?.step?.phase?.isFinal == false
+
+    @Synchronized
+    private fun nextSteps(running: Map<EndpointId, Int>): Map<ServiceName, RolloutStep> {
+        val snapshot = fleet ?: return emptyMap()
+        val orders = snapshot.rollouts.orders
+        return (orders.keys + rollouts.keys).associateWith { service ->
+            nextStep(service, orders[service], snapshot, running)
+        }
+    }
+
+    private fun nextStep(
+        service: ServiceName,
+        order: StoredOrder?,
+        snapshot: FleetSnapshot,
+        running: Map<EndpointId, Int>,
+    ): RolloutStep {
+        val now = unixMillis()
+        val rollout = rollouts[service]
+        val step = rollout?.step
+        return when {
+            rollout == null || step == null -> firstStep(checkNotNull(order), now)
+            order != null && !step.belongsTo(order) -> firstStep(order, now)
+            step.phase.isFinal -> step
+            // The order was withdrawn.
+            order == null -> step.advance(RolloutPhase.ROLLED_BACK, now)
+            rollout.isStopped || mustStopAlone(rollout.evidence) -> step.advance(RolloutPhase.ROLLED_BACK, now)
+            else -> nextPhase(step, facts(rollout, snapshot, running), now)?.let { step.advance(it, now) } ?: step
+        }
+    }
+
+    private fun RolloutStep.belongsTo(order: StoredOrder) =
+        orderRevision == order.revision && target == order.order.target && durationMillis == order.order.durationMillis
+
+    private fun firstStep(
+        order: StoredOrder,
+        now: Long,
+    ): RolloutStep {
+        val (service, target, duration) = order.order
+        val before = rollouts[service]?.step
+        val allowed = if (before?.phase?.isFinal == false) before.old else allowedVersions(service)
+        val first =
+            RolloutStep(
+                service = service,
+                target = target,
+                orderRevision = order.revision,
+                old = allowed - target,
+                startUnixMillis = now,
+                deadlineUnixMillis = now + duration,
+                phase = RolloutPhase.CANARY,
+                phaseUnixMillis = now,
+                shareThousandths = (exposeShare * SHARE_USED * 1_000).toInt(),
+            )
+        // Nothing has to be moved.
+        return if (target in allowed && first.old.isEmpty()) first.advance(RolloutPhase.COMPLETED, now) else first
+    }
+
+    private fun facts(
+        rollout: ServiceRollout,
+        snapshot: FleetSnapshot,
+        running: Map<EndpointId, Int>,
+    ): StepFacts {
+        val endpoints = snapshot.endpoints.values.filter { it.service == rollout.step.service }
+        val (old, others) = endpoints.partition { rollout.isOld(it) }
+        val verdicts = rollout.verdicts()
+        return StepFacts(
+            sinceOrder = verdicts.sinceOrder,
+            sincePhase = verdicts.sincePhase,
+            recent = verdicts.recent,
+            targetSlots = others.filter { it.software == rollout.step.target && !it.leaving }.sumOf { it.slots },
+            oldSlots = old.filterNot { it.leaving }.sumOf { it.slots },
+            oldRunning = old.sumOf { running[it.id] ?: 0 },
+        )
+    }
+
+    private companion object {
+        /** Part of the exposure limit that the first phase uses. */
+        const val SHARE_USED = 0.5
+
+        /** Part of the slack that instances use, so that services with few calls get a verdict. */
+        const val SLACK_USED = 0.2
+        const val NEW_ROLLOUT_MILLIS = 5_000L
+        const val SLOW_FACTOR = 3.0
+
+        /** Time in which endpoints that run have registered after a start of everything. */
+        const val WARM_UP_MILLIS = 10_000L
+
+        /** Exceeds the time in which endpoints write their items again after an outage of the store. */
+        const val ABSENCE_MILLIS = 10_000L
+    }
+}
--- a/src/main/kotlin/lacewingweir/coordination/weights/RolloutLease.kt
+++ b/src/main/kotlin/lacewingweir/coordination/weights/RolloutLease.kt
@@ -1,5 +1,6 @@
 /**
- * The lease under which one instance at a time coordinates the loading of weights.
+ * A lease under which one instance at a time coordinates the loading of weights, or decides on rollouts of software
+ * versions.
  *
  * The store revision at which the lease's key was created is the fencing token of all commands sent under the lease. It
  * contains the store's era, so that tokens rise also when the store comes back from an older copy.
@@ -26,6 +27,7 @@
     private val key: String,
     private val holder: String,
     private val ttlMillis: Long,
+    private val logPrefix: String = "rollout",
 ) {
     private class HeldLease(
         val leaseId: Long,
@@ -53,11 +55,11 @@
         if (committed == null) {
             // A commit without a response may still take effect. Ending its lease makes the store delete the key.
             store.endLease(leaseId)
-            logger.info { "rollout: lease not acquired result=$result" }
+            logger.info { "$logPrefix: lease not acquired result=$result" }
             return false
         }
         held = HeldLease(leaseId, committed.revision, sentAt)
-        logger.info { "rollout: lease acquired fence=${committed.revision}" }
+        logger.info { "$logPrefix: lease acquired fence=${committed.revision}" }
         return true
     }
 
@@ -80,7 +82,7 @@
     }
 
     private fun discard(reason: String) {
-        logger.warn { "rollout: lease given up fence=${held?.fencingToken} reason=$reason" }
+        logger.warn { "$logPrefix: lease given up fence=${held?.fencingToken} reason=$reason" }
         held = null
     }
 
--- a/src/main/kotlin/lacewingweir/platform/PlatformItemCodec.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformItemCodec.kt
@@ -100,7 +100,7 @@
             key.startsWith(PlatformKeys.BEGUN_STREAMS_PREFIX) ->
                 FleetUpdate.BegunStreams(begunStreams(parseObject(value)))
             key == PlatformKeys.ROLLOUT_LEASE -> FleetUpdate.RolloutLeader
-            else -> null
+            else -> VersionRolloutCodec.decode(key, value)
         }
 
     /** Encodes the item with which an instance publishes its own address and failure domain. */
--- a/src/main/kotlin/lacewingweir/platform/PlatformNames.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformNames.kt
@@ -138,4 +138,16 @@
 
     /** Held by the instance that coordinates the loading of weights. */
     const val ROLLOUT_LEASE = "lacewingweir/rollout"
+
+    /** Followed by the name of a service. The operators' orders to move it to another software version. */
+    const val ROLLOUT_ORDER_PREFIX = "op/rollout/"
+
+    /** Followed by the name of a service. The outcome of its order, for the operators. */
+    const val ROLLOUT_STATUS_PREFIX = "status/rollout/"
+
+    /** Held by the instance that decides on rollouts of software versions. */
+    const val VERSION_ROLLOUT_LEASE = "lacewingweir/version-rollout"
+
+    /** The steps of the rollouts of software versions. */
+    const val VERSION_ROLLOUTS = "lacewingweir/version-rollouts"
 }
--- a/src/main/kotlin/lacewingweir/protocol/settings/RouterSettings.kt
+++ b/src/main/kotlin/lacewingweir/protocol/settings/RouterSettings.kt
@@ -23,7 +23,8 @@
  * @property exposeShare the share of a service's requests that a bad software version may receive in a rollout, or null
  *   if the operators don't order rollouts of software versions.
  * @property exposeSlack the number of requests that it may receive in addition to [exposeShare].
- * @property rollbackMillis the maximum time from the 50th bad answer of a software version until it receives no request.
+ * @property rollbackMillis the maximum time from the 50th bad answer of a software version until it receives no
+ *   request.
  */
 @Serializable
 internal data class PlatformBounds(
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -19,6 +19,7 @@
 import lacewingweir.coordination.placement.ReservationOutcome
 import lacewingweir.coordination.reach.ReachMonitor
 import lacewingweir.coordination.stream.StreamVersions
+import lacewingweir.coordination.versions.VersionAnswer
 import lacewingweir.state.fleet.EndpointEntry
 import lacewingweir.state.fleet.RequestKind
 import lacewingweir.state.fleet.RoutePolicy
@@ -56,6 +57,7 @@
     private val random: Random = Random.Default,
     private val reach: ReachMonitor? = null,
     private val passer: CallPasser? = null,
+    private val onAnswer: (VersionAnswer) -> Unit = {},
     private val awaitDisconnects: suspend () -> Unit,
 ) {
     private val admission = CallAdmission(directory, proof, rateLimiter, quarantine, limits)
@@ -404,6 +406,7 @@
                     ?: SendOutcome.Broken("out of time", outOfTime = true)
             if (outcome is SendOutcome.NotRun && !outcome.refused) onUnreachable(reservation.endpoint)
             if (outcome is SendOutcome.Broken && !outcome.givenUp) state.onRead()
+            versionAnswer(admitted.route.id, reservation, outcome)?.let(onAnswer)
             when {
                 state.progress.lastNumber != lastEvent -> state.onStreamContinued()
                 mayBeAnsweredLate(state, outcome) -> state.onReceived(reservation.endpoint.tag)
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/platform/VersionRolloutFleetTest.kt
@@ -0,0 +1,274 @@
+package lacewingweir.platform
+
+import lacewingweir.state.fleet.EndpointEntry
+import lacewingweir.state.id.SoftwareVersion
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import strikt.assertions.isNotEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isTrue
+
+/** Plays rollouts of good and bad versions over 8 and 60 instances. */
+internal class VersionRolloutFleetTest {
+    private fun fail(call: PlayedCall) = PlayedAnswer(failed = call.random.nextDouble() < 0.4)
+
+    private fun rollout(
+        count: Int,
+        services: List<String> = listOf("s"),
+        answer: (String, PlayedCall) -> PlayedAnswer,
+    ): VersionRolloutFleet {
+        val fleet = VersionRolloutFleet(count, services = services, answer = answer)
+        // After this time, versions that appear need an order.
+        fleet.play(12.0)
+        for (service in services) fleet.addEndpoints(service, "new")
+        fleet.play(3.0)
+        for (service in services) {
+            expectThat(fleet.exposed[service] ?: 0).isEqualTo(0)
+            fleet.order(service)
+        }
+        return fleet
+    }
+
+    /** Checks that a bad version was rolled back within its bounds. */
+    private fun expectRolledBack(fleet: VersionRolloutFleet) {
+        expectThat(fleet.state()).isEqualTo("rolled_back")
+        val exposed = fleet.exposed["s"] ?: 0
+        println("exposed=$exposed calls=${fleet.calls["s"]} bad=${fleet.badAnswers["s"]}")
+        expectThat(exposed.toDouble()).isLessThan(0.1 * checkNotNull(fleet.calls["s"]) + 50)
+        fleet.fiftiethBadMillis["s"]?.let {
+            expectThat(checkNotNull(fleet.lastExposedMillis["s"])).isLessThan(it + 5_000)
+        }
+        expectThat(fleet.unservedCalls).isEqualTo(0)
+    }
+
+    /** Guards against a version that fails from its first call on and is kept for too long, or completed. */
+    @ParameterizedTest
+    @ValueSource(ints = [8, 60])
+    fun `a version that fails at once is rolled back`(count: Int) {
+        val fleet = rollout(count) { _, call -> fail(call) }
+        fleet.play(60.0)
+        expectRolledBack(fleet)
+        expectThat(checkNotNull(fleet.exposed["s"])).isLessThan(150)
+    }
+
+    /** Guards against early good answers that outweigh later failures. */
+    @ParameterizedTest
+    @ValueSource(longs = [15_000, 26_000, 32_000])
+    fun `a version that fails later is rolled back`(fromMillis: Long) {
+        val fleet = rollout(8) { _, call -> if (call.elapsedMillis > fromMillis) fail(call) else PlayedAnswer() }
+        fleet.play(60.0)
+        expectRolledBack(fleet)
+    }
+
+    /** Guards against steps to a load that shows the fault, without a look at the evidence there. */
+    @Test
+    fun `a version that fails under load is rolled back`() {
+        val fleet = rollout(8) { _, call -> if (call.load > 6) fail(call) else PlayedAnswer() }
+        fleet.play(60.0)
+        expectRolledBack(fleet)
+    }
+
+    /** Guards against a route whose failures the good answers of others hide. */
+    @ParameterizedTest
+    @ValueSource(ints = [8, 60])
+    fun `a version that fails on one route is rolled back`(count: Int) {
+        val fleet = rollout(count) { _, call -> if (call.route == 1) fail(call) else PlayedAnswer() }
+        fleet.play(60.0)
+        expectRolledBack(fleet)
+    }
+
+    /** Guards against slow answers that count as good because they come in the end. */
+    @ParameterizedTest
+    @ValueSource(ints = [8, 60])
+    fun `a slow version is rolled back`(count: Int) {
+        val fleet = rollout(count) { _, call -> PlayedAnswer(millis = if (call.random.nextInt(3) == 0) 700 else 100) }
+        fleet.play(60.0)
+        expectRolledBack(fleet)
+    }
+
+    /** Guards against a good version that misses its deadline, and old endpoints that stop with calls. */
+    @ParameterizedTest
+    @ValueSource(ints = [8, 60])
+    fun `a good version is completed in time without calls at old endpoints`(count: Int) {
+        val fleet =
+            rollout(count) { _, call -> PlayedAnswer(call.random.nextInt(200) == 0, 60 + call.random.nextLong(80)) }
+        fleet.play(60.0) { fleet.state() == "completed" }
+        expectThat(fleet.state()).isEqualTo("completed")
+        expectThat(fleet.runningOld).isEqualTo(0)
+        expectThat(fleet.unservedCalls).isEqualTo(0)
+        fleet.play(5.0)
+        expectThat(fleet.state()).isEqualTo("completed")
+    }
+
+    /** Guards against exposure beyond half of the limit while there is no verdict, and rounding up at each instance. */
+    @ParameterizedTest
+    @ValueSource(ints = [8, 60, 84])
+    fun `the first share is at most half of the limit over all instances`(count: Int) {
+        for (seconds in listOf(3.0, 24.0)) {
+            val fleet = rollout(count) { _, _ -> PlayedAnswer() }
+            fleet.play(seconds)
+            val exposed = checkNotNull(fleet.exposed["s"])
+            println("instances=$count exposed=$exposed calls=${fleet.calls["s"]}")
+            expectThat(exposed.toDouble()).isLessThan(0.05 * checkNotNull(fleet.calls["s"]) + 25)
+        }
+    }
+
+    /** Guards against a rollout that stops when its holder does, and against phases that start again. */
+    @ParameterizedTest
+    @ValueSource(ints = [0, 200, 400, 600, 1_000, 2_000, 28_000, 45_000])
+    fun `another instance goes on after the lease holder was killed`(afterMillis: Int) {
+        val fleet = rollout(8) { _, _ -> PlayedAnswer() }
+        fleet.play(afterMillis / 1_000.0)
+        fleet.play(10.0) { fleet.instances.any { it.isLeader } }
+        fleet.restart(fleet.instances.first { it.isLeader })
+        fleet.play(60.0) { fleet.state() == "completed" }
+        expectThat(fleet.state()).isEqualTo("completed")
+    }
+
+    /** Guards against a bad version that is kept because the only holder is away when all instances are killed. */
+    @Test
+    fun `a bad version is rolled back after all instances were killed`() {
+        val fleet = rollout(8) { _, call -> if (call.elapsedMillis > 10_000) fail(call) else PlayedAnswer() }
+        fleet.play(11.0)
+        fleet.instances.toList().forEach(fleet::restart)
+        fleet.play(50.0)
+        expectThat(fleet.state()).isEqualTo("rolled_back")
+        expectThat((fleet.exposed["s"] ?: 0).toDouble()).isLessThan(0.1 * checkNotNull(fleet.calls["s"]) + 50)
+    }
+
+    /** Guards against steps up without the store, and against a good version that isn't completed after its return. */
+    @ParameterizedTest
+    @ValueSource(doubles = [1.0, 20.0, 28.0, 34.0, 40.0])
+    fun `while the store is away nothing steps up, and a good version goes on later`(fromSeconds: Double) {
+        val fleet = rollout(8) { _, _ -> PlayedAnswer() }
+        fleet.play(fromSeconds)
+        val steps = fleet.store.text(PlatformKeys.VERSION_ROLLOUTS)
+        fleet.store.away = true
+        fleet.play(9.0)
+        expectThat(fleet.store.text(PlatformKeys.VERSION_ROLLOUTS)).isEqualTo(steps)
+        fleet.store.away = false
+        fleet.play(58.0 - fromSeconds - 9)
+        expectThat(fleet.state()).isEqualTo("completed")
+    }
+
+    /** Guards against a bad version that gets calls for as long as the rollback can't be written. */
+    @ParameterizedTest
+    @ValueSource(ints = [8, 60])
+    fun `while the store is away each instance stops a bad version`(count: Int) {
+        val fleet = rollout(count) { _, call -> if (call.elapsedMillis > 8_000) fail(call) else PlayedAnswer() }
+        fleet.play(7.0)
+        fleet.store.away = true
+        fleet.play(30.0)
+        expectThat(
+            fleet.fiftiethBadMillis["s"]?.let { checkNotNull(fleet.lastExposedMillis["s"]) < it + 5_000 } ?: true,
+        ).isTrue()
+        val exposed = fleet.exposed["s"]
+        fleet.play(10.0)
+        expectThat(fleet.exposed["s"]).isEqualTo(exposed)
+        fleet.store.away = false
+        fleet.play(13.0)
+        expectThat(fleet.state()).isEqualTo("rolled_back")
+    }
+
+    /** Guards against a target that keeps its share after the operators have changed their order. */
+    @Test
+    fun `a changed order ends the rollout and starts another`() {
+        val fleet = rollout(8) { _, _ -> PlayedAnswer() }
+        fleet.play(30.0)
+        fleet.addEndpoints("s", "newer")
+        fleet.order(target = "newer")
+        fleet.play(2.0)
+        expectThat(fleet.status()).isNotNull().isEqualTo("""{"service":"s","target":"newer","state":"running"}""")
+        val exposed = fleet.exposed["s"]
+        fleet.play(56.0)
+        expectThat(fleet.exposed["s"]).isEqualTo(exposed)
+        expectThat(fleet.state()).isEqualTo("completed")
+    }
+
+    @Test
+    fun `a withdrawn order ends the rollout`() {
+        val fleet = rollout(8) { _, _ -> PlayedAnswer() }
+        fleet.play(30.0)
+        fleet.withdraw()
+        fleet.play(2.0)
+        val exposed = fleet.exposed["s"]
+        fleet.play(10.0)
+        expectThat(fleet.state()).isEqualTo("rolled_back")
+        expectThat(fleet.exposed["s"]).isEqualTo(exposed)
+    }
+
+    /** Guards against a store restored from an older copy that takes back a rollback of the same order. */
+    @Test
+    fun `a rollback is kept when an older copy of the store comes back`() {
+        val fleet = rollout(8) { _, call -> fail(call) }
+        fleet.play(1.0)
+        val copy = fleet.store.copy()
+        fleet.play(20.0)
+        expectThat(fleet.state()).isEqualTo("rolled_back")
+        val exposed = fleet.exposed["s"]
+        fleet.store.restore(copy)
+        expectThat(fleet.state()).isNotEqualTo("rolled_back")
+        fleet.play(20.0)
+        expectThat(fleet.state()).isEqualTo("rolled_back")
+        expectThat(fleet.exposed["s"]).isEqualTo(exposed)
+    }
+
+    /** Guards against evidence or shares of one service that count for another. */
+    @Test
+    fun `of two services at once, only the bad version is rolled back`() {
+        val fleet = rollout(8, listOf("s", "t")) { service, call -> if (service == "s") fail(call) else PlayedAnswer() }
+        fleet.play(60.0)
+        expectRolledBack(fleet)
+        expectThat(fleet.state("t")).isEqualTo("completed")
+    }
+
+    /** Guards against calls to a version that no order names, also from instances that start after its endpoints. */
+    @Test
+    fun `a version without an order gets no calls, also after a restart of all instances`() {
+        val fleet = VersionRolloutFleet(8)
+        fleet.play(20.0)
+        fleet.addEndpoints("s", "new")
+        fleet.play(3.0)
+        fleet.instances.toList().forEach(fleet::restart)
+        fleet.play(15.0)
+        expectThat(fleet.exposed["s"] ?: 0).isEqualTo(0)
+        expectThat(fleet.unservedCalls).isEqualTo(0)
+    }
+
+    /** Guards against commits whose responses are lost, after which steps would be skipped or repeated. */
+    @Test
+    fun `lost responses of the store don't disturb a rollout`() {
+        val fleet = rollout(8) { _, _ -> PlayedAnswer() }
+        fleet.play(60.0) {
+            fleet.store.losesResponses = fleet.random.nextInt(3) == 0
+            fleet.state() == "completed"
+        }
+        expectThat(fleet.state()).isEqualTo("completed")
+    }
+
+    /** Guards against a resumed stream that goes on at a target after its rollback. */
+    @Test
+    fun `a stream goes on at the target only until the rollback`() {
+        val fleet = rollout(8) { _, call -> fail(call) }
+        val instance = fleet.instances.first()
+
+        fun target(): EndpointEntry =
+            instance.snapshot.endpoints.values
+                .first { it.software == SoftwareVersion("new") }
+        fleet.play(5.0) {
+            fleet.state() == "running" &&
+                instance.snapshot.rollouts.steps
+                    .isNotEmpty()
+        }
+        expectThat(instance.rollouts.rules.accepts(target(), true)).isTrue()
+        fleet.play(30.0)
+        expectThat(fleet.state()).isEqualTo("rolled_back")
+        expectThat(instance.rollouts.rules.accepts(target(), true)).isEqualTo(false)
+        expectThat(fleet.store.commits).isGreaterThan(0)
+    }
+}
