Test rollouts on whole instances, and wait for the versions before an order

Cause: an order read after a start of everything could begin a rollout before old endpoints had registered, which would then have got no calls. The grace before other versions serve could be passed over when the store had long been quiet.

Change: no first step before the versions of the service are known; absence is dated when it is seen. The attempts at the lease are spread by the number of instances.

--- a/src/main/kotlin/lacewingweir/coordination/versions/VersionRolloutAgent.kt
+++ b/src/main/kotlin/lacewingweir/coordination/versions/VersionRolloutAgent.kt
@@ -75,7 +75,7 @@
         when {
             lease.isHeld -> if (needed) lease.renew() else lease.release("no rollout")
             needed && !fleet().rollouts.leaderPresent -> {
-                pause(random.nextLong(ACQUIRE_SPREAD_MILLIS))
+                pause(random.nextLong(ACQUIRE_SPREAD_MILLIS + fleet().peers.size * ACQUIRE_SPREAD_PER_INSTANCE_MILLIS))
                 if (!stopped && !fleet().rollouts.leaderPresent) lease.acquire()
             }
         }
@@ -165,6 +165,9 @@
 
         /** Spreads the acquisition attempts of instances that notice the end of the lease at the same time. */
         const val ACQUIRE_SPREAD_MILLIS: Long = 300
+
+        /** In a large fleet, the first attempt still comes soon, and few others before it is known. */
+        const val ACQUIRE_SPREAD_PER_INSTANCE_MILLIS: Long = 25
         const val LOG_MILLIS: Long = 5_000
 
         /** Exceeds the time until a change reaches the mirror of an instance that the store serves. */
--- a/src/main/kotlin/lacewingweir/coordination/versions/VersionRollouts.kt
+++ b/src/main/kotlin/lacewingweir/coordination/versions/VersionRollouts.kt
@@ -54,8 +54,8 @@
     private var fleet: FleetSnapshot? = null
     private var firstFleetMillis = 0L
 
-    /** When an endpoint of an allowed version was last registered. */
-    private val lastAllowedMillis = HashMap<ServiceName, Long>()
+    /** Since when no endpoint of an allowed version is registered although others are. */
+    private val absentSinceMillis = HashMap<ServiceName, Long>()
 
     val rules = VersionRules(::accepts, ::prefers, ::onPlaced)
 
@@ -122,10 +122,11 @@
                 seen[service] = known + present
             }
         }
-        val now = clock.nowMillis()
         val allowed = allowedVersions(service)
-        if (endpoints.any { it.software == null || it.software in allowed } || service !in lastAllowedMillis) {
-            lastAllowedMillis[service] = now
+        if (endpoints.any { it.software == null || it.software in allowed }) {
+            absentSinceMillis -= service
+        } else {
+            absentSinceMillis.putIfAbsent(service, clock.nowMillis())
         }
         val usable = endpoints.filterNot { it.leaving }
         if (rollout != null) {
@@ -162,14 +163,8 @@
     }
 
     /** Without an endpoint of an allowed version for some time, others serve, except a target that was rolled back. */
-    private fun lacksAllowed(service: ServiceName): Boolean {
-        val last = lastAllowedMillis[service] ?: return true
-        if (clock.nowMillis() - last < ABSENCE_MILLIS) return false
-        val allowed = allowedVersions(service)
-        return fleet?.endpoints?.values.orEmpty().none {
-            it.service == service && (it.software == null || it.software in allowed)
-        }
-    }
+    private fun lacksAllowed(service: ServiceName): Boolean =
+        absentSinceMillis[service]?.let { clock.nowMillis() - it >= ABSENCE_MILLIS } ?: false
 
     @Synchronized
     private fun prefers(endpoint: EndpointEntry): Boolean {
@@ -241,11 +236,20 @@
     private fun nextSteps(running: Map<EndpointId, Int>): Map<ServiceName, RolloutStep> {
         val snapshot = fleet ?: return emptyMap()
         val orders = snapshot.rollouts.orders
-        return (orders.keys + rollouts.keys).associateWith { service ->
-            nextStep(service, orders[service], snapshot, running)
-        }
+        return (orders.keys + rollouts.keys)
+            .filter { it in rollouts || isKnown(it, snapshot) }
+            .associateWith { nextStep(it, orders[it], snapshot, running) }
     }
 
+    /** Whether the versions before an order are known. After a start of everything, its endpoints register later. */
+    private fun isKnown(
+        service: ServiceName,
+        snapshot: FleetSnapshot,
+    ): Boolean =
+        allowedVersions(service).isNotEmpty() ||
+            lacksAllowed(service) ||
+            snapshot.endpoints.values.any { it.service == service && it.software == null }
+
     private fun nextStep(
         service: ServiceName,
         order: StoredOrder?,
@@ -288,8 +292,8 @@
                 phaseUnixMillis = now,
                 shareThousandths = (exposeShare * SHARE_USED * 1_000).toInt(),
             )
-        // Nothing has to be moved.
-        return if (target in allowed && first.old.isEmpty()) first.advance(RolloutPhase.COMPLETED, now) else first
+        val nothingToMove = first.old.isEmpty() && (target in allowed || lacksAllowed(service))
+        return if (nothingToMove) first.advance(RolloutPhase.COMPLETED, now) else first
     }
 
     private fun facts(
--- a/src/main/kotlin/lacewingweir/platform/VersionRolloutCodec.kt
+++ b/src/main/kotlin/lacewingweir/platform/VersionRolloutCodec.kt
@@ -96,8 +96,8 @@
         key: String,
         item: JsonObject,
     ): FleetUpdate {
-        val service = item.string("service")
-        if (key.removePrefix(PlatformKeys.ROLLOUT_ORDER_PREFIX) != service) {
+        val service = key.removePrefix(PlatformKeys.ROLLOUT_ORDER_PREFIX)
+        if (item.string("service") != service) {
             throw JsonFieldException("service is not that of the key")
         }
         val seconds = item.number("durationS")
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/coordination/placement/VersionRulesTest.kt
@@ -0,0 +1,53 @@
+package lacewingweir.coordination.placement
+
+import lacewingweir.state.id.EndpointId
+import lacewingweir.state.time.SuspendAwareClock
+import lacewingweir.testing.FLEET_DOMAIN
+import lacewingweir.testing.FLEET_SERVICE
+import lacewingweir.testing.ManualTimers
+import lacewingweir.testing.engineFleet
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+
+internal class VersionRulesTest {
+    private val timers = ManualTimers()
+    private var accepted = setOf("a", "b")
+    private var preferred = "b"
+    private val placed = ArrayList<String>()
+    private val tracker =
+        EndpointTracker(
+            timers,
+            FLEET_DOMAIN,
+            WeightsAgePolicy(SuspendAwareClock(timers, { 0 })) { 8_000 },
+            versionRules =
+                VersionRules(
+                    accepts = { endpoint, _ -> endpoint.id.value in accepted },
+                    prefers = { it.id.value == preferred },
+                    onPlaced = { placed += it.id.value },
+                ),
+        ).also { it.onFleet(engineFleet("a", "b", supportsHandover = true)) }
+    private val request = PlacementRequest(FLEET_SERVICE, null, null, emptySet())
+
+    /** Guards against calls that are refused because the endpoints of a new version are full. */
+    @Test
+    fun `calls go to other endpoints once those that are preferred are full`() {
+        repeat(49) { tracker.place(request) }
+        expectThat(placed).isEqualTo(ArrayList(List(48) { "b" } + "a"))
+    }
+
+    /** Guards against repeats, handovers and streams that pass by the rules or aren't counted. */
+    @Test
+    fun `the rules apply to all placements`() {
+        val reservation = expectThat(tracker.place(request)).isNotNull().subject
+        expectThat(tracker.placeForHandover(reservation, emptySet())?.endpoint?.id).isEqualTo(EndpointId("a"))
+        expectThat(placed).isEqualTo(arrayListOf("b", "a"))
+        accepted = setOf("b")
+        expectThat(tracker.placeForHandover(reservation, emptySet())).isNull()
+        accepted = emptySet()
+        expectThat(tracker.place(request)).isNull()
+        expectThat(tracker.hasUsable(request)).isEqualTo(false)
+    }
+}
--- a/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
+++ b/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
@@ -38,6 +38,7 @@
     private val pathToServer: ((instance: Int, address: String) -> String)? = null,
     private val config: String = CONFIG,
     serversMayFallSilent: Boolean = false,
+    private val exposeShare: Double? = null,
     private val pathToStore: (instance: Int, address: String) -> String = { _, address -> address },
 ) : AutoCloseable {
     class CallerResponse(
@@ -146,7 +147,13 @@
             readinessListen = "${host(index)}:$READINESS_PORT",
             internalPorts = listOf(DIGEST_PORT),
             storeAddress = pathToStore(index, storeView(index)),
-            bounds = PlatformBounds(repeatRatio = 0.2, repeatExtra = repeatExtra),
+            bounds =
+                PlatformBounds(
+                    repeatRatio = 0.2,
+                    repeatExtra = repeatExtra,
+                    exposeShare = exposeShare,
+                    exposeSlack = 50.0,
+                ),
         )
 
     private fun storeView(index: Int): String {
--- a/src/test/kotlin/lacewingweir/platform/VersionRolloutFleet.kt
+++ b/src/test/kotlin/lacewingweir/platform/VersionRolloutFleet.kt
@@ -42,6 +42,7 @@
     count: Int,
     private val callsPerSecond: Double = 200.0,
     private val services: List<String> = listOf("s"),
+    private val oldBadShare: Double = 0.0,
     seed: Int = 1,
     private val answer: (service: String, PlayedCall) -> PlayedAnswer = { _, _ -> PlayedAnswer() },
 ) {
@@ -249,7 +250,7 @@
         val isTarget = endpoint.software == SoftwareVersion("new")
         val load = running.count { it.isTarget }
         val played = PlayedCall(now - orderMillis, route, load, random)
-        val given = if (isTarget) answer(service, played) else PlayedAnswer(millis = 60 + random.nextLong(80))
+        val given = if (isTarget) answer(service, played) else oldAnswer()
         if (isTarget) {
             exposed.merge(service, 1, Int::plus)
             lastExposedMillis[service] = now
@@ -257,6 +258,8 @@
         running += Running(instance, service, endpoint, route, isTarget, given, now + given.millis)
     }
 
+    private fun oldAnswer() = PlayedAnswer(random.nextDouble() < oldBadShare, 60 + random.nextLong(80))
+
     private fun finish(now: Long) {
         val ended = running.filter { it.endMillis <= now }
         running.removeAll(ended)
