--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
@@ -71,6 +71,7 @@
     private val slotShare: (EndpointTag, slots: Int) -> Int = { _, slots -> slots },
     private val contended: (ServiceName) -> Boolean = { false },
     learnSpeeds: Boolean = false,
+    private val versionRules: VersionRules = VersionRules(),
 ) {
     private val states = HashMap<EndpointId, EndpointState>()
     private val peerLoads = PeerLoads(clock)
@@ -267,6 +268,7 @@
             .orEmpty()
             .filter { it.id !in request.excluded && it.tag !in request.received }
             .filter { request.software == null || it.software == request.software }
+            .filter { versionRules.accepts(it, request.software != null) }
             .mapNotNull { states[it.id] }
 
     /** Returns whether the service has an endpoint with this version that accepts new requests in general. */
@@ -274,7 +276,7 @@
     fun serves(
         service: ServiceName,
         software: SoftwareVersion,
-    ): Boolean = fleet?.usable(service).orEmpty().any { it.software == software }
+    ): Boolean = fleet?.usable(service).orEmpty().any { it.software == software && versionRules.accepts(it, true) }
 
     /** Returns whether the request might be placed now or later, as far as exclusions and versions go. */
     @Synchronized
@@ -283,15 +285,34 @@
     /** Chooses an endpoint and reserves load there. Returns null if no endpoint accepts the request now. */
     @Synchronized
     fun place(request: PlacementRequest): EndpointReservation? {
-        val snapshot = fleet ?: return null
         val now = clock.nowMillis()
         val candidates = usableStates(request).filter { closedMillis(it, now) == 0L && mayHaveRoom(it, now) }
+        val preferred = candidates.filter { versionRules.prefers(it.entry) }
+        val choice = if (preferred.size < candidates.size) choosePreferred(request, preferred, now) else null
+        return (choice ?: choose(request, candidates, now))?.let(::reserve)
+    }
+
+    /** Chooses one of the [preferred] endpoints, unless the request would be refused there or wait for longer. */
+    private fun choosePreferred(
+        request: PlacementRequest,
+        preferred: List<EndpointState>,
+        now: Long,
+    ): EndpointChoice? =
+        choose(request, preferred.filter { runningAt(it.entry.id) < it.entry.slots }, now)
+            ?.takeIf { it.expectedMillis <= request.usableMillis }
+
+    private fun choose(
+        request: PlacementRequest,
+        candidates: List<EndpointState>,
+        now: Long,
+    ): EndpointChoice? {
+        val snapshot = fleet ?: return null
         val notAvoided = candidates.filterNot { it.avoidedUntilMillis > now }.ifEmpty { candidates }
         val healthy = notAvoided.filterNot { it.health.isEjected(now) }.ifEmpty { notAvoided }
         if (healthy.isEmpty()) return null
-        val prompt = request.prompt ?: return placeWithoutPrompt(healthy)
+        val prompt = request.prompt ?: return chooseWithoutPrompt(healthy)
         val spec = snapshot.engineSpec(request.service)
-        return engineChooser.choose(request, prompt, healthy, spec, snapshot.weights[prompt.model])?.let(::reserve)
+        return engineChooser.choose(request, prompt, healthy, spec, snapshot.weights[prompt.model])
     }
 
     /**
@@ -313,6 +334,7 @@
             snapshot
                 .usable(service)
                 .filter { it.id != from.endpoint.id && it.id !in excluded }
+                .filter { versionRules.accepts(it, true) }
                 .mapNotNull { states[it.id] }
                 .filter { closedMillis(it, now) == 0L && mayHaveRoom(it, now) }
         return engineChooser.chooseHandoverTarget(from, candidates, spec)?.let { reserveAgain(it, from) }
@@ -339,7 +361,7 @@
         ),
     )
 
-    private fun placeWithoutPrompt(candidates: List<EndpointState>): EndpointReservation {
+    private fun chooseWithoutPrompt(candidates: List<EndpointState>): EndpointChoice {
         val uneven = learnedSpeeds?.unevenSpeeds(candidates.first().entry.service)
         val best =
             candidates.minBy {
@@ -347,7 +369,7 @@
             }
         val slots = best.entry.slots.coerceAtLeast(1)
         val calls = best.running + peerLoads.running(best.entry.tag) + 1.0
-        return reserve(EndpointChoice(best, callsPerSlot = (calls / slots).coerceAtLeast(1.0)))
+        return EndpointChoice(best, callsPerSlot = (calls / slots).coerceAtLeast(1.0))
     }
 
     /** Returns the used share of the slots. With [uneven] speeds, it is weighted by the time that a call takes. */
@@ -369,6 +391,7 @@
             limitedSends++
         }
         if (targetOf(choice.model)?.outdatedSince(state.weights()) != null) outdatedSends++
+        versionRules.onPlaced(state.entry)
         state.running++
         state.backlogTokens += choice.uncachedTokens
         state.memoryTokens += choice.memoryTokens
@@ -387,6 +410,8 @@
     internal fun millisToBegin(reservation: EndpointReservation): Long? =
         weightsAgePolicy.remainingMillis(reservation.weights, targetOf(reservation.model))
 
+    internal fun millisSince(millis: Long): Long = clock.nowMillis() - millis
+
     @Synchronized
     internal fun onWithdrawn() {
         withdrawals++
