Extrapolate peers' admissions and admit a fraction of a flood

Cause: instances counted their peers' admissions only when digests arrived, up to 1.2 s later, and all of them used the same free tokens in the meantime.

Change: digests carry the recent demand for each customer (label 15). Usage since a peer's last digest is extrapolated from its demand and the fraction admitted since. The refusal log shows the extrapolated tokens.

--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -107,7 +107,6 @@
     private val rateLimiter =
         FleetRateLimiter(
             clock,
-            settings.name,
             rateWindowMillis,
             { peerDigests.names() },
             { directory.snapshot.peers.size },
@@ -500,6 +499,7 @@
         targets = directory.observedTargetAges(),
         leaving = directory.recentlyLeaving(),
         unreachable = servicesWithoutPassedCalls().map { it.value }.sorted(),
+        demands = rateLimiter.demands(),
     )
 
     private fun servicesWithoutPassedCalls(): Set<ServiceName> =
--- a/src/main/kotlin/lacewingweir/coordination/gossip/InstanceDigest.kt
+++ b/src/main/kotlin/lacewingweir/coordination/gossip/InstanceDigest.kt
@@ -69,6 +69,7 @@
  * @property leaving endpoints that have recently said in a response that they leave
  * @property targets ages of recent target weights that the instance has observed
  * @property unreachable services whose endpoints the instance doesn't reach, or doesn't send calls of others to
+ * @property demands recent demand for each customer in tokens per second, including refused requests
  */
 @Serializable
 internal data class InstanceDigest(
@@ -86,6 +87,7 @@
     @CborLabel(12) val targets: List<TargetAge> = emptyList(),
     @CborLabel(13) val leaving: List<EndpointTag> = emptyList(),
     @CborLabel(14) val unreachable: List<String> = emptyList(),
+    @CborLabel(15) val demands: Map<String, Long> = emptyMap(),
 ) {
     /** How long the digest describes its instance if no later one arrives. */
     val validityMillis: Long
--- a/src/main/kotlin/lacewingweir/transport/relay/CallAdmission.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallAdmission.kt
@@ -98,7 +98,8 @@
         if (decision is RateDecision.Refused) {
             logger.info {
                 "relay: id=${state.call.id} over rate customer=${customer.id} limit=${customer.rate} tokens=$tokens " +
-                    "used=${decision.usedTokens} peersHeard=${decision.livePeers} instances=${decision.fleetSize}"
+                    "used=${decision.usedTokens} extrapolated=${decision.extrapolatedTokens} " +
+                    "peersHeard=${decision.livePeers} instances=${decision.fleetSize}"
             }
             return state.refuse(RelayRefusal.OVER_RATE, decision.retryAfterMillis)
         }
--- a/src/test/kotlin/lacewingweir/platform/RelayFixture.kt
+++ b/src/test/kotlin/lacewingweir/platform/RelayFixture.kt
@@ -65,7 +65,7 @@
     private val directory =
         FleetDirectory(PlatformItemCodec::decode, suspendAwareClock, CoroutineTimerService(scope), proof)
     private val clock = MonotonicClock.SYSTEM
-    private val rateLimiter = FleetRateLimiter(clock, "a", 8_000, { emptySet() }, { 1 })
+    private val rateLimiter = FleetRateLimiter(clock, 8_000, { emptySet() }, { 1 })
     private val tracker =
         EndpointTracker(clock, FailureDomain("z1"), WeightsAgePolicy(suspendAwareClock) { weightsLimitMillis })
     private val repeatBudgets =
--- a/src/test/kotlin/lacewingweir/state/rate/FleetUsageWindowTest.kt
+++ b/src/test/kotlin/lacewingweir/state/rate/FleetUsageWindowTest.kt
@@ -15,8 +15,8 @@
     private val limit = RateLimit(perSecond = 1_000.0, burst = 1_000.0)
     private val allowedTokens = 9_000.0
 
-    private fun initializedWindow(self: String = "a") =
-        FleetUsageWindow(limit, windowMillis, self, hot = true, nowMillis = 0).also {
+    private fun initializedWindow() =
+        FleetUsageWindow(limit, windowMillis, hot = true, nowMillis = 0).also {
             it.initializeUsage(0.0, 0)
         }
 
@@ -24,7 +24,7 @@
     @Test
     fun `overload over all instances stays within the rate and its tolerated excess`() {
         val names = List(8) { "i$it" }
-        val windows = names.associateWith { initializedWindow(it) }
+        val windows = names.associateWith { initializedWindow() }
         val random = SplittableRandom(7)
         val admissions = ArrayList<Pair<Long, Long>>()
         val inFlight = ArrayDeque<Triple<Long, String, Long>>()
@@ -67,7 +67,7 @@
     /** When all instances are killed, no instance has a record of the tokens admitted before. */
     @Test
     fun `a new instance assumes a full window that expires`() {
-        val newWindow = FleetUsageWindow(limit, windowMillis, "a", hot = true, nowMillis = 0)
+        val newWindow = FleetUsageWindow(limit, windowMillis, hot = true, nowMillis = 0)
         expectThat(newWindow.tryAdmit(10, 0, emptySet(), 1)).isFalse()
         expectThat(newWindow.tryAdmit(10, windowMillis, emptySet(), 1)).isTrue()
     }
@@ -78,7 +78,7 @@
      */
     @Test
     fun `a new instance admits requests of a customer that was not known to be hot`() {
-        val newWindow = FleetUsageWindow(limit, windowMillis, "a", hot = false, nowMillis = 0)
+        val newWindow = FleetUsageWindow(limit, windowMillis, hot = false, nowMillis = 0)
         expectThat(newWindow.tryAdmit(3_000, 0, emptySet(), 1)).isTrue()
         expectThat(newWindow.isHot(0)).isTrue()
     }
@@ -86,13 +86,13 @@
     /** All instances restart at the same time and have not received any digests yet. */
     @Test
     fun `an instance that restarts with all others admits its part of a customer's rate`() {
-        val newWindow = FleetUsageWindow(limit, windowMillis, "a", hot = false, nowMillis = 0)
+        val newWindow = FleetUsageWindow(limit, windowMillis, hot = false, nowMillis = 0)
         expectThat(newWindow.tryAdmit(100, 0, emptySet(), instances = 8)).isTrue()
     }
 
     @Test
     fun `a new instance initializes its usage from a peer only once`() {
-        val newWindow = FleetUsageWindow(limit, windowMillis, "a", hot = true, nowMillis = 0)
+        val newWindow = FleetUsageWindow(limit, windowMillis, hot = true, nowMillis = 0)
         newWindow.initializeUsage(500.0, 0)
         newWindow.initializeUsage(9_000.0, 0)
         expectThat(newWindow.tryAdmit(10, 0, emptySet(), 1)).isTrue()
--- a/src/test/kotlin/lacewingweir/transport/digest/DigestTrafficTest.kt
+++ b/src/test/kotlin/lacewingweir/transport/digest/DigestTrafficTest.kt
@@ -49,7 +49,7 @@
         List(16) { CustomerSpec(CustomerId("cust%03d".format(it)), emptySet(), null, LIMIT, 1, false) }
     private val tracker =
         EndpointTracker(timers, FLEET_DOMAIN, WeightsAgePolicy(SuspendAwareClock(timers, { 0 })) { 8_000 }, random)
-    private val limiter = FleetRateLimiter(timers, SELF, 8_000, { emptySet() }, { 1 })
+    private val limiter = FleetRateLimiter(timers, 8_000, { emptySet() }, { 1 })
     private val directory =
         FleetDirectory(
             { key, _ -> FleetUpdate.Peer(PeerEntry(key, "10.1.0.1", 7_600, FLEET_DOMAIN)) },
@@ -96,6 +96,7 @@
                     weights = tracker.engineNews(loading),
                     prefills = tracker.takePrefills(),
                     windowTotals = if (withWindowTotals) limiter.windowTotals() else null,
+                    demands = limiter.demands(),
                 )
             },
             createReport = { EngineReport(SELF, tracker.engineWeights(it, loading), validityMillis = 1_000) },
