--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -121,7 +121,6 @@
     private val rateLimiter =
         FleetRateLimiter(
             clock,
-            settings.name,
             rateWindowMillis,
             { peerDigests.names() },
             { directory.snapshot.peers.size },
@@ -553,6 +552,7 @@
         unreachable = servicesWithoutPassedCalls().map { it.value }.sorted(),
         speeds = tracker.takeSpeeds(),
         versions = versionRollouts?.tallies().orEmpty(),
+        demands = rateLimiter.demands(),
     )
 
     private fun servicesWithoutPassedCalls(): Set<ServiceName> =
--- a/src/main/kotlin/lacewingweir/coordination/gossip/InstanceDigest.kt
+++ b/src/main/kotlin/lacewingweir/coordination/gossip/InstanceDigest.kt
@@ -86,6 +86,7 @@
  * @property versions answers since the orders of the rollouts of software versions that run
  * @property unreachable services whose endpoints the instance doesn't reach, or doesn't send calls of others to
  * @property speeds samples of the speeds of endpoints since the previous digest
+ * @property demands recent demand for each customer in tokens per second, including refused requests
  */
 @Serializable
 internal data class InstanceDigest(
@@ -105,6 +106,7 @@
     @CborLabel(14) val unreachable: List<String> = emptyList(),
     @CborLabel(16) val versions: List<VersionTally> = emptyList(),
     @CborLabel(17) val speeds: List<SpeedSample> = emptyList(),
+    @CborLabel(15) val demands: Map<String, Long> = emptyMap(),
 ) {
     /** How long the digest describes its instance if no later one arrives. */
     val validityMillis: Long
