--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -308,6 +308,7 @@
                 failures.total,
             )
         }
+    private val speedReporter = SpeedReporter(timers, tracker::speedFigures)
     private val repeatReporter =
         RepeatReporter(
             timers,
@@ -362,6 +363,7 @@
         rollout.start()
         trafficReporter.start()
         admissionReporter.start()
+        speedReporter.start()
         repeatReporter.start()
         logger.info {
             "router: started commit=${BuildInfo.commit} name=${settings.name} domain=${settings.failureDomain} " +
--- a/src/main/kotlin/lacewingweir/state/placement/EndpointSpeeds.kt
+++ b/src/main/kotlin/lacewingweir/state/placement/EndpointSpeeds.kt
@@ -169,7 +169,8 @@
             estimate.lastingSpeed = estimate.lasting.speed(priorWork, middle)
             estimate.speed = estimate.recent.speed(priorWork, estimate.lastingSpeed)
         }
-        updateUneven(known.filter { it.lasting.samples >= MIN_SAMPLES })
+        val minSamples = if (uneven) MIN_SAMPLES_WHILE_UNEVEN else MIN_SAMPLES
+        updateUneven(known.filter { it.lasting.samples >= minSamples })
     }
 
     private fun recentSums(
@@ -225,8 +226,12 @@
         /** Greatest ratio of a sample's speed and [middle], and the inverse; limits the effect of a false sample. */
         const val MAX_FACTOR: Double = 5.0
 
-        /** Endpoints with fewer lasting samples don't count in the quartiles. */
+        /**
+         * Endpoints with fewer lasting samples don't count in the quartiles. Slow endpoints get few requests once the
+         * service is uneven.
+         */
         const val MIN_SAMPLES: Double = 8.0
+        const val MIN_SAMPLES_WHILE_UNEVEN: Double = 1.0
 
         /** At least one in this number of endpoints must have samples. */
         const val MIN_SAMPLED_SHARE: Int = 3
--- a/src/test/kotlin/lacewingweir/transport/digest/DigestCodecTest.kt
+++ b/src/test/kotlin/lacewingweir/transport/digest/DigestCodecTest.kt
@@ -4,6 +4,7 @@
 import lacewingweir.coordination.gossip.EndpointLimit
 import lacewingweir.coordination.gossip.InstanceDigest
 import lacewingweir.coordination.gossip.PeerDatagram
+import lacewingweir.coordination.gossip.SpeedSample
 import lacewingweir.state.crash.EndpointCrash
 import lacewingweir.state.crash.Suspect
 import lacewingweir.state.id.EndpointTag
@@ -34,6 +35,7 @@
             weights = emptyList(),
             crashNews = CrashNews(crashes, answered = parts, blocked = parts, instance = "front-domain-00"),
             limits = List(6) { EndpointLimit(EndpointTag(it), 1.2, ageMillis = 300) },
+            speeds = listOfNotNull(SpeedSample.of(EndpointTag(-5), 100, 40, 8)),
         )
 
     /** Guards against news that are lost more often than other datagrams because they are sent in fragments. */
@@ -50,7 +52,7 @@
     /** Guards against digests that grow although no part is suspected and no endpoint is limited. */
     @Test
     fun `a digest without news takes up a few bytes for them`() {
-        val quiet = digest.copy(crashNews = null, limits = emptyList())
+        val quiet = digest.copy(crashNews = null, limits = emptyList(), speeds = emptyList())
         expectThat(DigestCodec.encode(PeerDatagram(quiet)).size).isLessThan(80)
     }
 }
--- a/src/test/kotlin/lacewingweir/transport/digest/DigestTrafficTest.kt
+++ b/src/test/kotlin/lacewingweir/transport/digest/DigestTrafficTest.kt
@@ -48,7 +48,13 @@
     private val customers =
         List(16) { CustomerSpec(CustomerId("cust%03d".format(it)), emptySet(), null, LIMIT, 1, false) }
     private val tracker =
-        EndpointTracker(timers, FLEET_DOMAIN, WeightsAgePolicy(SuspendAwareClock(timers, { 0 })) { 8_000 }, random)
+        EndpointTracker(
+            timers,
+            FLEET_DOMAIN,
+            WeightsAgePolicy(SuspendAwareClock(timers, { 0 })) { 8_000 },
+            random,
+            learnSpeeds = true,
+        )
     private val limiter = FleetRateLimiter(timers, SELF, 8_000, { emptySet() }, { 1 })
     private val directory =
         FleetDirectory(
@@ -96,6 +102,7 @@
                     weights = tracker.engineNews(loading),
                     prefills = tracker.takePrefills(),
                     windowTotals = if (withWindowTotals) limiter.windowTotals() else null,
+                    speeds = tracker.takeSpeeds(),
                 )
             },
             createReport = { EngineReport(SELF, tracker.engineWeights(it, loading), validityMillis = 1_000) },
