--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -353,6 +353,7 @@
                 failures.total,
             )
         }
+    private val speedReporter = SpeedReporter(timers, tracker::speedFigures)
     private val repeatReporter =
         RepeatReporter(
             timers,
@@ -410,6 +411,7 @@
         versionRolloutAgent?.start()
         trafficReporter.start()
         admissionReporter.start()
+        speedReporter.start()
         repeatReporter.start()
         logger.info {
             "router: started commit=${BuildInfo.commit} name=${settings.name} domain=${settings.failureDomain} " +
