--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -105,17 +105,7 @@
     private val internalAddress = "${settings.host}:${settings.internalPorts.first()}"
     private val proof = StoreContactProof(ageClock)
     private val directory = FleetDirectory(PlatformItemCodec::decode, ageClock, timers, proof)
-    private val watchIntervalMillis = StoreMirror.watchIntervalMillis(bounds.configurationMillis)
-    private val mirror =
-        StoreMirror(
-            store,
-            ALL_KEYS_PREFIX,
-            waitMillis = MAX_PROOF_AGE_MILLIS - watchIntervalMillis,
-            ageClock,
-            proof,
-            directory,
-            minWatchIntervalMillis = watchIntervalMillis,
-        )
+    private val mirror = StoreMirror(store, ALL_KEYS_PREFIX, WATCH_WAIT_MILLIS, ageClock, proof, directory)
     private val peerDigests = PeerDigests(settings.name, clock)
     private val rateWindowMillis = (bounds.rateWindowSeconds * MILLIS_PER_SECOND).toLong()
     private val rateLimiter =
@@ -595,11 +585,11 @@
         const val ALL_KEYS_PREFIX = ""
 
         /**
-         * Time for which a watch call waits for changes, and the mirror's interval between calls, together. Longer ones
-         * reduce the number of calls, for which the platform charges, but the contact proof can become this old between
-         * two calls. Below [RelayLimits.maxRefusalProofAgeMillis].
+         * Time for which a watch call waits for changes. A longer wait reduces the number of calls, for which the
+         * platform charges, but the contact proof can become this old between two calls. Together with the mirror's
+         * interval between calls it stays below [RelayLimits.maxRefusalProofAgeMillis].
          */
-        const val MAX_PROOF_AGE_MILLIS: Long = 2_400
+        const val WATCH_WAIT_MILLIS: Long = 1_700
 
         /** Time that a request may take to reach its endpoint after the last check of its key. */
         const val KEY_CHECK_MARGIN_MILLIS: Long = 500
--- a/src/main/kotlin/lacewingweir/coordination/fleet/StoreMirror.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/StoreMirror.kt
@@ -53,7 +53,6 @@
     private val proof: StoreContactProof?,
     private val listener: MirrorListener,
     private val random: Random = Random.Default,
-    private val minWatchIntervalMillis: Long = MIN_WATCH_INTERVAL_MILLIS,
 ) {
     private var failures = 0
     private var listedEra: Long? = null
@@ -141,7 +140,7 @@
             is WatchResult.Changes -> {
                 val waitedInFull = result.changes.isEmpty() && clock.ageMillis(sentAt) >= waitMillis
                 applyChanges(result, provedAt = if (waitedInFull) sentAt.plus(waitMillis) else sentAt)
-                delay(minWatchIntervalMillis - clock.ageMillis(sentAt))
+                delay(MIN_WATCH_INTERVAL_MILLIS - clock.ageMillis(sentAt))
                 maxOf(revision, appliedRevision ?: revision)
             }
             WatchResult.HistoryGone -> {
@@ -191,45 +190,27 @@
         return null
     }
 
-    companion object {
+    private companion object {
         /**
          * Minimum time between the starts of two watch calls, and greatest delay of changes that are gathered. Well
          * below the two seconds in which a configuration or the leaving of an endpoint must be in force. After a
          * change, the contact proof gets as old as this interval and a whole wait together.
          */
-        private const val MIN_WATCH_INTERVAL_MILLIS: Long = 700
-
-        /** Part of the time within which a configuration must be in force for which changes are gathered. */
-        private const val INTERVAL_SHARE: Double = 0.35
-
-        /**
-         * Returns the interval between watch calls if a configuration must be in force within [configurationMillis].
-         *
-         * Endpoints of a large service change all the time, so each instance calls once an interval. Large deployments
-         * have more time and more instances than small ones.
-         */
-        fun watchIntervalMillis(configurationMillis: Long): Long =
-            (configurationMillis * INTERVAL_SHARE).toLong().coerceIn(
-                MIN_WATCH_INTERVAL_MILLIS,
-                MAX_WATCH_INTERVAL_MILLIS,
-            )
-
-        /** With a longer interval, an instance would seem to have lost the store while changes follow each other. */
-        private const val MAX_WATCH_INTERVAL_MILLIS: Long = 1_400
+        const val MIN_WATCH_INTERVAL_MILLIS: Long = 700
 
         /**
          * Short compared to the maximum age of the contact proof, long compared to the store's response time of
          * milliseconds.
          */
-        private const val RETRY_MIN_MILLIS: Long = 200
+        const val RETRY_MIN_MILLIS: Long = 200
 
         /** Time for a response of the store when it is slow, short compared to the patience of callers. */
-        private const val CHECK_TIMEOUT_MILLIS: Long = 500
+        const val CHECK_TIMEOUT_MILLIS: Long = 500
 
         /** Bounds the calls of an instance that is asked for a proof by many callers at once. */
-        private const val MIN_CHECK_INTERVAL_MILLIS: Long = 200
+        const val MIN_CHECK_INTERVAL_MILLIS: Long = 200
 
         /** Spreads the retries of instances that lost the store at the same time. */
-        private const val RETRY_SPREAD_MILLIS: Long = 200
+        const val RETRY_SPREAD_MILLIS: Long = 200
     }
 }
--- a/src/main/kotlin/lacewingweir/protocol/settings/RouterSettings.kt
+++ b/src/main/kotlin/lacewingweir/protocol/settings/RouterSettings.kt
@@ -20,7 +20,6 @@
  * @property repeatExtra the number of repeats that the fleet may send in addition to [repeatRatio] within
  *   [repeatWindowSeconds].
  * @property rateWindowSeconds the length of the window over which the customers' rates are limited.
- * @property configurationMillis the maximum time until a new configuration is in force.
  * @property exposeShare the share of a service's requests that a bad software version may receive in a rollout, or null
  *   if the operators don't order rollouts of software versions.
  * @property exposeSlack the number of requests that it may receive in addition to [exposeShare].
@@ -37,7 +36,6 @@
     val repeatExtra: Double = 10.0,
     val repeatWindowSeconds: Double = 10.0,
     val rateWindowSeconds: Double = 8.0,
-    val configurationMillis: Long = 2_000,
     val exposeShare: Double? = null,
     val exposeSlack: Double = 0.0,
     val rollbackMillis: Long = 5_000,
@@ -107,7 +105,6 @@
                 add("bounds.keyWithdrawalMillis: must exceed $MIN_KEY_WITHDRAWAL_MILLIS")
             }
             if (bounds.orderLeaseMillis < 1) add("bounds.orderLeaseMillis: must be positive")
-            if (bounds.configurationMillis < 1) add("bounds.configurationMillis: must be positive")
             if (bounds.exposeShare != null && bounds.exposeShare !in 0.0..1.0) {
                 add("bounds.exposeShare: must be between 0 and 1")
             }
