--- a/src/main/kotlin/lacewingweir/state/placement/PrefixRates.kt
+++ b/src/main/kotlin/lacewingweir/state/placement/PrefixRates.kt
@@ -4,7 +4,8 @@
 
 /**
  * Rates of the shared prompt prefixes that this instance has received most recently, in tokens to prefill per
- * millisecond. Bounded to [maxPrefixes]; the prefix that has not been requested for longest is evicted. Not thread-safe.
+ * millisecond. Bounded to [maxPrefixes]; the prefix that has not been requested for longest is evicted. Not
+ * thread-safe.
  */
 internal class PrefixRates(
     private val maxPrefixes: Int = MAX_PREFIXES,
@@ -19,7 +20,7 @@
             override fun removeEldestEntry(eldest: Map.Entry<Long, Rate>) = size > maxPrefixes
         }
 
-    /** Records a request that needs prefill of [tokens] beyond its shared prefix, and returns the rate of the prefix. */
+    /** Records a request with [tokens] beyond its shared prefix, and returns the rate of the prefix. */
     fun record(
         prefix: Long,
         tokens: Double,
--- a/src/test/kotlin/lacewingweir/platform/VersionRolloutFleetTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/VersionRolloutFleetTest.kt
@@ -232,7 +232,7 @@
         expectThat(fleet.state("t")).isEqualTo("completed")
     }
 
-    /** Guards against refusing versions that serve side by side without an order, which operators may do at any time. */
+    /** Guards against refusing versions that operators run side by side without an order. */
     @Test
     fun `a version without an order serves, also after a restart of all instances`() {
         val fleet = VersionRolloutFleet(8)
--- a/src/test/kotlin/lacewingweir/state/contention/EngineRankTest.kt
+++ b/src/test/kotlin/lacewingweir/state/contention/EngineRankTest.kt
@@ -6,7 +6,7 @@
 import strikt.assertions.isLessThan
 
 internal class EngineRankTest {
-    /** Guards against a burst of a less urgent route that delays the urgent requests of customers of the same priority. */
+    /** Guards against a burst of a less urgent route that delays the others of customers with the same priority. */
     @Test
     fun `routes order the requests of customers with the same priority under contention`() {
         val urgent = engineRank(customerPriority = 1, routePriority = 0, contended = true)
