Follow changes of speed faster and limit false samples of large work

With a time constant of 5 s, slow phases of 4 s were mostly over when they were known.

With fewer samples in a window, EndpointSpeedsTest showed that one false sample of 100,000 tokens in 4 ms dominated an estimate, because samples count by their work.

--- a/src/main/kotlin/lacewingweir/state/placement/EndpointSpeeds.kt
+++ b/src/main/kotlin/lacewingweir/state/placement/EndpointSpeeds.kt
@@ -113,14 +113,7 @@
         samples++
         sizes.add(work)
         val estimate = estimates.getOrPut(endpoint) { Estimate(middle) }
-        val counted =
-            if (middle ==
-                0.0
-            ) {
-                millis
-            } else {
-                millis.coerceIn(work / middle / MAX_FACTOR, work / middle * MAX_FACTOR)
-            }
+        val counted = limitedMillis(estimate, work, millis)
         if (!serial && estimate.speed > 0.0) {
             val deviation = counted * estimate.speed / work - 1.0
             meanSquareDeviation += DEVIATION_SAMPLE_WEIGHT * (deviation * deviation - meanSquareDeviation)
@@ -129,6 +122,19 @@
         estimate.history.addLast(Sample(work, endMillis - counted, endMillis.toDouble()))
     }
 
+    /** Returns [millis], limited so that a single false sample changes an estimate little. */
+    private fun limitedMillis(
+        estimate: Estimate,
+        work: Double,
+        millis: Double,
+    ): Double {
+        if (middle == 0.0) return millis
+        val smallWork = minOf(work, typicalWork * MAX_FREE_WORK)
+        val speed = maxOf(estimate.speed, estimate.lastingSpeed, middle)
+        val minMillis = smallWork / middle / MAX_FACTOR + (work - smallWork) / speed / MAX_LARGE_FACTOR
+        return millis.coerceIn(minMillis, work / middle * MAX_FACTOR)
+    }
+
     /** Returns whether the speeds differ so much that endpoints must not be treated as equal. */
     fun isUneven(nowMillis: Long): Boolean {
         update(nowMillis)
@@ -212,12 +218,12 @@
 
     private companion object {
         /** Slow phases of endpoints last some seconds. */
-        const val RECENT_DECAY_MILLIS: Double = 5_000.0
+        const val RECENT_DECAY_MILLIS: Double = 3_000.0
         const val LASTING_DECAY_MILLIS: Double = 30_000.0
         const val UPDATE_PERIOD_MILLIS: Long = 500
 
         /** Older samples have less than a tenth of the weight of new ones. */
-        const val HISTORY_MILLIS: Long = 12_000
+        const val HISTORY_MILLIS: Long = 8_000
         const val MAX_HISTORY: Int = 128
 
         /** Weight of the level that an estimate falls back to, in typical samples. */
@@ -226,6 +232,10 @@
         /** Greatest ratio of a sample's speed and [middle], and the inverse; limits the effect of a false sample. */
         const val MAX_FACTOR: Double = 5.0
 
+        /** Work beyond this number of typical samples counts as done at most this much faster than estimated. */
+        const val MAX_FREE_WORK: Double = 4.0
+        const val MAX_LARGE_FACTOR: Double = 1.5
+
         /**
          * Endpoints with fewer lasting samples don't count in the quartiles. Slow endpoints get few requests once the
          * service is uneven.
