Sample the engines of uneven services while weights are rolled out

Change: while some engines have outdated weights, a request is compared on a sample, as under contention, with the learned speeds. Also names and comments that reviews found.

--- a/src/main/kotlin/lacewingweir/coordination/placement/EngineChooser.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EngineChooser.kt
@@ -75,16 +75,45 @@
         val now = clock.nowMillis()
         val accepting = candidates.filter { it.acceptsPrompts(now) && weightsAgePolicy.isAllowed(it.weights(), target) }
         if (accepting.isEmpty()) return null
-        val isUneven = unevenSpeeds(request.service) != null
-        if (!isUneven && !contended(request.service)) return chooseAmong(accepting, request, prompt, spec, target)
+        val isContended = contended(request.service)
+        if (!isContended && unevenSpeeds(request.service) == null) {
+            return chooseAmong(Candidates(accepting), request, prompt, spec, target)
+        }
         val homes = homesOf(request, prompt, accepting)
-        val sample = if (isUneven) accepting else sampleOf(accepting, request, prompt, homes)
-        val choice = chooseAmong(sample, request, prompt, spec, target, homes)
+        // While weights are rolled out, the few engines that have loaded them are the cheapest for all instances.
+        val isRollingOut = accepting.any { target?.outdatedSince(it.weights()) != null }
+        return if (isContended || isRollingOut) {
+            chooseFromSample(accepting, request, prompt, spec, target, homes)
+        } else {
+            chooseAmong(Candidates(accepting, homes), request, prompt, spec, target)
+        }
+    }
+
+    private fun chooseFromSample(
+        accepting: List<EndpointState>,
+        request: PlacementRequest,
+        prompt: Prompt,
+        spec: EngineSpec?,
+        target: WeightsTarget?,
+        homes: List<EndpointId>,
+    ): EndpointChoice? {
+        val sample = sampleOf(accepting, request, prompt, homes)
+        val choice = chooseAmong(Candidates(sample, homes, isSample = true), request, prompt, spec, target)
         val isUsable = choice != null && choice.expectedMillis <= request.usableMillis
         if (isUsable || sample.size == accepting.size) return choice
-        return chooseAmong(accepting, request, prompt, spec, target, homes)
+        return chooseAmong(Candidates(accepting, homes, isSample = true), request, prompt, spec, target)
     }
 
+    /**
+     * The engines on which a prompt is compared. [homes] are those of its shared prefix, or null if it has one home
+     * among [engines]. [isSample] tells whether they are drawn at random, so that no further spreading is needed.
+     */
+    private class Candidates(
+        val engines: List<EndpointState>,
+        val homes: List<EndpointId>? = null,
+        val isSample: Boolean = false,
+    )
+
     /** Returns the learned speeds of a service's engines, or null if these count as equally fast. */
     private fun unevenSpeeds(service: ServiceName): EndpointSpeeds? = learnedSpeeds?.unevenSpeeds(service)
 
@@ -143,13 +172,13 @@
     }
 
     private fun chooseAmong(
-        usable: List<EndpointState>,
+        candidates: Candidates,
         request: PlacementRequest,
         prompt: Prompt,
         spec: EngineSpec?,
         target: WeightsTarget?,
-        homes: List<EndpointId>? = null,
     ): EndpointChoice? {
+        val usable = candidates.engines
         val partTokens = IntArray(prompt.parts.size) { prompt.parts[it].tokens }
         val prefixHashes =
             usable
@@ -164,7 +193,7 @@
                 val cachedAtSource = sources.sourceFor(it)?.let(cached::getValue) ?: 0.0
                 val penalty = weightsAgePolicy.penaltyMillis(it.weights(), target, prompt.longAnswer)
                 val toBegin = weightsAgePolicy.remainingMillis(it.weights(), target)?.toDouble()
-                view(it, spec, penalty, toBegin ?: Double.POSITIVE_INFINITY, uneven)
+                view(it, spec, penalty, toBegin ?: Double.POSITIVE_INFINITY, uneven, drained = !candidates.isSample)
                     .copy(
                         cachedTokens = cached.getValue(it),
                         copyableTokens = (cachedAtSource - cached.getValue(it)).coerceAtLeast(0.0),
@@ -173,9 +202,13 @@
         val speed = speeds.getOrPut(request.service) { PrefillSpeed() }
         val copyMillisPerToken = spec?.transferMillisPerToken ?: Double.MAX_VALUE
         val query = query(request, prompt, partTokens)
-        val unevenEngines = uneven?.let { UnevenEngines(random, spreadMillis(), it.sizeSplit) }
+        val unevenEngines =
+            uneven
+                ?.takeUnless { candidates.isSample }
+                ?.let { UnevenEngines(random, spreadMillis(), it.sizeSplit) }
         val choice =
-            chooseEngine(query, views, speed.tokensPerMilli, copyMillisPerToken, unevenEngines, homes) ?: return null
+            chooseEngine(query, views, speed.tokensPerMilli, copyMillisPerToken, unevenEngines, candidates.homes)
+                ?: return null
         placements.record(clock.nowMillis())
         val state = usable.first { it.entry.id == choice.engine }
         return EndpointChoice(
@@ -233,12 +266,17 @@
         second: EndpointEntry,
     ) = first.software != null && first.software == second.software
 
+    /**
+     * Returns the view of an engine. If [drained], what it processes is subtracted from the backlog that peers report.
+     * While they compete, they place new requests as fast as that.
+     */
     private fun view(
         state: EndpointState,
         spec: EngineSpec?,
         weightsPenaltyMillis: Double,
         millisToBegin: Double = Double.POSITIVE_INFINITY,
         uneven: EndpointSpeeds? = null,
+        drained: Boolean = true,
     ): EngineView {
         val tag = state.entry.tag
         val learned = uneven?.speed(tag)
@@ -249,7 +287,7 @@
         val recoveryPenalty = (1.0 - state.health.slotShare(clock.nowMillis())) * RECOVERING_MILLIS
         return EngineView(
             id = state.entry.id,
-            backlogTokens = state.backlogTokens + peerBacklog(state, speed),
+            backlogTokens = state.backlogTokens + peerLoads.backlogTokens(tag, if (drained) speed else 0.0),
             running = (state.running + peerLoads.running(tag)).toDouble(),
             slots = state.entry.slots,
             memoryShare = if (memory > 0) usedMemory.toDouble() / memory else 0.0,
@@ -266,18 +304,6 @@
 
     private fun spreadMillis() = maxOf(MIN_SPREAD_MILLIS, peerLoads.intervalMillis * SPREAD_SHARE)
 
-    /**
-     * Returns the peers' tokens that wait for prefill. Under contention, peers place new requests as fast as the engine
-     * processes those that they have reported, so nothing is subtracted.
-     */
-    private fun peerBacklog(
-        state: EndpointState,
-        tokensPerMilli: Double,
-    ): Double {
-        val drained = if (contended(state.entry.service)) 0.0 else tokensPerMilli
-        return peerLoads.backlogTokens(state.entry.tag, drained)
-    }
-
     private companion object {
         /** An engine that caches less than this share of a prompt is compared only if it is in the sample. */
         const val MIN_CACHED_SHARE: Double = 0.25
--- a/src/main/kotlin/lacewingweir/state/placement/CandidateSample.kt
+++ b/src/main/kotlin/lacewingweir/state/placement/CandidateSample.kt
@@ -21,7 +21,7 @@
     unseenPlacements: Double,
 ): Int = ceil(engines / (1 + unseenPlacements)).toInt().coerceIn(minOf(MIN_SAMPLE, engines), engines)
 
-/** Returns [kept] and [size] more of [engines], drawn at random. */
+/** Returns [kept] and up to [size] more of [engines], drawn at random with replacement. */
 internal fun sampleCandidates(
     engines: List<EndpointId>,
     kept: Set<EndpointId>,
--- a/src/main/kotlin/lacewingweir/state/placement/UnevenEngines.kt
+++ b/src/main/kotlin/lacewingweir/state/placement/UnevenEngines.kt
@@ -23,7 +23,7 @@
     fun mismatchMillis(
         fast: Boolean,
         uncachedTokens: Double,
-    ): Double = if (sizeSplit == null || fast == uncachedTokens > sizeSplit.work) 0.0 else sizeSplit.mismatchMillis
+    ): Double = if (sizeSplit == null || fast == (uncachedTokens > sizeSplit.work)) 0.0 else sizeSplit.mismatchMillis
 
     /** Draws one of [choices] by their costs in milliseconds and the speeds of their engines. */
     fun <T> draw(
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -427,7 +427,7 @@
         reach?.awaitProbes(endpoint.service)
     }
 
-    private fun engineRank(
+    private fun rankOf(
         admitted: Admitted,
         service: ServiceName,
     ) = engineRank(admitted.customer?.priority, admitted.route.priority, tracker.isContended(service))
@@ -454,7 +454,7 @@
             customer = admitted.customer?.id,
             cacheSalt = if (toEngine) reservation.salt else null,
             weights = if (toEngine) reservation.weights else null,
-            priority = if (toEngine) engineRank(admitted, service) else null,
+            priority = if (toEngine) rankOf(admitted, service) else null,
             resumeAfter = state.progress.lastId ?: state.call.resumeAfter,
             cacheSource = reservation.cacheSource,
             cacheCopy = cacheCopy,
