Simplify placement under contention, and remove settings that nothing reads

PlacementRate and the rates of PrefixRates were DemandEstimate written again. What engines cache of a prompt was looked up for all engines and once more for the sample; it is looked up once. PeerLoads kept two maps by peer. rollbackMillis and agreements.rollout were read by nothing. Nested conditions of the rollout have names. No behaviour changes: the same draws in the same order; the tests keep their assertions (a number of tokens is a Long now).

--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
@@ -441,7 +441,7 @@
         }
         // An engine that produces first tokens is healthy, even if other requests time out in its queue.
         state.health = state.health.onSuccess(clock.nowMillis())
-        val millis = (clock.nowMillis() - reservation.placedAtMillis).toDouble()
+        val millis = reservation.ageMillis.toDouble()
         reservation.prefillSpeed?.observe(reservation.uncachedTokens, millis)
         if (!complete && reservation.uncachedTokens > 0.0) {
             val prefillMillis = maxOf(millis - SEND_MILLIS - reservation.notPrefillMillis, millis / 2)
@@ -461,8 +461,7 @@
         if (inPrefill) state.backlogTokens = (state.backlogTokens - reservation.uncachedTokens).coerceAtLeast(0.0)
         val now = clock.nowMillis()
         if (outcome == ReservationOutcome.SERVED && reservation.callsPerSlot > 0.0) {
-            val millis = (now - reservation.placedAtMillis).toDouble()
-            learnedSpeeds?.onCallEnded(state.entry.tag, reservation.callsPerSlot, millis)
+            learnedSpeeds?.onCallEnded(state.entry.tag, reservation.callsPerSlot, reservation.ageMillis.toDouble())
         }
         when (outcome) {
             ReservationOutcome.SERVED -> state.health = state.health.onSuccess(now)
--- a/src/main/kotlin/lacewingweir/coordination/placement/EngineChooser.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EngineChooser.kt
@@ -16,7 +16,6 @@
 import lacewingweir.state.id.WeightsNumber
 import lacewingweir.state.placement.EndpointSpeeds
 import lacewingweir.state.placement.EngineView
-import lacewingweir.state.placement.PlacementRate
 import lacewingweir.state.placement.PrefixRates
 import lacewingweir.state.placement.PromptQuery
 import lacewingweir.state.placement.UnevenEngines
@@ -25,6 +24,7 @@
 import lacewingweir.state.placement.homeEngines
 import lacewingweir.state.placement.sampleCandidates
 import lacewingweir.state.placement.sampleSize
+import lacewingweir.state.rate.DemandEstimate
 import lacewingweir.state.time.MonotonicClock
 import kotlin.random.Random
 
@@ -62,7 +62,9 @@
 ) {
     private val speeds = HashMap<ServiceName, PrefillSpeed>()
     private val prefixRates = PrefixRates()
-    private val placements = PlacementRate()
+
+    /** The rate of this instance's placements, each of which counts as one token. */
+    private val placements = DemandEstimate(PLACEMENT_RATE_MILLIS)
 
     /** Chooses an engine for a prompt. Returns null if none of [candidates] accepts it now and begins it in time. */
     fun choose(
@@ -75,81 +77,90 @@
         val now = clock.nowMillis()
         val accepting = candidates.filter { it.acceptsPrompts(now) && weightsAgePolicy.isAllowed(it.weights(), target) }
         if (accepting.isEmpty()) return null
+        val caches = PromptCaches(accepting, prompt, request.cacheIsolation)
         val isContended = contended(request.service)
         if (!isContended && unevenSpeeds(request.service) == null) {
-            return chooseAmong(Candidates(accepting), request, prompt, spec, target)
+            return chooseAmong(Candidates(accepting, caches), request, prompt, spec, target)
         }
         val homes = homesOf(request, prompt, accepting)
         // While weights are rolled out, the few engines that have loaded them are the cheapest for all instances.
         val isRollingOut = accepting.any { target?.outdatedSince(it.weights()) != null }
         return if (isContended || isRollingOut) {
-            chooseFromSample(accepting, request, prompt, spec, target, homes)
+            chooseFromSample(Candidates(accepting, caches, homes, isSample = true), request, prompt, spec, target)
         } else {
-            chooseAmong(Candidates(accepting, homes), request, prompt, spec, target)
+            chooseAmong(Candidates(accepting, caches, homes), request, prompt, spec, target)
         }
     }
 
+    /** Chooses one of a sample of [all], or one of the others if the request would wait for too long there. */
     private fun chooseFromSample(
-        accepting: List<EndpointState>,
+        all: Candidates,
         request: PlacementRequest,
         prompt: Prompt,
         spec: EngineSpec?,
         target: WeightsTarget?,
-        homes: List<EndpointId>,
     ): EndpointChoice? {
-        val sample = sampleOf(accepting, request, prompt, homes)
-        val choice = chooseAmong(Candidates(sample, homes, isSample = true), request, prompt, spec, target)
+        val sample = sampleOf(all, prompt)
+        val choice = chooseAmong(sample, request, prompt, spec, target)
         val isUsable = choice != null && choice.expectedMillis <= request.usableMillis
-        if (isUsable || sample.size == accepting.size) return choice
-        return chooseAmong(Candidates(accepting, homes, isSample = true), request, prompt, spec, target)
+        if (isUsable || sample.engines.size == all.engines.size) return choice
+        return chooseAmong(all, request, prompt, spec, target)
     }
 
     /**
-     * The engines on which a prompt is compared. [homes] are those of its shared prefix, or null if it has one home
-     * among [engines]. [isSample] tells whether they are drawn at random, so that no further spreading is needed.
+     * The engines on which a prompt is compared, and what they cache of it. [homes] are those of its shared prefix, or
+     * null if it has one home among [engines]. [isSample] tells whether they are drawn at random, so that no further
+     * spreading is needed.
      */
     private class Candidates(
         val engines: List<EndpointState>,
+        val caches: PromptCaches,
         val homes: List<EndpointId>? = null,
         val isSample: Boolean = false,
     )
 
+    /** What each of [engines] is known to cache of a prompt, in [tokens]. */
+    private class PromptCaches(
+        engines: List<EndpointState>,
+        prompt: Prompt,
+        cacheIsolation: String?,
+    ) {
+        val partTokens = IntArray(prompt.parts.size) { prompt.parts[it].tokens }
+        private val prefixHashes =
+            engines
+                .map { it.weights() }
+                .distinct()
+                .associateWith { prompt.prefixHashes(cacheSalt(it, cacheIsolation)) }
+        val tokens = engines.associateWith { it.prefixes.cachedTokens(prefixHashesAt(it), partTokens) }
+
+        fun prefixHashesAt(engine: EndpointState): LongArray = prefixHashes.getValue(engine.weights())
+    }
+
     /** Returns the learned speeds of a service's engines, or null if these count as equally fast. */
     private fun unevenSpeeds(service: ServiceName): EndpointSpeeds? = learnedSpeeds?.unevenSpeeds(service)
 
     /** Returns the engines on which a prompt is compared while peers place requests that this instance doesn't see. */
     private fun sampleOf(
-        engines: List<EndpointState>,
-        request: PlacementRequest,
+        all: Candidates,
         prompt: Prompt,
-        homes: List<EndpointId>,
-    ): List<EndpointState> {
+    ): Candidates {
         val now = clock.nowMillis()
-        val unseen = placements.perMilli(now) * peerLoads.summedAgeMillis()
-        val ids = engines.map { it.entry.id }
-        val kept =
-            homes.randomOrNull(random)?.let(::setOf).orEmpty() + setOfNotNull(bestCached(engines, request, prompt))
+        val unseen = placements.tokensPerSecond(now) / MILLIS_PER_SECOND * peerLoads.summedAgeMillis()
+        val ids = all.engines.map { it.entry.id }
+        val home = all.homes.orEmpty().randomOrNull(random)
+        val kept = setOfNotNull(home, bestCached(all.caches, prompt))
         val sample = sampleCandidates(ids, kept, sampleSize(ids.size, unseen), random)
-        return engines.filter { it.entry.id in sample }
+        return Candidates(all.engines.filter { it.entry.id in sample }, all.caches, all.homes, isSample = true)
     }
 
     /** Returns an engine that is known to cache most of the prompt, if that is a large part of it. */
     private fun bestCached(
-        engines: List<EndpointState>,
-        request: PlacementRequest,
+        caches: PromptCaches,
         prompt: Prompt,
     ): EndpointId? {
-        val partTokens = IntArray(prompt.parts.size) { prompt.parts[it].tokens }
-        val hashes = HashMap<WeightsNumber?, LongArray>()
-        val cached =
-            engines.associateWith { engine ->
-                val weights = engine.weights()
-                val hash = hashes.getOrPut(weights) { prompt.prefixHashes(cacheSalt(weights, request.cacheIsolation)) }
-                engine.prefixes.cachedTokens(hash, partTokens)
-            }
-        val most = cached.values.max()
+        val most = caches.tokens.values.max()
         if (most < prompt.inputTokens * MIN_CACHED_SHARE) return null
-        return cached
+        return caches.tokens
             .filterValues { it == most }
             .keys
             .random(random)
@@ -166,7 +177,7 @@
         if (shared <= 0) return emptyList()
         val hash = prompt.prefixHashes(request.cacheIsolation.orEmpty())[shared - 1]
         val ownTokens = (prompt.inputTokens - prompt.parts.take(shared).sumOf { it.tokens }).coerceAtLeast(0)
-        val rate = prefixRates.record(hash, ownTokens.toDouble(), clock.nowMillis()) * (peerLoads.peers + 1)
+        val rate = prefixRates.record(hash, ownTokens, clock.nowMillis()) * (peerLoads.peers + 1)
         val speed = speeds[request.service]?.tokensPerMilli ?: PrefillSpeed.INITIAL_TOKENS_PER_MILLI
         return homeEngines(hash, engines.map { it.entry.id }, rate / speed)
     }
@@ -179,13 +190,8 @@
         target: WeightsTarget?,
     ): EndpointChoice? {
         val usable = candidates.engines
-        val partTokens = IntArray(prompt.parts.size) { prompt.parts[it].tokens }
-        val prefixHashes =
-            usable
-                .map { it.weights() }
-                .distinct()
-                .associateWith { prompt.prefixHashes(cacheSalt(it, request.cacheIsolation)) }
-        val cached = usable.associateWith { it.prefixes.cachedTokens(prefixHashes.getValue(it.weights()), partTokens) }
+        val caches = candidates.caches
+        val cached = usable.associateWith(caches.tokens::getValue)
         val sources = CacheSources(cached, MIN_COPY_TOKENS)
         val uneven = unevenSpeeds(request.service)
         val views =
@@ -201,7 +207,7 @@
             }
         val speed = speeds.getOrPut(request.service) { PrefillSpeed() }
         val copyMillisPerToken = spec?.transferMillisPerToken ?: Double.MAX_VALUE
-        val query = query(request, prompt, partTokens)
+        val query = query(request, prompt, caches.partTokens)
         val unevenEngines =
             uneven
                 ?.takeUnless { candidates.isSample }
@@ -209,13 +215,13 @@
         val choice =
             chooseEngine(query, views, speed.tokensPerMilli, copyMillisPerToken, unevenEngines, candidates.homes)
                 ?: return null
-        placements.record(clock.nowMillis())
+        placements.add(1, clock.nowMillis())
         val state = usable.first { it.entry.id == choice.engine }
         return EndpointChoice(
             state = state,
             uncachedTokens = choice.uncachedTokens,
             memoryTokens = prompt.inputTokens + prompt.maxOutputTokens,
-            prefilled = PrefilledParts(prefixHashes.getValue(state.weights()), partTokens),
+            prefilled = PrefilledParts(caches.prefixHashesAt(state), caches.partTokens),
             expectedMillis = choice.expectedMillis,
             prefillSpeed = speed,
             cacheIsolation = request.cacheIsolation,
@@ -305,6 +311,11 @@
     private fun spreadMillis() = maxOf(MIN_SPREAD_MILLIS, peerLoads.intervalMillis * SPREAD_SHARE)
 
     private companion object {
+        const val MILLIS_PER_SECOND: Double = 1_000.0
+
+        /** Time constant of the rate of placements; it follows a burst within a second. */
+        const val PLACEMENT_RATE_MILLIS: Double = 1_000.0
+
         /** An engine that caches less than this share of a prompt is compared only if it is in the sample. */
         const val MIN_CACHED_SHARE: Double = 0.25
 
--- a/src/main/kotlin/lacewingweir/coordination/placement/PeerLoads.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/PeerLoads.kt
@@ -20,18 +20,23 @@
         val validUntilMillis: Long,
     )
 
+    private class Report(
+        val endpoints: List<EndpointTag>,
+        val receivedAtMillis: Long,
+        val validUntilMillis: Long,
+    )
+
     private val byEndpoint = HashMap<EndpointTag, HashMap<String, ReceivedLoad>>()
-    private val endpointsByPeer = HashMap<String, List<EndpointTag>>()
-    private val digestTimes = HashMap<String, Pair<Long, Long>>()
+    private val latestByPeer = HashMap<String, Report>()
 
     /** The number of peers whose latest digests are valid. */
     val peers: Int
-        get() = clock.nowMillis().let { now -> digestTimes.values.count { (_, validUntil) -> validUntil >= now } }
+        get() = clock.nowMillis().let { now -> latestByPeer.values.count { it.validUntilMillis >= now } }
 
     /** Returns the sum of the ages of the peers' valid digests, in milliseconds. */
     fun summedAgeMillis(): Long {
         val now = clock.nowMillis()
-        return digestTimes.values.sumOf { (received, validUntil) -> if (validUntil >= now) now - received else 0 }
+        return latestByPeer.values.sumOf { if (it.validUntilMillis >= now) now - it.receivedAtMillis else 0 }
     }
 
     /** Mean time between the digests of a peer, in milliseconds; zero without peers. */
@@ -40,15 +45,14 @@
 
     fun onDigest(digest: InstanceDigest) {
         val now = clock.nowMillis()
-        digestTimes[digest.instance] = now to now + digest.validityMillis
         intervalMillis += INTERVAL_SAMPLE_WEIGHT * (digest.intervalMillis - intervalMillis)
         val validUntil = now + digest.validityMillis
-        for (endpoint in endpointsByPeer[digest.instance].orEmpty()) {
+        for (endpoint in latestByPeer[digest.instance]?.endpoints.orEmpty()) {
             val loads = byEndpoint[endpoint] ?: continue
             loads.remove(digest.instance)
             if (loads.isEmpty()) byEndpoint.remove(endpoint)
         }
-        endpointsByPeer[digest.instance] = digest.loads.map { it.endpoint }
+        latestByPeer[digest.instance] = Report(digest.loads.map { it.endpoint }, now, validUntil)
         for (load in digest.loads) {
             byEndpoint.getOrPut(load.endpoint) { HashMap() }[digest.instance] = ReceivedLoad(load, now, validUntil)
         }
--- a/src/main/kotlin/lacewingweir/coordination/versions/ServiceRollout.kt
+++ b/src/main/kotlin/lacewingweir/coordination/versions/ServiceRollout.kt
@@ -54,14 +54,10 @@
 
     /** The step that applies here: the stored one, or a rollback that this instance has decided on its own. */
     val applied: RolloutStep
-        get() =
-            if (isStopped &&
-                step.phase != RolloutPhase.COMPLETED
-            ) {
-                step.copy(phase = RolloutPhase.ROLLED_BACK)
-            } else {
-                step
-            }
+        get() {
+            val isRolledBackHere = isStopped && step.phase != RolloutPhase.COMPLETED
+            return if (isRolledBackHere) step.copy(phase = RolloutPhase.ROLLED_BACK) else step
+        }
 
     fun onPlaced(version: SoftwareVersion?) {
         if (isOpen) credit.onCall(share, toTarget = version == step.target)
--- a/src/main/kotlin/lacewingweir/coordination/versions/VersionRollouts.kt
+++ b/src/main/kotlin/lacewingweir/coordination/versions/VersionRollouts.kt
@@ -92,12 +92,10 @@
         val known = rollouts[service]
         when {
             known == null -> rollouts[service] = rollout(step)
-            known.step.isSameRollout(step) ->
-                if (step.phase > known.step.phase &&
-                    !known.step.phase.isFinal
-                ) {
-                    known.update(step)
-                }
+            known.step.isSameRollout(step) -> {
+                val isLater = step.phase > known.step.phase && !known.step.phase.isFinal
+                if (isLater) known.update(step)
+            }
             // A restored store may show an earlier rollout than that of the order.
             order == null || !known.step.belongsTo(order) -> rollouts[service] = rollout(step)
         }
--- a/src/main/kotlin/lacewingweir/protocol/settings/RouterSettings.kt
+++ b/src/main/kotlin/lacewingweir/protocol/settings/RouterSettings.kt
@@ -23,8 +23,6 @@
  * @property exposeShare the share of a service's requests that a bad software version may receive in a rollout, or null
  *   if the operators don't order rollouts of software versions.
  * @property exposeSlack the number of requests that it may receive in addition to [exposeShare].
- * @property rollbackMillis the maximum time from the 50th bad answer of a software version until it receives no
- *   request.
  */
 @Serializable
 internal data class PlatformBounds(
@@ -38,19 +36,16 @@
     val rateWindowSeconds: Double = 8.0,
     val exposeShare: Double? = null,
     val exposeSlack: Double = 0.0,
-    val rollbackMillis: Long = 5_000,
 )
 
 /**
  * Parts of the platform's terms that apply to a deployment.
  *
  * @property pressure whether callers compete for scarce capacity, so that waiting and refused requests are ranked.
- * @property rollout whether the operators order rollouts of software versions.
  */
 @Serializable
 internal data class Agreements(
     val pressure: Boolean = false,
-    val rollout: Boolean = false,
 )
 
 /**
@@ -109,7 +104,6 @@
                 add("bounds.exposeShare: must be between 0 and 1")
             }
             if (bounds.exposeSlack < 0.0) add("bounds.exposeSlack: must not be negative")
-            if (bounds.rollbackMillis < 1) add("bounds.rollbackMillis: must be positive")
         }
 
     internal companion object {
--- a/src/main/kotlin/lacewingweir/state/placement/PrefixRates.kt
+++ b/src/main/kotlin/lacewingweir/state/placement/PrefixRates.kt
@@ -1,6 +1,6 @@
 package lacewingweir.state.placement
 
-import kotlin.math.exp
+import lacewingweir.state.rate.DemandEstimate
 
 /**
  * Rates of the shared prompt prefixes that this instance has received most recently, in tokens to prefill per
@@ -10,31 +10,23 @@
 internal class PrefixRates(
     private val maxPrefixes: Int = MAX_PREFIXES,
 ) {
-    private class Rate(
-        var tokensPerMilli: Double,
-        var atMillis: Long,
-    )
-
     private val rates =
-        object : LinkedHashMap<Long, Rate>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
-            override fun removeEldestEntry(eldest: Map.Entry<Long, Rate>) = size > maxPrefixes
+        object : LinkedHashMap<Long, DemandEstimate>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
+            override fun removeEldestEntry(eldest: Map.Entry<Long, DemandEstimate>) = size > maxPrefixes
         }
 
     /** Records a request with [tokens] beyond its shared prefix, and returns the rate of the prefix before it. */
     fun record(
         prefix: Long,
-        tokens: Double,
+        tokens: Long,
         nowMillis: Long,
     ): Double {
-        val rate = rates.getOrPut(prefix) { Rate(0.0, nowMillis) }
-        val age = (nowMillis - rate.atMillis).coerceAtLeast(0)
-        val before = rate.tokensPerMilli * exp(-age / DECAY_MILLIS)
-        rate.tokensPerMilli = before + tokens / DECAY_MILLIS
-        rate.atMillis = nowMillis
-        return before
+        val rate = rates.getOrPut(prefix) { DemandEstimate(DECAY_MILLIS) }
+        return (rate.tokensPerSecond(nowMillis) / MILLIS_PER_SECOND).also { rate.add(tokens, nowMillis) }
     }
 
     private companion object {
+        const val MILLIS_PER_SECOND: Double = 1_000.0
         const val MAX_PREFIXES: Int = 512
         const val INITIAL_CAPACITY: Int = 64
         const val LOAD_FACTOR: Float = 0.75f
--- a/src/main/kotlin/lacewingweir/state/rate/DemandEstimate.kt
+++ b/src/main/kotlin/lacewingweir/state/rate/DemandEstimate.kt
@@ -4,8 +4,6 @@
 
 /**
  * Estimates recent demand in tokens per second as an exponentially weighted moving average.
- *
- * The estimate only guides borrowing and lending. The rate limit does not depend on it.
  */
 public class DemandEstimate(
     private val timeConstantMillis: Double = 1_500.0,
--- a/src/main/kotlin/lacewingweir/state/versions/StepFacts.kt
+++ b/src/main/kotlin/lacewingweir/state/versions/StepFacts.kt
@@ -80,16 +80,7 @@
     val hasLasted = inPhase >= MIN_PHASE
     return when (phase) {
         RolloutPhase.CANARY -> if (elapsed >= CANARY_END) afterCanary(elapsed) else null
-        RolloutPhase.QUARTER ->
-            (
-                if (elapsed <
-                    SKIP_HALF_FROM
-                ) {
-                    RolloutPhase.HALF
-                } else {
-                    RolloutPhase.FULL
-                }
-            ).takeIf { hasLasted }
+        RolloutPhase.QUARTER -> afterQuarter(elapsed).takeIf { hasLasted }
         RolloutPhase.HALF -> RolloutPhase.FULL.takeIf { hasLasted }
         else -> RolloutPhase.DRAIN.takeIf { hasLasted || elapsed >= STEPS_END }
     }
@@ -102,6 +93,9 @@
         else -> RolloutPhase.FULL
     }
 
+private fun afterQuarter(elapsed: Double): RolloutPhase =
+    if (elapsed < SKIP_HALF_FROM) RolloutPhase.HALF else RolloutPhase.FULL
+
 private fun afterDrain(
     step: RolloutStep,
     facts: StepFacts,
