Choose ports of test processes below the ephemeral range

In an earlier run with the same failure, the log of that instance says "Address already in use". The ports were ephemeral ones, released a second or more before the process binds them, so that other sockets could get them. Change: ports are taken from below the ephemeral range. If an instance exits, the test fails at once with its exit code and log.

--- a/src/test/kotlin/lacewingweir/testing/ProcessFleet.kt
+++ b/src/test/kotlin/lacewingweir/testing/ProcessFleet.kt
@@ -161,6 +161,8 @@
                 val isReady = report["instance"].toString().contains("\"unreadyReasons\":[]")
                 if (isReady && !report["degraded"].toString().contains("no-rate-share")) return
             }
+            val exitCode = instance.process?.exitCode
+            check(exitCode == null) { "${instance.name} exited with $exitCode: ${instance.process?.log?.readText()}" }
             delay(100)
         }
         error("${instance.name} is not ready: $lastAnswer; see ${instance.process?.log}")
@@ -331,9 +333,15 @@
                 }
             }.toString()
 
-        private fun freePorts(count: Int): List<Int> {
-            val sockets = List(count) { ServerSocket(0) }
-            return sockets.map { socket -> socket.use { it.localPort } }
-        }
+        // An instance binds its ports a second or more after they are chosen. Ephemeral ports could be assigned to
+        // other sockets in between, and the instance would exit with "Address already in use".
+        private val portsBelowEphemeral = 10_000..32_000
+
+        private fun freePorts(count: Int): List<Int> =
+            generateSequence { portsBelowEphemeral.random() }
+                .distinct()
+                .filter { runCatching { ServerSocket(it).close() }.isSuccess }
+                .take(count)
+                .toList()
     }
 }
--- a/src/test/kotlin/lacewingweir/testing/ProgramProcess.kt
+++ b/src/test/kotlin/lacewingweir/testing/ProgramProcess.kt
@@ -15,6 +15,10 @@
     val isAlive: Boolean
         get() = process.isAlive
 
+    /** The exit code, or null while the process is alive. */
+    val exitCode: Int?
+        get() = if (process.isAlive) null else process.exitValue()
+
     /** Sends SIGKILL and waits for the process to exit. */
     fun kill() {
         process.destroyForcibly()
