--- a/src/main/kotlin/lacewingweir/cli/BundleDiffCommand.kt
+++ b/src/main/kotlin/lacewingweir/cli/BundleDiffCommand.kt
@@ -22,9 +22,9 @@
         argument(ArgType.String, "old", description = "Bundle to compare with; default: the store's").optional()
 
     override fun run(): Int {
-        val new = readEither(file) ?: return ExitCode.BAD_INPUT
+        val new = InputFiles.anyBundle(context, file) ?: return ExitCode.BAD_INPUT
         val oldPath = oldFile ?: return compareWithStore(new)
-        val old = readEither(oldPath) ?: return ExitCode.BAD_INPUT
+        val old = InputFiles.anyBundle(context, oldPath) ?: return ExitCode.BAD_INPUT
         return show(old, new)
     }
 
@@ -50,9 +50,4 @@
         if (lines.isEmpty()) context.out("no difference") else lines.forEach(context.out)
         return ExitCode.SUCCESS
     }
-
-    private fun readEither(path: String): Bundle? {
-        val signed = InputFiles.readOrNull(path)?.let { SignedBundleCodec.decode(it.encodeToByteArray()) }
-        return if (signed == null) InputFiles.bundle(context, path) else InputFiles.signedBundle(context, path)?.second
-    }
 }
--- a/src/main/kotlin/lacewingweir/cli/io/InputFiles.kt
+++ b/src/main/kotlin/lacewingweir/cli/io/InputFiles.kt
@@ -49,6 +49,15 @@
         return valueOrPrintMistakes(context, path, BundleText.parse(signed.payload))?.let { signed to it }
     }
 
+    /** Returns the bundle in the file, signed or not, or null after printing all its mistakes. */
+    fun anyBundle(
+        context: CommandContext,
+        path: String,
+    ): Bundle? {
+        val signed = readOrNull(path)?.let { SignedBundleCodec.decode(it.encodeToByteArray()) }
+        return if (signed == null) bundle(context, path) else signedBundle(context, path)?.second
+    }
+
     private fun <T> read(
         context: CommandContext,
         path: String,
--- a/src/test/kotlin/lacewingweir/cli/CommandLineTest.kt
+++ b/src/test/kotlin/lacewingweir/cli/CommandLineTest.kt
@@ -143,6 +143,18 @@
         expectThat(errorOutput.toString()).contains("storeAddresses: found nothing")
     }
 
+    // Guards against a script that publishes a bundle in spite of warnings.
+    @Test
+    fun `a check compares with the bundle in force and fails on warnings only if it is strict`() {
+        val new = file("new.json", bundleText(2))
+        val old = file("old.json", bundleText(1))
+        expectThat(run("bundle", "check", new, "--in-force", old)).isEqualTo(0)
+        expectThat(output.toString()).contains("~ customers[c1].tokensPerSecond: 1 -> 2")
+        expectThat(errorOutput.toString()).contains("warning: customers[c1].keys: none")
+        expectThat(run("bundle", "check", new, "--strict")).isEqualTo(1)
+        expectThat(run("bundle", "check", new, "--in-force", path("missing.json"))).isEqualTo(2)
+    }
+
     @Test
     fun `a bundle is signed, published at most once and compared with the store`() {
         expectThat(run("bundle", "keygen", "--out", path("alice"))).isEqualTo(0)
