Prove uneven engines by quantiles of single samples

Cause: a service was proven uneven only after 5 to 6.5 s of the largest deployment's traffic. The sums over 30 s take in a sample slowly, at the pace at which it leaves the 3 s period, and endpoints count only from a sum of 8.

Change: an engine's speed for this decision is the one below which two thirds of the work of its samples of 24 s were done, each counted from the end of the one before it. Three samples suffice in a large fleet, and in a small one the service needs 100. Four fifths of up to 20 engines and a third of all need samples. The thresholds stay. Endpoints without engines are judged as before.

--- a/src/main/kotlin/lacewingweir/state/placement/EndpointSpeeds.kt
+++ b/src/main/kotlin/lacewingweir/state/placement/EndpointSpeeds.kt
@@ -3,9 +3,12 @@
  *
  * An engine processes prompts one after the other, and a request waits there behind requests that its instance doesn't
  * know yet. So the time of an engine is not the sum of its requests' times, but the time in which any of them was
- * there. Two periods are kept. The lasting one tells whether the endpoints of the service differ at all; the recent
- * one follows slow phases and returns to the lasting speed when it has no samples. Each estimate starts with the weight
- * of a few samples at the level that it falls back to.
+ * there. Two periods are kept. The recent one follows slow phases and returns to the lasting speed when it has no
+ * samples. Each estimate starts with the weight of a few samples at the level that it falls back to.
+ *
+ * Whether the engines of a service differ at all is decided by a quantile of the speeds of single samples, which is
+ * known after a few of them and hardly depends on slow phases. For other endpoints, whose call times vary much, the
+ * lasting period decides.
  */
 package lacewingweir.state.placement
 
@@ -32,12 +35,6 @@
     private val typicalWork: Double,
     private val serial: Boolean,
 ) {
-    private class Sample(
-        val work: Double,
-        val startMillis: Double,
-        val endMillis: Double,
-    )
-
     /** Sums over samples, each with a weight that decreases with its age. */
     private class Sums(
         var work: Double = 0.0,
@@ -69,14 +66,19 @@
     private class Estimate(
         var speed: Double,
     ) {
-        val history = ArrayDeque<Sample>()
+        val history = ArrayDeque<WorkSample>()
         var recent = Sums()
         val lasting = Sums()
         var lastingSpeed = speed
+
+        /** Speed by the quantile of the samples in [history], or null if these are too few. */
+        var sampledSpeed: Double? = null
     }
 
     private val estimates = HashMap<EndpointTag, Estimate>()
     private val sizes = WorkSizes()
+    private val historyMillis = if (serial) HISTORY_MILLIS else RECENT_MILLIS
+    private val maxHistory = if (serial) MAX_HISTORY else MAX_RECENT
     private var endpointCount = 0
     private var updatedAtMillis = Long.MIN_VALUE
     private var meanSquareDeviation = if (serial) SERIAL_SQUARE_DEVIATION else INITIAL_SQUARE_DEVIATION
@@ -118,8 +120,8 @@
             val deviation = counted * estimate.speed / work - 1.0
             meanSquareDeviation += DEVIATION_SAMPLE_WEIGHT * (deviation * deviation - meanSquareDeviation)
         }
-        if (estimate.history.size == MAX_HISTORY) estimate.history.removeFirst()
-        estimate.history.addLast(Sample(work, endMillis - counted, endMillis.toDouble()))
+        if (estimate.history.size == maxHistory) estimate.history.removeFirst()
+        estimate.history.addLast(WorkSample(work, endMillis - counted, endMillis.toDouble()))
     }
 
     /** Returns [millis], limited so that a single false sample changes an estimate little. */
@@ -159,11 +161,14 @@
         updatedAtMillis = nowMillis
         val lastingShare = exp(-elapsedMillis / LASTING_DECAY_MILLIS)
         sizes.scale(lastingShare)
+        val minHistory = maxOf(MIN_HISTORY, MIN_SERVICE_HISTORY / endpointCount.coerceAtLeast(1))
         for (estimate in estimates.values) {
-            while (estimate.history.isNotEmpty() && estimate.history.first().endMillis < nowMillis - HISTORY_MILLIS) {
+            while (estimate.history.isNotEmpty() && estimate.history.first().endMillis < nowMillis - historyMillis) {
                 estimate.history.removeFirst()
             }
             estimate.recent = recentSums(estimate.history, nowMillis)
+            estimate.sampledSpeed =
+                if (serial && estimate.history.size >= minHistory) serialSpeed(estimate.history) else null
             estimate.lasting.scale(lastingShare)
             estimate.lasting.add(estimate.recent, elapsedMillis / RECENT_DECAY_MILLIS)
         }
@@ -175,20 +180,19 @@
         middle = known.map { it.lasting.work / it.lasting.millis }.sorted().let { it[it.size / 2] }
         val priorWork = PRIOR_SAMPLES * typicalWork
         for (estimate in known) {
-            estimate.lastingSpeed = estimate.lasting.speed(priorWork, middle)
+            estimate.lastingSpeed = estimate.lasting.speed(priorWork, estimate.sampledSpeed ?: middle)
             estimate.speed = estimate.recent.speed(priorWork, estimate.lastingSpeed)
         }
-        val minSamples = if (uneven) MIN_SAMPLES_WHILE_UNEVEN else MIN_SAMPLES
-        updateUneven(known.filter { it.lasting.samples >= minSamples })
+        updateUneven(known)
     }
 
     private fun recentSums(
-        history: Collection<Sample>,
+        history: Collection<WorkSample>,
         nowMillis: Long,
     ): Sums {
         val sums = Sums()
         var countedUntil = Double.NEGATIVE_INFINITY
-        for (sample in history.sortedBy { it.startMillis }) {
+        for (sample in history.filter { it.endMillis >= nowMillis - RECENT_MILLIS }.sortedBy { it.startMillis }) {
             val weight = exp((sample.endMillis - nowMillis) / RECENT_DECAY_MILLIS)
             val from = if (serial) maxOf(sample.startMillis, countedUntil) else sample.startMillis
             sums.work += sample.work * weight
@@ -201,22 +205,59 @@
         return sums
     }
 
-    private fun updateUneven(sampled: List<Estimate>) {
-        if (sampled.size < 2 || sampled.size * MIN_SAMPLED_SHARE < endpointCount) {
-            uneven = false
-            return
-        }
-        val sorted = sampled.map { it.lastingSpeed }.sorted()
-        lowerQuartile = sorted[sorted.size / 4]
-        upperQuartile = sorted[sorted.size * 3 / 4]
-        val count = sampled.map { it.lasting.samples }.sorted()[sampled.size / 2]
+    /**
+     * Decides on engines by the quantiles of their samples, and on other endpoints by the lasting speeds. Either is
+     * enough for a service to stay uneven, since slow endpoints get few requests then.
+     */
+    private fun updateUneven(known: List<Estimate>) {
+        val minSamples = if (uneven) MIN_SAMPLES_WHILE_UNEVEN else MIN_SAMPLES
+        val sampled = known.filter { it.sampledSpeed != null }
+        val lasting = known.filter { it.lasting.samples >= minSamples }
+        val bySamples = quartiles(sampled, { it.sampledSpeed ?: middle }, { it.history.size.toDouble() })
         // The variance of a mean with exponential weights is that of one sample, divided by twice the sum of weights.
-        val error = sqrt(meanSquareDeviation / (2 * count))
-        val threshold = (if (uneven) EVEN_RATIO else UNEVEN_RATIO) + ERROR_FACTOR * error
-        uneven = upperQuartile >= threshold * lowerQuartile
-        fastSpeed = sqrt(lowerQuartile * upperQuartile)
-        val fastShare = sorted.filter { it > fastSpeed }.sum() / sorted.sum()
-        sizeSplit = if (uneven && serial) sizes.split(fastShare, middle) else null
+        val byLasting = quartiles(lasting, { it.lastingSpeed }, { it.lasting.samples * 2 })
+        uneven =
+            when {
+                uneven -> differ(bySamples, EVEN_RATIO) || differ(byLasting, EVEN_RATIO)
+                serial -> differ(bySamples, UNEVEN_RATIO)
+                else -> differ(byLasting, UNEVEN_RATIO)
+            }
+        val shown = bySamples ?: byLasting ?: return
+        lowerQuartile = shown.lower
+        upperQuartile = shown.upper
+        fastSpeed = shown.middle
+        sizeSplit = if (uneven && serial) sizes.split(shown.fastShare, middle) else null
+    }
+
+    private fun differ(
+        quartiles: Quartiles?,
+        ratio: Double,
+    ) = quartiles != null && quartiles.upper >= (ratio + ERROR_FACTOR * quartiles.error) * quartiles.lower
+
+    /** Quartiles of speeds, the share of the faster endpoints in all speeds, and the relative error of one speed. */
+    private class Quartiles(
+        val lower: Double,
+        val upper: Double,
+        val fastShare: Double,
+        val error: Double,
+    ) {
+        val middle get() = sqrt(lower * upper)
+    }
+
+    /** Returns the quartiles of the speeds of [endpoints], or null if these are too few of the service. */
+    private fun quartiles(
+        endpoints: List<Estimate>,
+        speed: (Estimate) -> Double,
+        samples: (Estimate) -> Double,
+    ): Quartiles? {
+        val minShare = if (serial && !uneven) minOf(endpointCount * MIN_SMALL_SHARE, MIN_ENDPOINTS) else 0.0
+        if (endpoints.size < maxOf(2.0, endpointCount * MIN_SAMPLED_SHARE, minShare)) return null
+        val sorted = endpoints.map(speed).sorted()
+        val lower = sorted[sorted.size / 4]
+        val upper = sorted[sorted.size * 3 / 4]
+        val fastShare = sorted.filter { it > sqrt(lower * upper) }.sum() / sorted.sum()
+        val count = endpoints.map(samples).sorted()[endpoints.size / 2]
+        return Quartiles(lower, upper, fastShare, sqrt(meanSquareDeviation / count))
     }
 
     private companion object {
@@ -225,9 +266,13 @@
         const val LASTING_DECAY_MILLIS: Double = 30_000.0
         const val UPDATE_PERIOD_MILLIS: Long = 500
 
-        /** Older samples have less than a tenth of the weight of new ones. */
-        const val HISTORY_MILLIS: Long = 8_000
-        const val MAX_HISTORY: Int = 128
+        /** Older samples have less than a tenth of the weight of new ones in the recent period. */
+        const val RECENT_MILLIS: Long = 8_000
+        const val MAX_RECENT: Int = 128
+
+        /** Long enough that two slow phases of 5 s at the same engine are less than two thirds of it. */
+        const val HISTORY_MILLIS: Long = 24_000
+        const val MAX_HISTORY: Int = 256
 
         /** Weight of the level that an estimate falls back to, in typical samples. */
         const val PRIOR_SAMPLES: Double = 3.0
@@ -246,8 +291,20 @@
         const val MIN_SAMPLES: Double = 8.0
         const val MIN_SAMPLES_WHILE_UNEVEN: Double = 1.0
 
-        /** At least one in this number of endpoints must have samples. */
-        const val MIN_SAMPLED_SHARE: Int = 3
+        /**
+         * Endpoints with fewer samples in the history don't count, nor do those of a service with fewer in total. In
+         * small fleets the quartiles are the speeds of single engines, so each of them needs more samples.
+         */
+        const val MIN_HISTORY: Int = 3
+        const val MIN_SERVICE_HISTORY: Int = 100
+
+        /**
+         * The least share of endpoints with samples; [MIN_SMALL_SHARE] applies to engines up to [MIN_ENDPOINTS] of
+         * them. With a third of few engines, samples of a single slow one would decide.
+         */
+        const val MIN_SAMPLED_SHARE: Double = 1.0 / 3
+        const val MIN_SMALL_SHARE: Double = 0.8
+        const val MIN_ENDPOINTS: Double = 20.0
 
         /** Ratio of the quartiles from which a service counts as uneven, and the one from which it no longer does. */
         const val UNEVEN_RATIO: Double = 1.25
