Renew the quantile of an engine's samples after one in eight

Cause: sorting the samples of 24 s of all engines every 0.5 s took 9.4 ms of processor time a second with 98 engines and 440 prompts a second, where learning speeds had taken 1.3 ms.

Change: the quantile is renewed once the samples since the last time are an eighth of all. With few samples that is after each one.

--- a/src/main/kotlin/lacewingweir/state/placement/EndpointSpeeds.kt
+++ b/src/main/kotlin/lacewingweir/state/placement/EndpointSpeeds.kt
@@ -73,6 +73,7 @@
 
         /** Speed by the quantile of the samples in [history], or null if these are too few. */
         var sampledSpeed: Double? = null
+        var samplesSinceQuantile = 0
     }
 
     private val estimates = HashMap<EndpointTag, Estimate>()
@@ -122,6 +123,7 @@
         }
         if (estimate.history.size == maxHistory) estimate.history.removeFirst()
         estimate.history.addLast(WorkSample(work, endMillis - counted, endMillis.toDouble()))
+        estimate.samplesSinceQuantile++
     }
 
     /** Returns [millis], limited so that a single false sample changes an estimate little. */
@@ -167,8 +169,7 @@
                 estimate.history.removeFirst()
             }
             estimate.recent = recentSums(estimate.history, nowMillis)
-            estimate.sampledSpeed =
-                if (serial && estimate.history.size >= minHistory) serialSpeed(estimate.history) else null
+            if (serial) updateSampledSpeed(estimate, minHistory)
             estimate.lasting.scale(lastingShare)
             estimate.lasting.add(estimate.recent, elapsedMillis / RECENT_DECAY_MILLIS)
         }
@@ -186,6 +187,19 @@
         updateUneven(known)
     }
 
+    private fun updateSampledSpeed(
+        estimate: Estimate,
+        minHistory: Int,
+    ) {
+        val samples = estimate.history.size
+        if (samples < minHistory) {
+            estimate.sampledSpeed = null
+        } else if (estimate.sampledSpeed == null || estimate.samplesSinceQuantile * QUANTILE_SHARE >= samples) {
+            estimate.sampledSpeed = serialSpeed(estimate.history)
+            estimate.samplesSinceQuantile = 0
+        }
+    }
+
     private fun recentSums(
         history: Collection<WorkSample>,
         nowMillis: Long,
@@ -274,6 +288,9 @@
         const val HISTORY_MILLIS: Long = 24_000
         const val MAX_HISTORY: Int = 256
 
+        /** A quantile is renewed after one in this number of samples, since it takes a sort of all of them. */
+        const val QUANTILE_SHARE: Int = 8
+
         /** Weight of the level that an estimate falls back to, in typical samples. */
         const val PRIOR_SAMPLES: Double = 3.0
 
