Compare the times of versions at engines by a speed that the target doesn't affect

Cause: the time of an answer was divided by the time that the learned speed of its own engine let expect. Where speeds are learned, a target whose engines are all slow came to look normal. Change: it is divided by the time that is expected at the common speed of the service, and during a rollout the target's engines don't count for that speed.

--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointReservation.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointReservation.kt
@@ -49,6 +49,9 @@
     internal val prefillSpeed = choice.prefillSpeed.takeIf { measuresPrefillSpeed }
     val expectedMillis: Double = choice.expectedMillis
 
+    /** The expected time at an engine of the service's common speed, which the speed of the own one doesn't affect. */
+    val referenceMillis: Double = choice.referenceMillis
+
     /** The engine from which the chosen engine should copy the cached prompt parts that it lacks. */
     val cacheSource: EndpointEntry? = choice.cacheSource
     private val phase = AtomicInteger(WAITING)
--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
@@ -442,7 +442,9 @@
         // An engine that produces first tokens is healthy, even if other requests time out in its queue.
         state.health = state.health.onSuccess(clock.nowMillis())
         val millis = reservation.ageMillis.toDouble()
-        reservation.prefillSpeed?.observe(reservation.uncachedTokens, millis)
+        if (versionRules.isReference(state.entry)) {
+            reservation.prefillSpeed?.observe(reservation.uncachedTokens, millis)
+        }
         if (!complete && reservation.uncachedTokens > 0.0) {
             val prefillMillis = maxOf(millis - SEND_MILLIS - reservation.notPrefillMillis, millis / 2)
             learnedSpeeds?.onPrefilled(state.entry.tag, reservation.uncachedTokens, prefillMillis)
--- a/src/main/kotlin/lacewingweir/coordination/placement/EngineChooser.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EngineChooser.kt
@@ -33,8 +33,9 @@
  * memory are used. [cacheSource] is the engine from which it should copy the cached prompt parts that it lacks.
  * [model] is null for requests without a prompt.
  *
- * The time to the first event is expected to contain [notPrefillMillis] for other things than prefill. [callsPerSlot]
- * of a request without a prompt is the number of calls that share a slot with it, itself included.
+ * The time to the first event is expected to contain [notPrefillMillis] for other things than prefill, and to be
+ * [referenceMillis] at an engine of the service's common speed. [callsPerSlot] of a request without a prompt is the
+ * number of calls that share a slot with it, itself included.
  */
 internal class EndpointChoice(
     val state: EndpointState,
@@ -48,6 +49,7 @@
     val model: ModelName? = null,
     val notPrefillMillis: Double = 0.0,
     val callsPerSlot: Double = 0.0,
+    val referenceMillis: Double = expectedMillis,
 )
 
 /** [learnedSpeeds] is null if endpoints always count as equally fast. */
@@ -232,6 +234,7 @@
                     ?.entry,
             model = prompt.model,
             notPrefillMillis = choice.notPrefillMillis,
+            referenceMillis = choice.referenceMillis,
         )
     }
 
--- a/src/main/kotlin/lacewingweir/coordination/placement/VersionRules.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/VersionRules.kt
@@ -9,10 +9,13 @@
  *
  * @property accepts returns whether an endpoint may get a call, which goes on with a stream or not
  * @property prefers returns whether a new call goes to an endpoint rather than to others that are accepted
+ * @property isReference returns whether an endpoint's speed counts for the common speed of its service, by which the
+ *   times of different versions are compared
  * @property onPlaced is called for each placement, those of repeats and handovers included
  */
 internal class VersionRules(
     val accepts: (EndpointEntry, continuesStream: Boolean) -> Boolean = { _, _ -> true },
     val prefers: (EndpointEntry) -> Boolean = { true },
+    val isReference: (EndpointEntry) -> Boolean = { true },
     val onPlaced: (EndpointEntry) -> Unit = {},
 )
--- a/src/main/kotlin/lacewingweir/coordination/versions/VersionRollouts.kt
+++ b/src/main/kotlin/lacewingweir/coordination/versions/VersionRollouts.kt
@@ -58,7 +58,7 @@
     /** Since when no endpoint of an allowed version is registered although others are. */
     private val absentSinceMillis = HashMap<ServiceName, Long>()
 
-    val rules = VersionRules(::accepts, ::prefers, ::onPlaced)
+    val rules = VersionRules(::accepts, ::prefers, ::isReference, ::onPlaced)
 
     /** The versions that serve without an order, for the store. Null until all endpoints that run must be known. */
     @get:Synchronized
@@ -186,6 +186,13 @@
         return !rollout.isDue || endpoint.software == rollout.step.target
     }
 
+    /** A target that is slow must not lower the speed by which its own answers are judged. */
+    @Synchronized
+    private fun isReference(endpoint: EndpointEntry): Boolean {
+        val step = rollouts[endpoint.service]?.step ?: return true
+        return step.phase.isFinal || endpoint.software != step.target
+    }
+
     @Synchronized
     private fun onPlaced(endpoint: EndpointEntry) {
         rollouts[endpoint.service]?.onPlaced(endpoint.software)
--- a/src/main/kotlin/lacewingweir/state/placement/EnginePlacement.kt
+++ b/src/main/kotlin/lacewingweir/state/placement/EnginePlacement.kt
@@ -49,13 +49,15 @@
 
 /**
  * The chosen engine, the expected time to first token in milliseconds, and the tokens to prefill there.
- * [notPrefillMillis] of the expected time are for copies and for a slot or memory.
+ * [notPrefillMillis] of the expected time are for copies and for a slot or memory. [referenceMillis] is the expected
+ * time at an engine of the common speed.
  */
 internal data class EngineChoice(
     val engine: EndpointId,
     val expectedMillis: Double,
     val uncachedTokens: Double,
     val notPrefillMillis: Double = 0.0,
+    val referenceMillis: Double = expectedMillis,
 )
 
 /** A choice with its [cost] in milliseconds, and the [speed] of its engine. */
@@ -93,13 +95,15 @@
             val speed = engine.tokensPerMilli ?: tokensPerMilli
             val copyMillis = copied * copyMillisPerToken
             val queueMillis = queueMillis(engine)
-            val wait = (engine.backlogTokens + uncached) / speed + copyMillis + queueMillis
+            val notPrefillMillis = copyMillis + queueMillis
+            val wait = (engine.backlogTokens + uncached) / speed + notPrefillMillis
             val choice =
                 EngineChoice(
                     engine = engine.id,
                     expectedMillis = wait + engine.penaltyMillis,
                     uncachedTokens = uncached,
-                    notPrefillMillis = copyMillis + queueMillis,
+                    notPrefillMillis = notPrefillMillis,
+                    referenceMillis = (engine.backlogTokens + uncached) / tokensPerMilli + notPrefillMillis,
                 )
             val mismatchMillis = uneven?.mismatchMillis(engine.fast, uncached) ?: 0.0
             val cost = choice.expectedMillis + engine.weightsPenaltyMillis + mismatchMillis
--- a/src/main/kotlin/lacewingweir/transport/relay/VersionAnswers.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/VersionAnswers.kt
@@ -27,7 +27,7 @@
         route = route,
         failed = failed,
         millis = reservation.millisToFirstEvent ?: reservation.ageMillis,
-        expectedMillis = reservation.expectedMillis.takeIf { reservation.model != null },
+        referenceMillis = reservation.referenceMillis.takeIf { reservation.model != null },
     )
 }
 
