Count calls that ended without an answer apart from bad answers

Cause: calls that ran out of time or were cut off by the instance's own network counted as bad answers, and 20 of them among fewer than 100 recent ones ended the rollout of a good version. Change: they are counted as unclear, in digests too (label 7). They count against the target only if the old version has significantly fewer over the same period; compared with earlier answers they are a doubt.

--- a/src/main/kotlin/lacewingweir/coordination/gossip/InstanceDigest.kt
+++ b/src/main/kotlin/lacewingweir/coordination/gossip/InstanceDigest.kt
@@ -53,7 +53,8 @@
 
 /**
  * Answers that an instance has got since an order, as totals, from the [target] version of a rollout or from the old
- * ones. The rollout is identified by its tag and the route by the hash of its id.
+ * ones. The rollout is identified by its tag and the route by the hash of its id. [unclear] calls got no answer for a
+ * reason that need not lie with the version.
  */
 @Serializable
 internal data class VersionTally(
@@ -63,6 +64,7 @@
     @CborLabel(4) val answers: Long,
     @CborLabel(5) val bad: Long,
     @CborLabel(6) val latencyMillis: Long,
+    @CborLabel(7) val unclear: Long = 0,
 )
 
 /**
--- a/src/main/kotlin/lacewingweir/coordination/versions/RolloutCounts.kt
+++ b/src/main/kotlin/lacewingweir/coordination/versions/RolloutCounts.kt
@@ -60,7 +60,9 @@
 
     /** Returns the own totals, for the digest of this instance. */
     fun ownTallies(): List<VersionTally> =
-        own.map { (key, it) -> VersionTally(key.rollout, key.route, key.target, it.answers, it.bad, it.latencyMillis) }
+        own.map { (key, it) ->
+            VersionTally(key.rollout, key.route, key.target, it.answers, it.bad, it.latencyMillis, it.unclear)
+        }
 
     /** Returns what is known of [rollout], by route. */
     fun evidence(rollout: Int): ServiceEvidence {
@@ -82,7 +84,7 @@
 
     private fun VersionTally.key() = Key(rollout, route, target)
 
-    private fun VersionTally.answers() = AnswerTally(answers, bad, latencyMillis)
+    private fun VersionTally.answers() = AnswerTally(answers, bad, latencyMillis, unclear)
 
     private companion object {
         /** Bounds the digest to about 600 bytes for rollouts. */
--- a/src/main/kotlin/lacewingweir/coordination/versions/VersionAnswer.kt
+++ b/src/main/kotlin/lacewingweir/coordination/versions/VersionAnswer.kt
@@ -7,7 +7,9 @@
 /**
  * The end of one send to an endpoint of [version] on [route].
  *
- * @property failed whether the endpoint answered with a 5xx, or its answer broke off or didn't come in time
+ * @property failed whether the endpoint answered with a 5xx, or its answer broke off
+ * @property unclear whether no answer came for a reason that need not lie with the version: the time ran out, or this
+ *   instance was cut off from the service
  * @property millis the time to the first event or the complete response
  * @property referenceMillis the time that an engine of the service's common speed was expected to take when this one was
  *   chosen, or null for endpoints of plain services
@@ -19,6 +21,7 @@
     val failed: Boolean,
     val millis: Long,
     val referenceMillis: Double? = null,
+    val unclear: Boolean = false,
 ) {
     /**
      * The time of the answer, for engines in hundredths of the reference time. Engines of a new version have cached few
--- a/src/main/kotlin/lacewingweir/coordination/versions/VersionRollouts.kt
+++ b/src/main/kotlin/lacewingweir/coordination/versions/VersionRollouts.kt
@@ -204,11 +204,19 @@
         val rollout = rollouts[answer.service]?.takeUnless { it.step.phase.isFinal } ?: return
         val isTarget = answer.version == rollout.step.target
         val route = answer.route.value.hashCode()
-        val slowMillis = rollout.oldMean(route)?.let { it * SLOW_FACTOR }
-        val isBad = answer.failed || (slowMillis != null && answer.comparedMillis > slowMillis)
-        counts.add(rollout.step.tag, route, isTarget, AnswerTally(1, if (isBad) 1 else 0, answer.comparedMillis))
+        val tally = tally(answer, rollout.oldMean(route))
+        counts.add(rollout.step.tag, route, isTarget, tally)
         // Twenty bad answers may come within less than the period of the checks.
-        if (isBad && isTarget) check(rollout)
+        if (isTarget && tally.bad + tally.unclear > 0) check(rollout)
+    }
+
+    private fun tally(
+        answer: VersionAnswer,
+        oldMean: Double?,
+    ): AnswerTally {
+        if (answer.unclear) return AnswerTally(unclear = 1)
+        val isSlow = oldMean != null && answer.comparedMillis > oldMean * SLOW_FACTOR
+        return AnswerTally(1, if (answer.failed || isSlow) 1 else 0, answer.comparedMillis)
     }
 
     /** Returns the own totals for the digest. */
--- a/src/main/kotlin/lacewingweir/state/versions/VersionEvidence.kt
+++ b/src/main/kotlin/lacewingweir/state/versions/VersionEvidence.kt
@@ -3,12 +3,21 @@
 
 import kotlin.math.sqrt
 
-/** Answers of one version on one route: their number, the bad ones, and the sum of their times to the first event. */
+/**
+ * Answers of one version on one route: their number, the bad ones, and the sum of their times to the first event.
+ *
+ * @property unclear the calls without an answer for which the version need not be the cause, as after a timeout. They are
+ *   not among [answers].
+ */
 internal data class AnswerTally(
     val answers: Long = 0,
     val bad: Long = 0,
     val latencyMillis: Long = 0,
+    val unclear: Long = 0,
 ) {
+    val ends: Long
+        get() = answers + unclear
+
     val badShare: Double
         get() = if (answers == 0L) 0.0 else bad.toDouble() / answers
 
@@ -16,7 +25,12 @@
         get() = if (answers == 0L) 0.0 else latencyMillis.toDouble() / answers
 
     operator fun plus(other: AnswerTally) =
-        AnswerTally(answers + other.answers, bad + other.bad, latencyMillis + other.latencyMillis)
+        AnswerTally(
+            answers + other.answers,
+            bad + other.bad,
+            latencyMillis + other.latencyMillis,
+            unclear + other.unclear,
+        )
 
     /** Differences are never negative, since totals that were reported last may be missing in the later sum. */
     operator fun minus(other: AnswerTally) =
@@ -24,9 +38,10 @@
             (answers - other.answers).coerceAtLeast(0),
             (bad - other.bad).coerceAtLeast(0),
             (latencyMillis - other.latencyMillis).coerceAtLeast(0),
+            (unclear - other.unclear).coerceAtLeast(0),
         )
 
-    override fun toString(): String = "$bad/$answers mean=${meanMillis.toLong()}ms"
+    override fun toString(): String = "$bad/$answers mean=${meanMillis.toLong()}ms unclear=$unclear"
 }
 
 /** The answers of the target version and of the old versions on one route. */
@@ -88,6 +103,9 @@
 /**
  * Judges [evidence]. Where it has fewer than ten old answers on a route, as after the traffic has been moved,
  * [oldSinceOrder] takes their place. A doubt takes [minDoubtBad] bad answers.
+ *
+ * Unclear answers count as bad if the old version has significantly fewer of them over the same period. If it has only
+ * earlier answers, they are a doubt, since the network may have changed in the meantime.
  */
 internal fun judge(
     evidence: ServiceEvidence,
@@ -99,9 +117,11 @@
             if (it.old.answers >= MIN_BAD_ANSWERS) it else it.copy(old = oldSinceOrder[route]?.old ?: it.old)
         }
     val all = compared.total()
+    val ownPeriod = evidence.values + evidence.total()
     return when {
-        (compared.values + all).any(::isBad) || hasManyBad(all) -> Verdict.BAD
+        (compared.values + all).any(::isBad) || hasManyBad(all) || ownPeriod.any(::hasMoreUnclear) -> Verdict.BAD
         compared.values.any { isWorse(it, minDoubtBad) } || raisesDoubt(all, minDoubtBad) -> Verdict.DOUBTFUL
+        (compared.values + all).any(::hasMoreUnclear) -> Verdict.DOUBTFUL
         all.target.answers < MIN_GOOD_ANSWERS -> Verdict.THIN
         compared.values.any { lacksAnswers(it, all) } -> Verdict.THIN
         else -> Verdict.GOOD
@@ -114,8 +134,18 @@
  */
 internal fun mustStopAlone(evidence: ServiceEvidence): Boolean {
     // A version may be bad on one route only, which has a small part of all calls.
-    val targets = evidence.values.map { it.target } + evidence.total().target
-    return targets.any { it.bad >= MAX_BAD_ALONE && it.badShare > MAX_BAD_SHARE_ALONE }
+    return (evidence.values + evidence.total()).any { (target, old) ->
+        val manyBad = target.bad >= MAX_BAD_ALONE && target.badShare > MAX_BAD_SHARE_ALONE
+        manyBad || (target.unclear >= MAX_BAD_ALONE && hasMoreUnclear(RouteEvidence(target, old)))
+    }
+}
+
+/** Whether the target has significantly more unclear answers than the old version has over the same period. */
+private fun hasMoreUnclear(route: RouteEvidence): Boolean {
+    val (target, old) = route
+    if (target.ends < MIN_BAD_ANSWERS || old.ends < MIN_BAD_ANSWERS) return false
+    val oldUpper = 1.0 - wilsonLower(old.answers, old.ends)
+    return wilsonLower(target.unclear, target.ends) > oldUpper + BAD_MARGIN
 }
 
 private const val MAX_BAD_ALONE = 20
--- a/src/main/kotlin/lacewingweir/transport/http/NettyClientResponse.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/NettyClientResponse.kt
@@ -42,7 +42,7 @@
     private suspend fun receive(timeoutMillis: Long): ReadResult =
         try {
             withTimeoutOrNull(timeoutMillis) { connection.readBody() }
-                ?: ReadResult.Broken("no data within $timeoutMillis ms")
+                ?: ReadResult.Broken("no data within $timeoutMillis ms", timedOut = true)
         } catch (e: CancellationException) {
             close()
             throw e
--- a/src/main/kotlin/lacewingweir/transport/http/ReadResult.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ReadResult.kt
@@ -10,8 +10,9 @@
     /** The body is complete according to its framing. */
     public data object End : ReadResult
 
-    /** The body was truncated or malformed, or the next chunk timed out. The bytes read so far are incomplete. */
+    /** The body was truncated or malformed, or the next chunk [timedOut]. The bytes read so far are incomplete. */
     public data class Broken(
         val reason: String,
+        val timedOut: Boolean = false,
     ) : ReadResult
 }
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -407,7 +407,8 @@
                     ?: SendOutcome.Broken("out of time", outOfTime = true)
             if (outcome is SendOutcome.NotRun && !outcome.refused) onUnreachable(reservation.endpoint)
             if (outcome is SendOutcome.Broken && !outcome.givenUp) state.onRead()
-            versionAnswer(admitted.route.id, reservation, outcome)?.let(onAnswer)
+            val cutOff = reach?.isCutOff(service) ?: false
+            versionAnswer(admitted.route.id, reservation, outcome, cutOff)?.let(onAnswer)
             when {
                 state.progress.lastNumber != lastEvent -> state.onStreamContinued()
                 mayBeAnsweredLate(state, outcome) -> state.onReceived(reservation.endpoint.tag)
--- a/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
@@ -252,7 +252,8 @@
                         SendOutcome.Broken("stream ended before or within an event", received)
                     }
                 }
-                is ReadResult.Broken -> return SendOutcome.Broken("stream broken: ${part.reason}", received)
+                is ReadResult.Broken ->
+                    return SendOutcome.Broken("stream broken: ${part.reason}", received, stalled = part.timedOut)
             }
         }
     }
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/state/versions/VersionEvidenceTest.kt
@@ -0,0 +1,38 @@
+package lacewingweir.state.versions
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
+
+internal class VersionEvidenceTest {
+    private fun evidence(
+        target: AnswerTally,
+        old: AnswerTally = AnswerTally(1_000),
+    ): ServiceEvidence = mapOf(1 to RouteEvidence(target, old))
+
+    /** Guards against a good version that is rolled back because this instance's network cut off all its calls. */
+    @Test
+    fun `timeouts that the old version has as often are no evidence`() {
+        val cutOff = evidence(AnswerTally(40, unclear = 25), AnswerTally(800, unclear = 500))
+        expectThat(judge(cutOff)).isEqualTo(Verdict.GOOD)
+        expectThat(mustStopAlone(cutOff)).isFalse()
+    }
+
+    /** Guards against a version whose calls hang, which never shows a bad answer. */
+    @Test
+    fun `timeouts that the old version doesn't have are evidence`() {
+        val hanging = evidence(AnswerTally(40, unclear = 25))
+        expectThat(judge(hanging)).isEqualTo(Verdict.BAD)
+        expectThat(mustStopAlone(hanging)).isTrue()
+    }
+
+    /** Guards against a network that fails after all traffic has been moved, when nothing can be compared. */
+    @Test
+    fun `timeouts without calls of the old version in the same period are only a doubt`() {
+        val alone = evidence(AnswerTally(40, unclear = 25), AnswerTally())
+        expectThat(judge(alone, evidence(AnswerTally()))).isEqualTo(Verdict.DOUBTFUL)
+        expectThat(mustStopAlone(alone)).isFalse()
+    }
+}
