Keep refused placements out of the share of a rollout's target

Cause: each placement added to the credit for calls to the target, also if the call was refused afterwards. Change: a refused call takes its share back. A target that refuses a call itself keeps having spent its credit.

--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointReservation.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointReservation.kt
@@ -18,6 +18,9 @@
      */
     REFUSED,
 
+    /** The request was refused before it was sent. */
+    NOT_SENT,
+
     /** Says nothing about the endpoint's health, for example because the caller disconnected. */
     NOT_COUNTED,
 }
--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
@@ -471,7 +471,10 @@
             // Each further request would wait for another connection attempt, so one failure is enough for ejection.
             ReservationOutcome.UNREACHABLE -> recordFailure(state, state.health.onUnreachable(now))
             ReservationOutcome.REFUSED -> state.avoidedUntilMillis = now + AVOIDANCE_MILLIS
-            ReservationOutcome.NOT_COUNTED -> Unit
+            ReservationOutcome.NOT_COUNTED, ReservationOutcome.NOT_SENT -> Unit
+        }
+        if (outcome in REJECTIONS) {
+            versionRules.onRejected(state.entry, outcome != ReservationOutcome.NOT_SENT)
         }
     }
 
@@ -621,6 +624,10 @@
         }
 
     private companion object {
+        /** Outcomes of requests that did not run. */
+        val REJECTIONS =
+            setOf(ReservationOutcome.NOT_SENT, ReservationOutcome.REFUSED, ReservationOutcome.UNREACHABLE)
+
         /** Occupancy added to an endpoint of a service without engines if it is in another failure domain. */
         const val REMOTE_DOMAIN_OCCUPANCY: Double = 0.1
         const val TIE_BREAK_REQUESTS: Double = 0.5
--- a/src/main/kotlin/lacewingweir/coordination/versions/ServiceRollout.kt
+++ b/src/main/kotlin/lacewingweir/coordination/versions/ServiceRollout.kt
@@ -63,6 +63,13 @@
         if (isOpen) credit.onCall(share, toTarget = version == step.target)
     }
 
+    fun onRejected(
+        version: SoftwareVersion?,
+        wasSent: Boolean,
+    ) {
+        if (isOpen) credit.onRejected(share, toTarget = version == step.target, wasSent)
+    }
+
     fun update(next: RolloutStep) {
         if (next.phase != step.phase) phaseBase = evidence
         step = next
--- a/src/main/kotlin/lacewingweir/coordination/versions/VersionRollouts.kt
+++ b/src/main/kotlin/lacewingweir/coordination/versions/VersionRollouts.kt
@@ -58,7 +58,7 @@
     /** Since when no endpoint of an allowed version is registered although others are. */
     private val absentSinceMillis = HashMap<ServiceName, Long>()
 
-    val rules = VersionRules(::accepts, ::prefers, ::isReference, ::onPlaced)
+    val rules = VersionRules(::accepts, ::prefers, ::isReference, ::onPlaced, ::onRejected)
 
     /** The versions that serve without an order, for the store. Null until all endpoints that run must be known. */
     @get:Synchronized
@@ -198,6 +198,14 @@
         rollouts[endpoint.service]?.onPlaced(endpoint.software)
     }
 
+    @Synchronized
+    private fun onRejected(
+        endpoint: EndpointEntry,
+        wasSent: Boolean,
+    ) {
+        rollouts[endpoint.service]?.onRejected(endpoint.software, wasSent)
+    }
+
     /** Counts the end of a send. */
     @Synchronized
     fun onAnswer(answer: VersionAnswer) {
--- a/src/main/kotlin/lacewingweir/state/versions/ExposureCredit.kt
+++ b/src/main/kotlin/lacewingweir/state/versions/ExposureCredit.kt
@@ -22,6 +22,19 @@
         credit = (credit + share).coerceAtMost(MAX_CREDIT) - if (toTarget) 1.0 else 0.0
     }
 
+    /**
+     * Takes back the share of a call that did not run, and what it took if it [wasSent] to no endpoint. A target that
+     * refuses calls gets no more of them for it.
+     */
+    fun onRejected(
+        share: Double,
+        toTarget: Boolean,
+        wasSent: Boolean,
+    ) {
+        if (share >= 1.0) return
+        credit = (credit - share + if (toTarget && !wasSent) 1.0 else 0.0).coerceAtMost(MAX_CREDIT)
+    }
+
     private companion object {
         /** Bounds a burst of calls to a target whose endpoints were full or absent for some time. */
         const val MAX_CREDIT = 2.0
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -374,7 +374,7 @@
         // request may have come under suspicion.
         val refused = admission.recheck(state)
         if (refused == null && reservation.expectedMillis <= usableMillis) return reservation
-        reservation.end(ReservationOutcome.NOT_COUNTED)
+        reservation.end(ReservationOutcome.NOT_SENT)
         if (refused != null) {
             state.refuseOrFail(refused.refusal, refused.retryAfterMillis)
         } else {
--- a/src/test/kotlin/lacewingweir/coordination/placement/VersionRulesTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/placement/VersionRulesTest.kt
@@ -17,6 +17,7 @@
     private var accepted = setOf("a", "b")
     private var preferred = "b"
     private val placed = ArrayList<String>()
+    private val rejected = ArrayList<Pair<String, Boolean>>()
     private val tracker =
         EndpointTracker(
             timers,
@@ -27,6 +28,7 @@
                     accepts = { endpoint, _ -> endpoint.id.value in accepted },
                     prefers = { it.id.value == preferred },
                     onPlaced = { placed += it.id.value },
+                    onRejected = { endpoint, wasSent -> rejected += endpoint.id.value to wasSent },
                 ),
         ).also { it.onFleet(engineFleet("a", "b", supportsHandover = true)) }
     private val request = PlacementRequest(FLEET_SERVICE, null, null, emptySet())
@@ -50,4 +52,11 @@
         expectThat(tracker.place(request)).isNull()
         expectThat(tracker.hasUsable(request)).isEqualTo(false)
     }
+
+    /** Guards against refused calls that count for the share of a new version. */
+    @Test
+    fun `calls that did not run are reported`() {
+        for (outcome in ReservationOutcome.entries) tracker.place(request)?.end(outcome)
+        expectThat(rejected).isEqualTo(arrayListOf("b" to true, "b" to true, "b" to false))
+    }
 }
