Keep a later order when an older copy of the store brings back an earlier one

Cause: after a restore, the earlier order took the place of the later one, and its steps those of the later rollout. Change: a step names the orders that its own has replaced, also for instances that start later. Such an order counts as the later one, and steps that belong to it are replaced. Result: VersionRolloutFleetTest passes, with 8 instances whose store goes back to an order that ran or had completed.

--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetSnapshot.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetSnapshot.kt
@@ -14,6 +14,7 @@
 import lacewingweir.state.id.WeightsNumber
 import lacewingweir.state.stream.ServedVersion
 import lacewingweir.state.time.ClockReading
+import lacewingweir.state.versions.OrderId
 import lacewingweir.state.versions.RolloutOrder
 import lacewingweir.state.versions.RolloutStep
 
@@ -69,7 +70,10 @@
 internal data class StoredOrder(
     val order: RolloutOrder,
     val revision: Long,
-)
+) {
+    val id: OrderId
+        get() = OrderId(revision, order.target, order.durationMillis)
+}
 
 /**
  * The rollouts of software versions according to the store.
--- a/src/main/kotlin/lacewingweir/coordination/versions/VersionAnswer.kt
+++ b/src/main/kotlin/lacewingweir/coordination/versions/VersionAnswer.kt
@@ -11,8 +11,8 @@
  * @property unclear whether no answer came for a reason that need not lie with the version: the time ran out, or this
  *   instance was cut off from the service
  * @property millis the time to the first event or the complete response
- * @property referenceMillis the time that an engine of the service's common speed was expected to take when this one was
- *   chosen, or null for endpoints of plain services
+ * @property referenceMillis the time that an engine of the service's common speed was expected to take when this one
+ *   was chosen, or null for endpoints of plain services
  */
 internal data class VersionAnswer(
     val service: ServiceName,
--- a/src/main/kotlin/lacewingweir/coordination/versions/VersionRollouts.kt
+++ b/src/main/kotlin/lacewingweir/coordination/versions/VersionRollouts.kt
@@ -4,7 +4,8 @@
  *
  * The steps come from the store, where the lease holder writes them. Without it and without the store, an instance
  * keeps the shares of calls as they are, and stops calls to a target on its own when too many bad answers are known.
- * A final phase is remembered, so that a store restored from an older copy can't take it back for the same order.
+ * A final phase is remembered, so that a store restored from an older copy can't take it back for the same order. Nor can
+ * an earlier order that such a copy brings back replace a later one.
  */
 package lacewingweir.coordination.versions
 
@@ -21,6 +22,7 @@
 import lacewingweir.state.time.MonotonicClock
 import lacewingweir.state.versions.AnswerTally
 import lacewingweir.state.versions.ExposureCredit
+import lacewingweir.state.versions.RolloutOrder
 import lacewingweir.state.versions.RolloutPhase
 import lacewingweir.state.versions.RolloutStep
 import lacewingweir.state.versions.StepFacts
@@ -96,11 +98,23 @@
                 val isLater = step.phase > known.step.phase && !known.step.phase.isFinal
                 if (isLater) known.update(step)
             }
-            // A restored store may show an earlier rollout than that of the order.
-            order == null || !known.step.belongsTo(order) -> rollouts[service] = rollout(step)
+            known.step.supersedes(step.order) -> Unit
+            // A restored store may show an earlier rollout than that of the order, or an earlier order.
+            step.supersedes(known.step.order) || order == null || !known.step.belongsTo(order) ->
+                rollouts[service] = rollout(step)
         }
     }
 
+    /** Returns the order in force, which is not the stored one if the rollout's order has replaced that. */
+    private fun orderOf(
+        service: ServiceName,
+        snapshot: FleetSnapshot,
+    ): StoredOrder? {
+        val order = snapshot.rollouts.orders[service] ?: return null
+        val step = rollouts[service]?.step?.takeIf { it.supersedes(order.id) } ?: return order
+        return StoredOrder(RolloutOrder(service, step.target, step.durationMillis), step.orderRevision)
+    }
+
     private fun rollout(step: RolloutStep): ServiceRollout {
         val now = unixMillis()
         // An instance that starts within a rollout must not add to the slack with each start.
@@ -275,7 +289,7 @@
         val orders = snapshot.rollouts.orders
         return (orders.keys + rollouts.keys)
             .filter { it in rollouts || isKnown(it, snapshot) }
-            .associateWith { nextStep(it, orders[it], snapshot, running) }
+            .associateWith { nextStep(it, orderOf(it, snapshot), snapshot, running) }
     }
 
     /** Whether the versions before an order are known. After a start of everything, its endpoints register later. */
@@ -307,8 +321,7 @@
         }
     }
 
-    private fun RolloutStep.belongsTo(order: StoredOrder) =
-        orderRevision == order.revision && target == order.order.target && durationMillis == order.order.durationMillis
+    private fun RolloutStep.belongsTo(order: StoredOrder) = this.order == order.id
 
     private fun firstStep(
         order: StoredOrder,
@@ -328,6 +341,7 @@
                 phase = RolloutPhase.CANARY,
                 phaseUnixMillis = now,
                 shareThousandths = (exposeShare * SHARE_USED * 1_000).toInt(),
+                superseded = before?.supersededByNext().orEmpty() - order.id,
             )
         val nothingToMove = first.old.isEmpty() && (target in allowed || lacksAllowed(service))
         return if (nothingToMove) first.advance(RolloutPhase.COMPLETED, now) else first
--- a/src/main/kotlin/lacewingweir/platform/VersionRolloutCodec.kt
+++ b/src/main/kotlin/lacewingweir/platform/VersionRolloutCodec.kt
@@ -10,6 +10,7 @@
 import lacewingweir.coordination.versions.RolloutItems
 import lacewingweir.state.id.ServiceName
 import lacewingweir.state.id.SoftwareVersion
+import lacewingweir.state.versions.OrderId
 import lacewingweir.state.versions.RolloutOrder
 import lacewingweir.state.versions.RolloutPhase
 import lacewingweir.state.versions.RolloutStep
@@ -79,6 +80,7 @@
                         put("phase", step.phase.name)
                         put("since", step.phaseUnixMillis)
                         put("share", step.shareThousandths)
+                        putJsonArray("superseded") { step.superseded.forEach { add(orderId(it)) } }
                     }
                 }
             }
@@ -92,6 +94,16 @@
             }
         }.toString().encodeToByteArray()
 
+    private fun orderId(order: OrderId) =
+        buildJsonObject {
+            put("order", order.revision)
+            put("target", order.target.value)
+            put("durationMs", order.durationMillis)
+        }
+
+    private fun orderId(item: JsonObject) =
+        OrderId(item.integer("order"), SoftwareVersion(item.string("target")), item.integer("durationMs"))
+
     private fun order(
         key: String,
         item: JsonObject,
@@ -144,6 +156,7 @@
             phase = phase ?: throw JsonFieldException("phase is unknown"),
             phaseUnixMillis = item.integer("since"),
             shareThousandths = item.count("share").coerceAtMost(MAX_THOUSANDTHS),
+            superseded = item.objects("superseded").map(::orderId),
         )
     }
 }
--- a/src/main/kotlin/lacewingweir/state/versions/RolloutStep.kt
+++ b/src/main/kotlin/lacewingweir/state/versions/RolloutStep.kt
@@ -29,6 +29,13 @@
         get() = this == COMPLETED || this == ROLLED_BACK
 }
 
+/** Identifies an order of a service. A revision alone doesn't, since a restored store assigns revisions again. */
+internal data class OrderId(
+    val revision: Long,
+    val target: SoftwareVersion,
+    val durationMillis: Long,
+)
+
 /**
  * The step of a rollout of [target] on [service].
  *
@@ -37,6 +44,7 @@
  * @property startUnixMillis when the order became known
  * @property phaseUnixMillis when [phase] began
  * @property shareThousandths the share of calls for the target, in thousandths
+ * @property superseded the latest orders of the service that this one has replaced
  */
 internal data class RolloutStep(
     val service: ServiceName,
@@ -48,6 +56,7 @@
     val phase: RolloutPhase,
     val phaseUnixMillis: Long,
     val shareThousandths: Int,
+    val superseded: List<OrderId> = emptyList(),
 ) {
     val share: Double
         get() = shareThousandths / THOUSANDTHS
@@ -63,6 +72,15 @@
     fun isSameRollout(other: RolloutStep): Boolean =
         service == other.service && target == other.target && orderRevision == other.orderRevision
 
+    val order: OrderId
+        get() = OrderId(orderRevision, target, durationMillis)
+
+    /** Whether [earlier] is an order that this one has replaced, which an older copy of the store may bring back. */
+    fun supersedes(earlier: OrderId): Boolean = earlier in superseded && earlier != order
+
+    /** Returns the orders that a new order of the service replaces. */
+    fun supersededByNext(): List<OrderId> = (superseded - order + order).takeLast(MAX_SUPERSEDED)
+
     /** Returns the step in [next] phase that begins at [unixMillis]. */
     fun advance(
         next: RolloutPhase,
@@ -76,6 +94,9 @@
 
     private companion object {
         const val THOUSANDTHS = 1_000.0
+
+        /** More orders of a service than are written within the age of a copy of the store. */
+        const val MAX_SUPERSEDED = 16
     }
 }
 
--- a/src/test/kotlin/lacewingweir/platform/VersionRolloutCodecTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/VersionRolloutCodecTest.kt
@@ -3,6 +3,7 @@
 import lacewingweir.coordination.fleet.FleetUpdate
 import lacewingweir.state.id.ServiceName
 import lacewingweir.state.id.SoftwareVersion
+import lacewingweir.state.versions.OrderId
 import lacewingweir.state.versions.RolloutOrder
 import lacewingweir.state.versions.RolloutPhase
 import lacewingweir.state.versions.RolloutStep
@@ -45,8 +46,9 @@
     @ParameterizedTest
     @ValueSource(ints = [0, 1, 2, 3, 4, 5, 6])
     fun `steps are read as they were written`(phase: Int) {
-        val step =
-            RolloutStep(service, target, 7, setOf(SoftwareVersion("v1")), 1, 9, RolloutPhase.entries[phase], 3, 50)
+        val old = SoftwareVersion("v1")
+        val earlier = listOf(OrderId(3, old, 60_000))
+        val step = RolloutStep(service, target, 7, setOf(old), 1, 9, RolloutPhase.entries[phase], 3, 50, earlier)
         val allowed = mapOf(ServiceName("t") to setOf(target))
         val item = VersionRolloutCodec.encodeSteps(listOf(step), allowed)
         expectThat(PlatformItemCodec.decode("lacewingweir/version-rollouts", item))
--- a/src/test/kotlin/lacewingweir/platform/VersionRolloutFleetTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/VersionRolloutFleetTest.kt
@@ -223,6 +223,28 @@
         expectThat(fleet.exposed["s"]).isEqualTo(exposed)
     }
 
+    /** Guards against a store restored from an older copy whose order was replaced since, also at a new instance. */
+    @ParameterizedTest
+    @ValueSource(doubles = [3.0, 40.0, 70.0])
+    fun `an earlier order of an older copy never reverts a later one`(orderedAfterSeconds: Double) {
+        val fleet = rollout(8) { _, _ -> PlayedAnswer() }
+        fleet.play(orderedAfterSeconds)
+        val copy = fleet.store.copy()
+        fleet.addEndpoints("s", "newer")
+        fleet.order(target = "newer")
+        fleet.play(5.0)
+        fleet.store.restore(copy)
+        fleet.addEndpoints("s", "newer")
+        val exposed = fleet.exposed["s"]
+        fleet.play(15.0)
+        expectThat(fleet.status()).isEqualTo("""{"service":"s","target":"newer","state":"running"}""")
+        fleet.restart(fleet.instances.first())
+        fleet.restart(fleet.instances.first { it.isLeader })
+        fleet.play(60.0)
+        expectThat(fleet.status()).isEqualTo("""{"service":"s","target":"newer","state":"completed"}""")
+        if (orderedAfterSeconds < 60) expectThat(fleet.exposed["s"]).isEqualTo(exposed)
+    }
+
     /** Guards against evidence or shares of one service that count for another. */
     @Test
     fun `of two services at once, only the bad version is rolled back`() {
