Treat a single bad answer of a target as thin evidence

Change: a doubt takes two bad answers. A single one keeps the evidence thin, so it gives no step up either. Result: VersionEvidenceTest and VersionRolloutFleetTest pass.

--- a/src/main/kotlin/lacewingweir/state/versions/VersionEvidence.kt
+++ b/src/main/kotlin/lacewingweir/state/versions/VersionEvidence.kt
@@ -76,6 +76,7 @@
 private const val MIN_BAD_ANSWERS = 10
 private const val MIN_GOOD_ANSWERS = 30
 private const val MIN_ROUTE_ANSWERS = 5
+private const val MIN_DOUBT_BAD = 2
 private const val BAD_MARGIN = 0.1
 private const val GOOD_MARGIN = 0.02
 
@@ -110,7 +111,7 @@
 internal fun judge(
     evidence: ServiceEvidence,
     oldSinceOrder: ServiceEvidence = evidence,
-    minDoubtBad: Int = 1,
+    minDoubtBad: Int = MIN_DOUBT_BAD,
 ): Verdict {
     val compared =
         evidence.mapValues { (route, it) ->
@@ -122,6 +123,8 @@
         (compared.values + all).any(::isBad) || hasManyBad(all) || ownPeriod.any(::hasMoreUnclear) -> Verdict.BAD
         compared.values.any { isWorse(it, minDoubtBad) } || raisesDoubt(all, minDoubtBad) -> Verdict.DOUBTFUL
         (compared.values + all).any(::hasMoreUnclear) -> Verdict.DOUBTFUL
+        // A single bad answer among few raises no doubt, but doesn't show a good version either.
+        compared.values.any { isWorse(it, minDoubtBad = 1) } || raisesDoubt(all, minDoubtBad = 1) -> Verdict.THIN
         all.target.answers < MIN_GOOD_ANSWERS -> Verdict.THIN
         compared.values.any { lacksAnswers(it, all) } -> Verdict.THIN
         else -> Verdict.GOOD
