Write items of rollouts again that can't be read

Cause: the revision of an item that couldn't be read wasn't taken, so each write that was conditional on it failed until somebody removed the item. Change: the revision is taken, the last steps that were read stay in force, and the lease holder writes them again. A status that can't be read counts as missing. Result: VersionRolloutFleetTest passes, with items spoilt three times during a rollout and once after it.

--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetSnapshot.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetSnapshot.kt
@@ -78,7 +78,8 @@
 /**
  * The rollouts of software versions according to the store.
  *
- * [revision] is that of the item with [steps] and [allowed], or zero if there is none. [allowed] are the versions that
+ * [revision] is that of the item with [steps] and [allowed], or zero if there is none. They are the last ones that were
+ * read if the item isn't [readable]. [allowed] are the versions that
  * serve without an order. [statuses] is what operators are told.
  */
 internal data class StoredRollouts(
@@ -88,6 +89,7 @@
     val allowed: Map<ServiceName, Set<SoftwareVersion>> = emptyMap(),
     val revision: Long = 0,
     val leaderPresent: Boolean = false,
+    val readable: Boolean = true,
 )
 
 /**
--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetUpdate.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetUpdate.kt
@@ -85,6 +85,16 @@
         val state: String,
     ) : VersionRolloutUpdate
 
+    /** The item of steps can't be read, so the lease holder must write it again. */
+    data class VersionStepsUnreadable(
+        val reason: String,
+    ) : VersionRolloutUpdate
+
+    /** The item for the operators can't be read, so the lease holder must write it again. */
+    data class VersionStatusUnreadable(
+        val reason: String,
+    ) : VersionRolloutUpdate
+
     /** An instance holds the lease for deciding on rollouts of software versions. */
     data object VersionRolloutLeader : VersionRolloutUpdate
 
--- a/src/main/kotlin/lacewingweir/coordination/fleet/VersionRolloutItems.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/VersionRolloutItems.kt
@@ -1,10 +1,14 @@
 package lacewingweir.coordination.fleet
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import lacewingweir.coordination.store.revisionWithoutEra
 
+private val logger = KotlinLogging.logger {}
+
 /**
  * The items of rollouts of software versions. Orders and steps that are missing after the store was restored from an
- * older copy are kept, since the copy may be older than they are.
+ * older copy are kept, since the copy may be older than they are. Of an item that can't be read, only the revision is
+ * taken, with which it can be written again.
  */
 internal class VersionRolloutItems {
     private val orders = HashMap<String, StoredOrder>()
@@ -13,6 +17,7 @@
     private var stepsKey: String? = null
     private var steps = FleetUpdate.VersionSteps(emptyList())
     private var stepsRevision = 0L
+    private var stepsReadable = true
 
     /** Applies an item that was written at [revision]. */
     fun onWritten(
@@ -27,6 +32,17 @@
                 stepsKey = key
                 steps = update
                 stepsRevision = revision
+                stepsReadable = true
+            }
+            is FleetUpdate.VersionStepsUnreadable -> {
+                logger.warn { "directory: unreadable item key=$key reason=${update.reason}" }
+                stepsKey = key
+                stepsRevision = revision
+                stepsReadable = false
+            }
+            is FleetUpdate.VersionStatusUnreadable -> {
+                logger.warn { "directory: unreadable item key=$key reason=${update.reason}" }
+                statuses.remove(key)
             }
             FleetUpdate.VersionRolloutLeader -> leaderKey = key
         }
@@ -39,6 +55,7 @@
         if (key == stepsKey) {
             steps = FleetUpdate.VersionSteps(emptyList())
             stepsRevision = 0
+            stepsReadable = true
         }
     }
 
@@ -52,6 +69,7 @@
         if (!restored) orders.keys.retainAll(present)
         if (stepsKey !in present) {
             stepsRevision = 0
+            stepsReadable = true
             if (!restored) steps = FleetUpdate.VersionSteps(emptyList())
         }
     }
@@ -64,5 +82,6 @@
             statuses = statuses.values.associateBy { it.service },
             revision = stepsRevision,
             leaderPresent = leaderKey != null,
+            readable = stepsReadable,
         )
 }
--- a/src/main/kotlin/lacewingweir/coordination/versions/VersionRolloutAgent.kt
+++ b/src/main/kotlin/lacewingweir/coordination/versions/VersionRolloutAgent.kt
@@ -83,12 +83,16 @@
 
     private fun isWriteNeeded(stored: StoredRollouts): Boolean {
         val steps = rollouts.nextSteps(runningAt)
-        return steps != stored.steps ||
+        return isItemOutdated(steps, stored) ||
             steps.values.any { !it.phase.isFinal } ||
-            isBaselineMissing(stored) ||
             steps.values.any { isStatusMissing(it, stored) }
     }
 
+    private fun isItemOutdated(
+        steps: Map<ServiceName, RolloutStep>,
+        stored: StoredRollouts,
+    ): Boolean = steps != stored.steps || !stored.readable || isBaselineMissing(stored)
+
     private fun isBaselineMissing(stored: StoredRollouts): Boolean =
         rollouts.baseline?.let { it != stored.allowed } ?: false
 
@@ -109,7 +113,7 @@
         val steps = rollouts.nextSteps(runningAt)
         logEvidence(steps.values)
         val statuses = steps.values.filter { isStatusMissing(it, stored) }
-        if (steps == stored.steps && statuses.isEmpty() && !isBaselineMissing(stored)) return
+        if (statuses.isEmpty() && !isItemOutdated(steps, stored)) return
         val changed = steps.values.filter { stored.steps[it.service] != it }
         write(stored, steps, statuses, fence, changed)
     }
--- a/src/main/kotlin/lacewingweir/platform/VersionRolloutCodec.kt
+++ b/src/main/kotlin/lacewingweir/platform/VersionRolloutCodec.kt
@@ -40,12 +40,24 @@
     ): FleetUpdate? =
         when {
             key.startsWith(PlatformKeys.ROLLOUT_ORDER_PREFIX) -> order(key, parseObject(value))
-            key.startsWith(PlatformKeys.ROLLOUT_STATUS_PREFIX) -> status(key, parseObject(value))
-            key == PlatformKeys.VERSION_ROLLOUTS -> steps(parseObject(value))
+            key.startsWith(PlatformKeys.ROLLOUT_STATUS_PREFIX) ->
+                readOr(FleetUpdate::VersionStatusUnreadable) { status(key, parseObject(value)) }
+            key == PlatformKeys.VERSION_ROLLOUTS ->
+                readOr(FleetUpdate::VersionStepsUnreadable) { steps(parseObject(value)) }
             key == PlatformKeys.VERSION_ROLLOUT_LEASE -> FleetUpdate.VersionRolloutLeader
             else -> null
         }
 
+    private fun readOr(
+        unreadable: (String) -> FleetUpdate,
+        read: () -> FleetUpdate,
+    ): FleetUpdate =
+        try {
+            read()
+        } catch (e: IllegalArgumentException) {
+            unreadable(e.message ?: "malformed")
+        }
+
     /** Encodes the item that tells operators of the rollout at [step]. */
     fun encodeStatus(step: RolloutStep): ByteArray =
         buildJsonObject {
--- a/src/test/kotlin/lacewingweir/platform/VersionRolloutFleetTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/VersionRolloutFleetTest.kt
@@ -6,6 +6,7 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
@@ -245,6 +246,25 @@
         if (orderedAfterSeconds < 60) expectThat(fleet.exposed["s"]).isEqualTo(exposed)
     }
 
+    /** Guards against a rollout that stands still because its items can't be read, and so can't be replaced. */
+    @Test
+    fun `items that can't be read are written again`() {
+        val fleet = rollout(8) { _, _ -> PlayedAnswer() }
+        val keys = listOf(PlatformKeys.VERSION_ROLLOUTS, PlatformKeys.ROLLOUT_STATUS_PREFIX + "s")
+
+        fun spoil() = keys.forEach { fleet.store.put(it, "{".encodeToByteArray()) }
+
+        for (seconds in listOf(0.1, 20.0, 38.0)) {
+            spoil()
+            fleet.play(seconds)
+        }
+        expectThat(fleet.state()).isEqualTo("completed")
+        spoil()
+        fleet.play(10.0)
+        expectThat(fleet.state()).isEqualTo("completed")
+        expectThat(fleet.store.text(PlatformKeys.VERSION_ROLLOUTS)).isNotNull().contains("COMPLETED")
+    }
+
     /** Guards against evidence or shares of one service that count for another. */
     @Test
     fun `of two services at once, only the bad version is rolled back`() {
