Decide on phases of rollouts only with digests from peers

Cause: a lease holder that received no digests decided on its own counts, and didn't see calls of peers at old endpoints. Result: VersionRolloutFleetTest passes, with a holder cut off alone or with two others, and with no digests at all.

--- a/src/main/kotlin/lacewingweir/coordination/versions/VersionRolloutAgent.kt
+++ b/src/main/kotlin/lacewingweir/coordination/versions/VersionRolloutAgent.kt
@@ -68,13 +68,15 @@
         lease.release("instance is stopping")
     }
 
-    /** The lease is needed while there is something to write. */
+    /** The lease is needed while there is something to write, and left to others by an instance that hears no peers. */
     private suspend fun maintainLease() {
         if (stopped) return
         val needed = isWriteNeeded(fleet().rollouts)
+        val hearsPeers = rollouts.hearsPeers
         when {
+            lease.isHeld && !hearsPeers -> lease.release("no digests from peers")
             lease.isHeld -> if (needed) lease.renew() else lease.release("no rollout")
-            needed && !fleet().rollouts.leaderPresent -> {
+            needed && hearsPeers && !fleet().rollouts.leaderPresent -> {
                 pause(random.nextLong(ACQUIRE_SPREAD_MILLIS + fleet().peers.size * ACQUIRE_SPREAD_PER_INSTANCE_MILLIS))
                 if (!stopped && !fleet().rollouts.leaderPresent) lease.acquire()
             }
--- a/src/main/kotlin/lacewingweir/coordination/versions/VersionRollouts.kt
+++ b/src/main/kotlin/lacewingweir/coordination/versions/VersionRollouts.kt
@@ -22,6 +22,7 @@
 import lacewingweir.state.time.MonotonicClock
 import lacewingweir.state.versions.AnswerTally
 import lacewingweir.state.versions.ExposureCredit
+import lacewingweir.state.versions.PeerContact
 import lacewingweir.state.versions.RolloutOrder
 import lacewingweir.state.versions.RolloutPhase
 import lacewingweir.state.versions.RolloutStep
@@ -49,6 +50,7 @@
     private val random: Random = Random.Default,
 ) {
     private val counts = RolloutCounts()
+    private val contact = PeerContact()
     private val rollouts = HashMap<ServiceName, ServiceRollout>()
 
     /** When versions that came without an order begin to serve. */
@@ -246,7 +248,15 @@
     fun tallies(): List<VersionTally> = counts.ownTallies()
 
     @Synchronized
-    fun onDigest(digest: InstanceDigest) = counts.onDigest(digest)
+    fun onDigest(digest: InstanceDigest) {
+        contact.onDigest(digest.instance, clock.nowMillis())
+        counts.onDigest(digest)
+    }
+
+    /** Whether this instance hears enough peers to hold the lease. */
+    @get:Synchronized
+    val hearsPeers: Boolean
+        get() = contact.isSufficient(instances(), clock.nowMillis())
 
     /** Judges the evidence that this instance knows. Must be called several times a second. */
     @Synchronized
@@ -316,7 +326,8 @@
             step.phase.isFinal -> step
             // The order was withdrawn.
             order == null -> step.advance(RolloutPhase.ROLLED_BACK, now)
-            rollout.isStopped || mustStopAlone(rollout.evidence) -> step.advance(RolloutPhase.ROLLED_BACK, now)
+            hearsPeers && (rollout.isStopped || mustStopAlone(rollout.evidence)) ->
+                step.advance(RolloutPhase.ROLLED_BACK, now)
             else -> nextPhase(step, facts(rollout, snapshot, running), now)?.let { step.advance(it, now) } ?: step
         }
     }
@@ -366,6 +377,7 @@
                 rollout.evidence
                     .total()
                     .target.answers,
+            hearsPeers = hearsPeers,
         )
     }
 
--- a/src/main/kotlin/lacewingweir/state/versions/StepFacts.kt
+++ b/src/main/kotlin/lacewingweir/state/versions/StepFacts.kt
@@ -11,6 +11,7 @@
  * @property oldSlots the slots of the old versions' endpoints that accept requests
  * @property oldRunning the calls that run or wait at old endpoints, as far as known
  * @property targetAnswers the answers of the target since the order
+ * @property hearsPeers whether the facts include those of peers, without which no phase changes
  */
 internal data class StepFacts(
     val sinceOrder: Verdict,
@@ -20,6 +21,7 @@
     val oldSlots: Int,
     val oldRunning: Int,
     val targetAnswers: Long,
+    val hearsPeers: Boolean,
 )
 
 /**
@@ -48,7 +50,7 @@
     facts: StepFacts,
     unixMillis: Long,
 ): RolloutPhase? {
-    if (step.phase.isFinal) return null
+    if (step.phase.isFinal || !facts.hearsPeers) return null
     val elapsed = (unixMillis - step.startUnixMillis) / step.durationMillis.toDouble()
     val inPhase = (unixMillis - step.phaseUnixMillis) / step.durationMillis.toDouble()
     val verdicts = listOf(facts.sinceOrder, facts.sincePhase, facts.recent)
@@ -59,18 +61,20 @@
         // Endpoints of the target that refuse all calls give no evidence.
         elapsed >= FINAL_DECISION ->
             if (mayAdvance && facts.targetAnswers > 0) RolloutPhase.DRAIN else RolloutPhase.ROLLED_BACK
-        Verdict.DOUBTFUL in verdicts &&
-            exceedsFirstShare(
-                step.phase,
-            ) &&
-            inPhase >= MAX_DOUBT -> RolloutPhase.ROLLED_BACK
+        isDoubtLasting(step.phase, verdicts, inPhase) -> RolloutPhase.ROLLED_BACK
         mayAdvance && facts.sinceOrder == Verdict.GOOD -> afterGood(step.phase, elapsed, inPhase)
         else -> null
     }
 }
 
-private fun exceedsFirstShare(phase: RolloutPhase) =
-    phase == RolloutPhase.QUARTER || phase == RolloutPhase.HALF || phase == RolloutPhase.FULL
+private fun isDoubtLasting(
+    phase: RolloutPhase,
+    verdicts: List<Verdict>,
+    inPhase: Double,
+): Boolean {
+    val exceedsFirstShare = phase == RolloutPhase.QUARTER || phase == RolloutPhase.HALF || phase == RolloutPhase.FULL
+    return Verdict.DOUBTFUL in verdicts && exceedsFirstShare && inPhase >= MAX_DOUBT
+}
 
 private fun afterGood(
     phase: RolloutPhase,
--- a/src/test/kotlin/lacewingweir/platform/VersionRolloutFleet.kt
+++ b/src/test/kotlin/lacewingweir/platform/VersionRolloutFleet.kt
@@ -112,6 +112,9 @@
         val digestIntervalMillis = random.nextLong(300, 1_200)
         var nextDigestMillis = timers.nowMillis() + random.nextLong(digestIntervalMillis)
         private var number = 0L
+
+        /** Whether digests of peers don't arrive. */
+        var isDeaf = false
         private var listedEra = 0L
 
         init {
@@ -227,10 +230,18 @@
         instance.nextDigestMillis = now + instance.digestIntervalMillis
         val digest = instance.digest()
         // One digest in twenty is lost.
-        val receivers = instances.filter { it !== instance && random.nextInt(20) != 0 }
+        val receivers = instances.filter { it !== instance && random.nextInt(20) != 0 && !isSplit(it, instance) && !it.isDeaf }
         receivers.forEach { it.rollouts.onDigest(digest) }
     }
 
+    /** Names of instances whose digests reach none of the others, and the other way round. */
+    var cutOff: Set<String> = emptySet()
+
+    private fun isSplit(
+        first: Instance,
+        second: Instance,
+    ) = (first.name in cutOff) != (second.name in cutOff)
+
     private fun call(
         service: String,
         now: Long,
--- a/src/test/kotlin/lacewingweir/platform/VersionRolloutFleetTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/VersionRolloutFleetTest.kt
@@ -246,6 +246,34 @@
         if (orderedAfterSeconds < 60) expectThat(fleet.exposed["s"]).isEqualTo(exposed)
     }
 
+    /** Guards against a holder that decides on the answers and the running calls of only a few instances. */
+    @ParameterizedTest
+    @ValueSource(ints = [1, 3])
+    fun `a holder without digests from its peers leaves the rollout to them`(count: Int) {
+        val fleet = rollout(8) { _, _ -> PlayedAnswer() }
+        fleet.play(20.0) { fleet.instances.any { it.isLeader } }
+        val holder = fleet.instances.first { it.isLeader }
+        val others = fleet.instances.filterNot { it === holder }.take(count - 1)
+        fleet.cutOff = (others + holder).mapTo(HashSet()) { it.name }
+        fleet.play(6.0)
+        expectThat(fleet.instances.single { it.isLeader }.name in fleet.cutOff).isEqualTo(false)
+        fleet.play(45.0) { fleet.state() == "completed" }
+        expectThat(fleet.state()).isEqualTo("completed")
+    }
+
+    /** Guards against decisions on own counts alone while no instance hears its peers. */
+    @Test
+    fun `without any digests no phase changes`() {
+        val fleet = rollout(8) { _, _ -> PlayedAnswer() }
+        fleet.play(20.0)
+        fleet.instances.forEach { it.isDeaf = true }
+        fleet.play(30.0)
+        expectThat(fleet.store.text(PlatformKeys.VERSION_ROLLOUTS)).isNotNull().contains("CANARY")
+        fleet.instances.forEach { it.isDeaf = false }
+        fleet.play(9.0) { fleet.state() == "completed" }
+        expectThat(fleet.state()).isEqualTo("completed")
+    }
+
     /** Guards against a rollout that stands still because its items can't be read, and so can't be replaced. */
     @Test
     fun `items that can't be read are written again`() {
--- a/src/test/kotlin/lacewingweir/state/versions/VersionEvidenceTest.kt
+++ b/src/test/kotlin/lacewingweir/state/versions/VersionEvidenceTest.kt
@@ -24,7 +24,7 @@
         )
 
     private fun facts(verdict: Verdict) =
-        StepFacts(verdict, Verdict.THIN, Verdict.THIN, targetSlots = 4, oldSlots = 4, oldRunning = 0, targetAnswers = 6)
+        StepFacts(verdict, Verdict.THIN, Verdict.THIN, 4, 4, oldRunning = 0, targetAnswers = 6, hearsPeers = true)
 
     private fun evidence(
         target: AnswerTally,
