--- a/src/test/kotlin/lacewingweir/platform/VersionRolloutFleet.kt
+++ b/src/test/kotlin/lacewingweir/platform/VersionRolloutFleet.kt
@@ -174,6 +174,12 @@
         }
     }
 
+    fun removeEndpoints(
+        service: String,
+        version: String,
+        count: Int = 4,
+    ) = repeat(count) { store.remove(PlatformKeys.ENDPOINT_PREFIX + "$service-$version-$it") }
+
     fun order(
         service: String = "s",
         target: String = "new",
--- a/src/test/kotlin/lacewingweir/platform/VersionRolloutFleetTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/VersionRolloutFleetTest.kt
@@ -246,6 +246,38 @@
         if (orderedAfterSeconds < 60) expectThat(fleet.exposed["s"]).isEqualTo(exposed)
     }
 
+    /** Guards against calls that fail for want of an endpoint although the target has some. */
+    @Test
+    fun `calls beyond the share use the target while all old endpoints are gone`() {
+        val fleet = rollout(8) { _, _ -> PlayedAnswer() }
+        fleet.play(10.0)
+        fleet.removeEndpoints("s", "old")
+        // Instances learn of it a little later, and choose none of these endpoints any more.
+        fleet.play(2.0)
+        fleet.unservedCalls = 0
+        val exposed = checkNotNull(fleet.exposed["s"])
+        fleet.play(5.0)
+        expectThat(fleet.unservedCalls).isEqualTo(0)
+        expectThat(checkNotNull(fleet.exposed["s"])).isGreaterThan(exposed + 900)
+        fleet.addEndpoints("s", "old")
+        fleet.play(2.0)
+        val before = checkNotNull(fleet.exposed["s"])
+        fleet.play(5.0)
+        expectThat(checkNotNull(fleet.exposed["s"])).isLessThan(before + 80)
+    }
+
+    /** Guards against a target that was stopped and gets calls because no other version is left. */
+    @Test
+    fun `a bad version gets no calls after its rollback, also if all old endpoints are gone`() {
+        val fleet = rollout(8) { _, call -> fail(call) }
+        fleet.play(20.0)
+        expectThat(fleet.state()).isEqualTo("rolled_back")
+        val exposed = fleet.exposed["s"]
+        fleet.removeEndpoints("s", "old")
+        fleet.play(15.0)
+        expectThat(fleet.exposed["s"]).isEqualTo(exposed)
+    }
+
     /** Guards against a holder that decides on the answers and the running calls of only a few instances. */
     @ParameterizedTest
     @ValueSource(ints = [1, 3])
