Test rollouts of bad and good versions in larger fleets and more phases

The cases that were missing: a version bad later or under load with 60 instances, one that is slow on all calls, an instance that is cut off from the endpoints, a store away in the last phase or while a version turns bad in a later one, and an order changed midway with 60 instances.

--- a/src/test/kotlin/lacewingweir/platform/VersionRolloutFleet.kt
+++ b/src/test/kotlin/lacewingweir/platform/VersionRolloutFleet.kt
@@ -236,13 +236,22 @@
         instance.nextDigestMillis = now + instance.digestIntervalMillis
         val digest = instance.digest()
         // One digest in twenty is lost.
-        val receivers = instances.filter { it !== instance && random.nextInt(20) != 0 && !isSplit(it, instance) && !it.isDeaf }
+        val receivers =
+            instances.filter {
+                it !== instance &&
+                    random.nextInt(20) != 0 &&
+                    !isSplit(it, instance) &&
+                    !it.isDeaf
+            }
         receivers.forEach { it.rollouts.onDigest(digest) }
     }
 
     /** Names of instances whose digests reach none of the others, and the other way round. */
     var cutOff: Set<String> = emptySet()
 
+    /** Names of instances whose calls end without an answer, whichever endpoint they go to. */
+    var unreachedBy: Set<String> = emptySet()
+
     private fun isSplit(
         first: Instance,
         second: Instance,
@@ -286,7 +295,14 @@
             val name = ServiceName(it.service)
             val route = RouteId("r${it.route}")
             it.instance.rollouts.onAnswer(
-                VersionAnswer(name, it.endpoint.software, route, it.answer.failed, it.answer.millis),
+                VersionAnswer(
+                    name,
+                    it.endpoint.software,
+                    route,
+                    it.answer.failed,
+                    it.answer.millis,
+                    unclear = it.instance.name in unreachedBy,
+                ),
             )
         }
     }
--- a/src/test/kotlin/lacewingweir/platform/VersionRolloutFleetTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/VersionRolloutFleetTest.kt
@@ -4,6 +4,7 @@
 import lacewingweir.state.id.SoftwareVersion
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
 import strikt.assertions.contains
@@ -59,17 +60,21 @@
 
     /** Guards against early good answers that outweigh later failures. */
     @ParameterizedTest
-    @ValueSource(longs = [15_000, 26_000, 32_000])
-    fun `a version that fails later is rolled back`(fromMillis: Long) {
-        val fleet = rollout(8) { _, call -> if (call.elapsedMillis > fromMillis) fail(call) else PlayedAnswer() }
+    @CsvSource("8,15000", "8,26000", "8,32000", "60,26000")
+    fun `a version that fails later is rolled back`(
+        count: Int,
+        fromMillis: Long,
+    ) {
+        val fleet = rollout(count) { _, call -> if (call.elapsedMillis > fromMillis) fail(call) else PlayedAnswer() }
         fleet.play(60.0)
         expectRolledBack(fleet)
     }
 
     /** Guards against steps to a load that shows the fault, without a look at the evidence there. */
-    @Test
-    fun `a version that fails under load is rolled back`() {
-        val fleet = rollout(8) { _, call -> if (call.load > 6) fail(call) else PlayedAnswer() }
+    @ParameterizedTest
+    @ValueSource(ints = [8, 60])
+    fun `a version that fails under load is rolled back`(count: Int) {
+        val fleet = rollout(count) { _, call -> if (call.load > 6) fail(call) else PlayedAnswer() }
         fleet.play(60.0)
         expectRolledBack(fleet)
     }
@@ -92,6 +97,28 @@
         expectRolledBack(fleet)
     }
 
+    /** Guards against a version that is compared with its own times. */
+    @ParameterizedTest
+    @ValueSource(ints = [8, 60])
+    fun `a version that is slow on all calls is rolled back`(count: Int) {
+        val fleet = rollout(count) { _, _ -> PlayedAnswer(millis = 450) }
+        fleet.play(60.0)
+        expectRolledBack(fleet)
+    }
+
+    /** Guards against calls that the network of an instance cuts off, which would end the rollout of a good version. */
+    @ParameterizedTest
+    @ValueSource(ints = [8, 60])
+    fun `a good version is completed although an instance is cut off from the endpoints`(count: Int) {
+        val fleet = rollout(count) { _, _ -> PlayedAnswer() }
+        fleet.play(10.0)
+        fleet.unreachedBy = setOf("i0")
+        fleet.play(15.0)
+        fleet.unreachedBy = emptySet()
+        fleet.play(34.0) { fleet.state() == "completed" }
+        expectThat(fleet.state()).isEqualTo("completed")
+    }
+
     /** Guards against a good version that misses its deadline, and old endpoints that stop with calls. */
     @ParameterizedTest
     @ValueSource(ints = [8, 60])
@@ -144,7 +171,7 @@
 
     /** Guards against steps up without the store, and against a good version that isn't completed after its return. */
     @ParameterizedTest
-    @ValueSource(doubles = [1.0, 20.0, 28.0, 34.0, 40.0])
+    @ValueSource(doubles = [1.0, 20.0, 28.0, 34.0, 40.0, 45.6])
     fun `while the store is away nothing steps up, and a good version goes on later`(fromSeconds: Double) {
         val fleet = rollout(8) { _, _ -> PlayedAnswer() }
         fleet.play(fromSeconds)
@@ -164,10 +191,14 @@
 
     /** Guards against a bad version that gets calls for as long as the rollback can't be written. */
     @ParameterizedTest
-    @ValueSource(ints = [8, 60])
-    fun `while the store is away each instance stops a bad version`(count: Int) {
-        val fleet = rollout(count) { _, call -> if (call.elapsedMillis > 8_000) fail(call) else PlayedAnswer() }
-        fleet.play(7.0)
+    @CsvSource("8,7", "60,7", "8,28", "8,34", "8,40")
+    fun `while the store is away each instance stops a bad version`(
+        count: Int,
+        fromSeconds: Int,
+    ) {
+        val badMillis = (fromSeconds + 1) * 1_000
+        val fleet = rollout(count) { _, call -> if (call.elapsedMillis > badMillis) fail(call) else PlayedAnswer() }
+        fleet.play(fromSeconds.toDouble())
         fleet.store.away = true
         fleet.play(30.0)
         expectThat(
@@ -182,9 +213,10 @@
     }
 
     /** Guards against a target that keeps its share after the operators have changed their order. */
-    @Test
-    fun `a changed order ends the rollout and starts another`() {
-        val fleet = rollout(8) { _, _ -> PlayedAnswer() }
+    @ParameterizedTest
+    @ValueSource(ints = [8, 60])
+    fun `a changed order ends the rollout and starts another`(count: Int) {
+        val fleet = rollout(count) { _, _ -> PlayedAnswer() }
         fleet.play(30.0)
         fleet.addEndpoints("s", "newer")
         fleet.order(target = "newer")
