Report rollouts of software versions at each instance with their share and age

Cause: only the lease holder logged the evidence between steps, without the share and the age. `route` has no metrics port; `fleet status` belongs to the gateway. Result: VersionRolloutFleetTest passes.

--- a/src/main/kotlin/lacewingweir/coordination/versions/VersionRolloutAgent.kt
+++ b/src/main/kotlin/lacewingweir/coordination/versions/VersionRolloutAgent.kt
@@ -110,10 +110,10 @@
     private suspend fun step() {
         rollouts.check()
         val fence = lease.fencingToken()
+        report(isHolder = fence != null)
         val stored = fleet().rollouts
         if (stopped || fence == null || awaitsMirror(stored)) return
         val steps = rollouts.nextSteps(runningAt)
-        logEvidence(steps.values)
         val statuses = steps.values.filter { isStatusMissing(it, stored) }
         if (statuses.isEmpty() && !isItemOutdated(steps, stored)) return
         val changed = steps.values.filter { stored.steps[it.service] != it }
@@ -151,14 +151,12 @@
         if (changed.isEmpty()) logger.info { "version-rollout: items written statuses=${statuses.size} result=$result" }
     }
 
-    private fun logEvidence(steps: Collection<RolloutStep>) {
+    /** Reports the rollouts that run. Each instance does, since its share and its evidence may differ from others'. */
+    private fun report(isHolder: Boolean) {
         if (clock.nowMillis() - loggedMillis < LOG_MILLIS) return
         loggedMillis = clock.nowMillis()
-        for (step in steps.filterNot { it.phase.isFinal }) {
-            logger.info {
-                "version-rollout: running service=${step.service} target=${step.target} phase=${step.phase} " +
-                    rollouts.describe(step.service)
-            }
+        for (figures in rollouts.figures()) {
+            logger.info { "version-rollout: running $figures holder=$isHolder hearsPeers=${rollouts.hearsPeers}" }
         }
     }
 
--- a/src/main/kotlin/lacewingweir/coordination/versions/VersionRollouts.kt
+++ b/src/main/kotlin/lacewingweir/coordination/versions/VersionRollouts.kt
@@ -275,6 +275,25 @@
         }
     }
 
+    /** Returns what this instance knows of the rollouts that run. */
+    @Synchronized
+    fun figures(): List<RolloutFigures> {
+        val now = unixMillis()
+        return rollouts.values.filterNot { it.step.phase.isFinal }.map {
+            val step = it.step
+            RolloutFigures(
+                service = step.service,
+                target = step.target,
+                phase = step.phase,
+                share = if (it.isStopped) 0.0 else it.share,
+                ageMillis = now - step.startUnixMillis,
+                phaseAgeMillis = now - step.phaseUnixMillis,
+                stoppedHere = it.isStopped,
+                evidence = it.describe(),
+            )
+        }
+    }
+
     /** Describes the evidence on a service for the log. */
     @Synchronized
     fun describe(service: ServiceName): String = rollouts[service]?.describe() ?: "no evidence"
--- a/src/test/kotlin/lacewingweir/platform/VersionRolloutFleetTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/VersionRolloutFleetTest.kt
@@ -310,6 +310,25 @@
         expectThat(fleet.exposed["s"]).isEqualTo(exposed)
     }
 
+    /** Guards against reports of the state at the start, or of an instance that has stopped alone as one that goes on. */
+    @Test
+    fun `an instance reports phase, share, age and evidence of a rollout`() {
+        val fleet = rollout(8) { _, call -> if (call.elapsedMillis > 20_000) fail(call) else PlayedAnswer() }
+        fleet.play(15.0)
+        fleet.store.away = true
+
+        fun figures() =
+            fleet.instances
+                .first()
+                .rollouts
+                .figures()
+                .single()
+        expectThat(figures().toString()).contains("phase=CANARY share=0.050").contains("stoppedHere=false target=[0/")
+        expectThat(figures().ageMillis).isGreaterThan(13_000).isLessThan(15_001)
+        fleet.play(20.0)
+        expectThat(figures().toString()).contains("share=0.000").contains("stoppedHere=true")
+    }
+
     /** Guards against a holder that decides on the answers and the running calls of only a few instances. */
     @ParameterizedTest
     @ValueSource(ints = [1, 3])
