--- a/src/main/kotlin/lacewingweir/coordination/placement/VersionRules.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/VersionRules.kt
@@ -12,8 +12,8 @@
  * @property isReference returns whether an endpoint's speed counts for the common speed of its service, by which the
  *   times of different versions are compared
  * @property onPlaced is called for each placement, those of repeats and handovers included
- * @property onRejected is called for each placement whose call did not run, because it was refused before it was sent or
- *   by the endpoint
+ * @property onRejected is called for each placement whose call did not run, because it was refused before it was sent
+ *   or by the endpoint
  */
 internal class VersionRules(
     val accepts: (EndpointEntry, continuesStream: Boolean) -> Boolean = { _, _ -> true },
--- a/src/main/kotlin/lacewingweir/coordination/versions/RolloutCounts.kt
+++ b/src/main/kotlin/lacewingweir/coordination/versions/RolloutCounts.kt
@@ -9,9 +9,9 @@
 /**
  * Counts answers by rollout, route and version: own ones, and those of peers as their digests report them.
  *
- * Counts of peers that have ended or restarted are kept. Only rollouts that run are counted. A bounded number of routes is
- * counted apart, and the others of a rollout together, so that no answer of a target is left out. Both versions' answers
- * on a route are counted in the same place, so that like is compared with like.
+ * Counts of peers that have ended or restarted are kept. Only rollouts that run are counted. A bounded number of routes
+ * is counted apart, and the others of a rollout together, so that no answer of a target is left out. Both versions'
+ * answers on a route are counted in the same place, so that like is compared with like.
  */
 internal class RolloutCounts {
     private data class Key(
--- a/src/main/kotlin/lacewingweir/coordination/versions/VersionRollouts.kt
+++ b/src/main/kotlin/lacewingweir/coordination/versions/VersionRollouts.kt
@@ -4,8 +4,8 @@
  *
  * The steps come from the store, where the lease holder writes them. Without it and without the store, an instance
  * keeps the shares of calls as they are, and stops calls to a target on its own when too many bad answers are known.
- * A final phase is remembered, so that a store restored from an older copy can't take it back for the same order. Nor can
- * an earlier order that such a copy brings back replace a later one.
+ * A final phase is remembered, so that a store restored from an older copy can't take it back for the same order. Nor
+ * can an earlier order that such a copy brings back replace a later one.
  */
 package lacewingweir.coordination.versions
 
--- a/src/main/kotlin/lacewingweir/state/versions/VersionEvidence.kt
+++ b/src/main/kotlin/lacewingweir/state/versions/VersionEvidence.kt
@@ -6,8 +6,8 @@
 /**
  * Answers of one version on one route: their number, the bad ones, and the sum of their times to the first event.
  *
- * @property unclear the calls without an answer for which the version need not be the cause, as after a timeout. They are
- *   not among [answers].
+ * @property unclear the calls without an answer for which the version need not be the cause, as after a timeout. They
+ *   are not among [answers].
  */
 internal data class AnswerTally(
     val answers: Long = 0,
--- a/src/main/kotlin/lacewingweir/transport/relay/SendOutcome.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/SendOutcome.kt
@@ -34,8 +34,8 @@
      * No usable response was received, and the call may have run. The caller received part of a stream or nothing.
      *
      * [outOfTime] means that the time of the call has run out. [givenUp] means that the endpoint did not respond in
-     * time, which says nothing about whether it has ended. [stalled] means that the response went on for too long without data,
-     * and its connection was still open.
+     * time, which says nothing about whether it has ended. [stalled] means that no data came for too long after the
+     * head, although the connection was still open.
      */
     data class Broken(
         val reason: String,
--- a/src/test/kotlin/lacewingweir/platform/VersionRolloutFleetTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/VersionRolloutFleetTest.kt
@@ -310,7 +310,7 @@
         expectThat(fleet.exposed["s"]).isEqualTo(exposed)
     }
 
-    /** Guards against reports of the state at the start, or of an instance that has stopped alone as one that goes on. */
+    /** Guards against reports of an earlier state, and of a share that an instance no longer sends to the target. */
     @Test
     fun `an instance reports phase, share, age and evidence of a rollout`() {
         val fleet = rollout(8) { _, call -> if (call.elapsedMillis > 20_000) fail(call) else PlayedAnswer() }
