Keep handovers that didn't happen out of the share of a rollout's target

Cause: placements for handovers whose call was never sent added to the credit for calls to the target. Change: they end as not sent, like calls that are refused after their placement.

--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointReservation.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointReservation.kt
@@ -18,7 +18,7 @@
      */
     REFUSED,
 
-    /** The request was refused before it was sent. */
+    /** The request was not sent, for example because it was refused after its placement. */
     NOT_SENT,
 
     /** Says nothing about the endpoint's health, for example because the caller disconnected. */
--- a/src/main/kotlin/lacewingweir/transport/relay/RunHandovers.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/RunHandovers.kt
@@ -117,7 +117,7 @@
         if (!stoppedElsewhere || tracker.drainingMillis(source.id) > MAX_DRAINING_MILLIS) return null
         val reservation = tracker.placeOnSameEngine(run.source) ?: return null
         val repeat = repeatBudgets.tryRepeat(source.service, RepeatCause.HANDOVER)
-        if (repeat == null) reservation.end(ReservationOutcome.NOT_COUNTED)
+        if (repeat == null) reservation.end(ReservationOutcome.NOT_SENT)
         return repeat?.let { HandedOverRun(run.source, reservation, run.copy, it, stopConfirmed = true) }
     }
 
@@ -133,7 +133,7 @@
         stream.repeat?.release()
         scope.launch {
             handover.await()?.let { run ->
-                run.reservation.end(ReservationOutcome.NOT_COUNTED)
+                run.reservation.end(ReservationOutcome.NOT_SENT)
                 copier.release(run.copy)
             }
         }
@@ -154,7 +154,7 @@
             stream.handover = scope.async { handOver(stream, target).also { if (it == null) stream.repeat?.release() } }
         } else {
             logger.info { "handover: id=${stream.id} stays at ${source.id}: repeat budget exhausted" }
-            target.end(ReservationOutcome.NOT_COUNTED)
+            target.end(ReservationOutcome.NOT_SENT)
         }
     }
 
@@ -171,7 +171,7 @@
             "handover: id=${stream.id} stays at ${source.id} target=${target.endpoint.id} " +
                 "targetVacating=$draining answer=$result"
         }
-        target.end(ReservationOutcome.NOT_COUNTED)
+        target.end(ReservationOutcome.NOT_SENT)
         if (result is CopyResult.Copied) copier.release(result.copy)
         if (result !is CopyResult.Refused || excluded.isNotEmpty()) return null
         // The target may be full, or may have failed without being detected yet.
@@ -213,9 +213,9 @@
             is CopyResult.Copied -> HandedOverRun(reservation, target, result.copy, stream.repeat, stopConfirmed = true)
             // The run may have been stopped, so the other engine continues it from the copy made while it was running.
             is CopyResult.Unknown -> HandedOverRun(reservation, target, lastCopy, stream.repeat, stopConfirmed = false)
-            is CopyResult.RunNotFound -> null.also { target.end(ReservationOutcome.NOT_COUNTED) }
+            is CopyResult.RunNotFound -> null.also { target.end(ReservationOutcome.NOT_SENT) }
             is CopyResult.Refused -> {
-                target.end(ReservationOutcome.NOT_COUNTED)
+                target.end(ReservationOutcome.NOT_SENT)
                 result.remainingCopy?.let { copy ->
                     tracker.placeOnSameEngine(reservation)?.let {
                         HandedOverRun(reservation, it, copy, stream.repeat, stopConfirmed = true)
