Detect a target of which a small part of the calls hangs

Cause: unclear answers counted only if they exceeded those of the old version by a tenth. Change: from 25 of them on, two hundredths are enough, as for bad answers. An instance stops alone only from a fifth on. Result: VersionEvidenceTest passes, VersionRolloutFleetTest too with versions of which a third of the calls hang.

--- a/src/main/kotlin/lacewingweir/state/versions/VersionEvidence.kt
+++ b/src/main/kotlin/lacewingweir/state/versions/VersionEvidence.kt
@@ -139,7 +139,8 @@
     // A version may be bad on one route only, which has a small part of all calls.
     return (evidence.values + evidence.total()).any { (target, old) ->
         val manyBad = target.bad >= MAX_BAD_ALONE && target.badShare > MAX_BAD_SHARE_ALONE
-        manyBad || (target.unclear >= MAX_BAD_ALONE && hasMoreUnclear(RouteEvidence(target, old)))
+        val manyUnclear = target.unclear >= MAX_BAD_ALONE && target.unclear > target.ends * MAX_BAD_SHARE_ALONE
+        manyBad || (manyUnclear && hasMoreUnclear(RouteEvidence(target, old)))
     }
 }
 
@@ -148,7 +149,8 @@
     val (target, old) = route
     if (target.ends < MIN_BAD_ANSWERS || old.ends < MIN_BAD_ANSWERS) return false
     val oldUpper = 1.0 - wilsonLower(old.answers, old.ends)
-    return wilsonLower(target.unclear, target.ends) > oldUpper + BAD_MARGIN
+    val margin = if (target.unclear >= MANY_BAD_ANSWERS) GOOD_MARGIN else BAD_MARGIN
+    return wilsonLower(target.unclear, target.ends) > oldUpper + margin
 }
 
 private const val MAX_BAD_ALONE = 20
--- a/src/test/kotlin/lacewingweir/platform/VersionRolloutFleet.kt
+++ b/src/test/kotlin/lacewingweir/platform/VersionRolloutFleet.kt
@@ -24,6 +24,7 @@
 internal data class PlayedAnswer(
     val failed: Boolean = false,
     val millis: Long = 100,
+    val hangs: Boolean = false,
 )
 
 /** What an answer of the new version depends on. [load] is the number of calls that run at the new endpoints. */
@@ -290,7 +291,7 @@
         val ended = running.filter { it.endMillis <= now }
         running.removeAll(ended)
         for (it in ended) {
-            val bad = it.isTarget && (it.answer.failed || it.answer.millis > 400)
+            val bad = it.isTarget && (it.answer.failed || it.answer.hangs || it.answer.millis > 400)
             if (bad && badAnswers.merge(it.service, 1, Int::plus) == 50) fiftiethBadMillis[it.service] = now
             val name = ServiceName(it.service)
             val route = RouteId("r${it.route}")
@@ -301,7 +302,7 @@
                     route,
                     it.answer.failed,
                     it.answer.millis,
-                    unclear = it.instance.name in unreachedBy,
+                    unclear = it.answer.hangs || it.instance.name in unreachedBy,
                 ),
             )
         }
--- a/src/test/kotlin/lacewingweir/platform/VersionRolloutFleetTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/VersionRolloutFleetTest.kt
@@ -106,6 +106,22 @@
         expectRolledBack(fleet)
     }
 
+    /** Guards against a version whose calls time out, which isn't seen from its answers. */
+    @ParameterizedTest
+    @CsvSource("8,0", "8,15000", "60,0")
+    fun `a version whose calls hang is rolled back`(
+        count: Int,
+        fromMillis: Long,
+    ) {
+        val fleet =
+            rollout(count) { _, call ->
+                val hangs = call.elapsedMillis > fromMillis && call.random.nextInt(3) == 0
+                PlayedAnswer(millis = if (hangs) 1_500 else 100, hangs = hangs)
+            }
+        fleet.play(60.0)
+        expectRolledBack(fleet)
+    }
+
     /** Guards against calls that the network of an instance cuts off, which would end the rollout of a good version. */
     @ParameterizedTest
     @ValueSource(ints = [8, 60])
--- a/src/test/kotlin/lacewingweir/state/versions/VersionEvidenceTest.kt
+++ b/src/test/kotlin/lacewingweir/state/versions/VersionEvidenceTest.kt
@@ -58,6 +58,9 @@
         val hanging = evidence(AnswerTally(40, unclear = 25))
         expectThat(judge(hanging)).isEqualTo(Verdict.BAD)
         expectThat(mustStopAlone(hanging)).isTrue()
+        val sometimesHanging = evidence(AnswerTally(270, unclear = 30))
+        expectThat(judge(sometimesHanging)).isEqualTo(Verdict.BAD)
+        expectThat(mustStopAlone(sometimesHanging)).isFalse()
     }
 
     /** Guards against a network that fails after all traffic has been moved, when nothing can be compared. */
