--- a/src/test/kotlin/lacewingweir/platform/VersionRolloutFleetTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/VersionRolloutFleetTest.kt
@@ -287,8 +287,8 @@
         val exposed = fleet.exposed["s"]
         fleet.play(15.0)
         expectThat(fleet.status()).isEqualTo("""{"service":"s","target":"newer","state":"running"}""")
-        fleet.restart(fleet.instances.first())
-        fleet.restart(fleet.instances.first { it.isLeader })
+        val (holders, others) = fleet.instances.partition { it.isLeader }
+        (holders + others.first()).forEach(fleet::restart)
         fleet.play(60.0)
         expectThat(fleet.status()).isEqualTo("""{"service":"s","target":"newer","state":"completed"}""")
         if (orderedAfterSeconds < 60) expectThat(fleet.exposed["s"]).isEqualTo(exposed)
