--- a/src/test/kotlin/lacewingweir/platform/VersionRolloutFleetTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/VersionRolloutFleetTest.kt
@@ -164,9 +164,12 @@
 
     /** Guards against a rollout that stops when its holder does, and against phases that start again. */
     @ParameterizedTest
-    @ValueSource(ints = [0, 200, 400, 600, 1_000, 2_000, 28_000, 45_000])
-    fun `another instance goes on after the lease holder was killed`(afterMillis: Int) {
-        val fleet = rollout(8) { _, _ -> PlayedAnswer() }
+    @CsvSource("8,0", "8,200", "8,400", "8,600", "8,1000", "8,2000", "8,28000", "8,45000", "60,0", "60,400", "60,45000")
+    fun `another instance goes on after the lease holder was killed`(
+        count: Int,
+        afterMillis: Int,
+    ) {
+        val fleet = rollout(count) { _, _ -> PlayedAnswer() }
         fleet.play(afterMillis / 1_000.0)
         fleet.play(10.0) { fleet.instances.any { it.isLeader } }
         fleet.restart(fleet.instances.first { it.isLeader })
@@ -187,9 +190,12 @@
 
     /** Guards against steps up without the store, and against a good version that isn't completed after its return. */
     @ParameterizedTest
-    @ValueSource(doubles = [1.0, 20.0, 28.0, 34.0, 40.0, 45.6])
-    fun `while the store is away nothing steps up, and a good version goes on later`(fromSeconds: Double) {
-        val fleet = rollout(8) { _, _ -> PlayedAnswer() }
+    @CsvSource("8,1.0", "8,20.0", "8,28.0", "8,34.0", "8,40.0", "8,45.6", "60,28.0", "60,45.6")
+    fun `while the store is away nothing steps up, and a good version goes on later`(
+        count: Int,
+        fromSeconds: Double,
+    ) {
+        val fleet = rollout(count) { _, _ -> PlayedAnswer() }
         fleet.play(fromSeconds)
         val steps = fleet.store.text(PlatformKeys.VERSION_ROLLOUTS).orEmpty()
         val share = steps.substringAfter("\"share\":", "0").takeWhile { it.isDigit() }.toInt() / 1_000.0
