--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetSnapshot.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetSnapshot.kt
@@ -14,6 +14,7 @@
 import lacewingweir.state.id.WeightsNumber
 import lacewingweir.state.stream.ServedVersion
 import lacewingweir.state.time.ClockReading
+import lacewingweir.state.versions.OrderId
 import lacewingweir.state.versions.RolloutOrder
 import lacewingweir.state.versions.RolloutStep
 
@@ -69,12 +70,16 @@
 internal data class StoredOrder(
     val order: RolloutOrder,
     val revision: Long,
-)
+) {
+    val id: OrderId
+        get() = OrderId(revision, order.target, order.durationMillis)
+}
 
 /**
  * The rollouts of software versions according to the store.
  *
- * [revision] is that of the item with [steps] and [allowed], or zero if there is none. [allowed] are the versions that
+ * [revision] is that of the item with [steps] and [allowed], or zero if there is none. They are the last ones that were
+ * read if the item isn't [readable]. [allowed] are the versions that
  * serve without an order. [statuses] is what operators are told.
  */
 internal data class StoredRollouts(
@@ -84,6 +89,7 @@
     val allowed: Map<ServiceName, Set<SoftwareVersion>> = emptyMap(),
     val revision: Long = 0,
     val leaderPresent: Boolean = false,
+    val readable: Boolean = true,
 )
 
 /**
--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointReservation.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointReservation.kt
@@ -18,6 +18,9 @@
      */
     REFUSED,
 
+    /** The request was not sent, for example because it was refused after its placement. */
+    NOT_SENT,
+
     /** Says nothing about the endpoint's health, for example because the caller disconnected. */
     NOT_COUNTED,
 }
@@ -49,6 +52,9 @@
     internal val prefillSpeed = choice.prefillSpeed.takeIf { measuresPrefillSpeed }
     val expectedMillis: Double = choice.expectedMillis
 
+    /** The expected time at an engine of the service's common speed, which the speed of the own one doesn't affect. */
+    val referenceMillis: Double = choice.referenceMillis
+
     /** The engine from which the chosen engine should copy the cached prompt parts that it lacks. */
     val cacheSource: EndpointEntry? = choice.cacheSource
     private val phase = AtomicInteger(WAITING)
--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
@@ -442,7 +442,9 @@
         // An engine that produces first tokens is healthy, even if other requests time out in its queue.
         state.health = state.health.onSuccess(clock.nowMillis())
         val millis = reservation.ageMillis.toDouble()
-        reservation.prefillSpeed?.observe(reservation.uncachedTokens, millis)
+        if (versionRules.isReference(state.entry)) {
+            reservation.prefillSpeed?.observe(reservation.uncachedTokens, millis)
+        }
         if (!complete && reservation.uncachedTokens > 0.0) {
             val prefillMillis = maxOf(millis - SEND_MILLIS - reservation.notPrefillMillis, millis / 2)
             learnedSpeeds?.onPrefilled(state.entry.tag, reservation.uncachedTokens, prefillMillis)
@@ -469,7 +471,10 @@
             // Each further request would wait for another connection attempt, so one failure is enough for ejection.
             ReservationOutcome.UNREACHABLE -> recordFailure(state, state.health.onUnreachable(now))
             ReservationOutcome.REFUSED -> state.avoidedUntilMillis = now + AVOIDANCE_MILLIS
-            ReservationOutcome.NOT_COUNTED -> Unit
+            ReservationOutcome.NOT_COUNTED, ReservationOutcome.NOT_SENT -> Unit
+        }
+        if (outcome in REJECTIONS) {
+            versionRules.onRejected(state.entry, outcome != ReservationOutcome.NOT_SENT)
         }
     }
 
@@ -619,6 +624,10 @@
         }
 
     private companion object {
+        /** Outcomes of requests that did not run. */
+        val REJECTIONS =
+            setOf(ReservationOutcome.NOT_SENT, ReservationOutcome.REFUSED, ReservationOutcome.UNREACHABLE)
+
         /** Occupancy added to an endpoint of a service without engines if it is in another failure domain. */
         const val REMOTE_DOMAIN_OCCUPANCY: Double = 0.1
         const val TIE_BREAK_REQUESTS: Double = 0.5
--- a/src/main/kotlin/lacewingweir/coordination/versions/VersionRolloutAgent.kt
+++ b/src/main/kotlin/lacewingweir/coordination/versions/VersionRolloutAgent.kt
@@ -68,13 +68,15 @@
         lease.release("instance is stopping")
     }
 
-    /** The lease is needed while there is something to write. */
+    /** The lease is needed while there is something to write, and left to others by an instance that hears no peers. */
     private suspend fun maintainLease() {
         if (stopped) return
         val needed = isWriteNeeded(fleet().rollouts)
+        val hearsPeers = rollouts.hearsPeers
         when {
+            lease.isHeld && !hearsPeers -> lease.release("no digests from peers")
             lease.isHeld -> if (needed) lease.renew() else lease.release("no rollout")
-            needed && !fleet().rollouts.leaderPresent -> {
+            needed && hearsPeers && !fleet().rollouts.leaderPresent -> {
                 pause(random.nextLong(ACQUIRE_SPREAD_MILLIS + fleet().peers.size * ACQUIRE_SPREAD_PER_INSTANCE_MILLIS))
                 if (!stopped && !fleet().rollouts.leaderPresent) lease.acquire()
             }
@@ -83,12 +85,16 @@
 
     private fun isWriteNeeded(stored: StoredRollouts): Boolean {
         val steps = rollouts.nextSteps(runningAt)
-        return steps != stored.steps ||
+        return isItemOutdated(steps, stored) ||
             steps.values.any { !it.phase.isFinal } ||
-            isBaselineMissing(stored) ||
             steps.values.any { isStatusMissing(it, stored) }
     }
 
+    private fun isItemOutdated(
+        steps: Map<ServiceName, RolloutStep>,
+        stored: StoredRollouts,
+    ): Boolean = steps != stored.steps || !stored.readable || isBaselineMissing(stored)
+
     private fun isBaselineMissing(stored: StoredRollouts): Boolean =
         rollouts.baseline?.let { it != stored.allowed } ?: false
 
@@ -104,12 +110,12 @@
     private suspend fun step() {
         rollouts.check()
         val fence = lease.fencingToken()
+        report(isHolder = fence != null)
         val stored = fleet().rollouts
         if (stopped || fence == null || awaitsMirror(stored)) return
         val steps = rollouts.nextSteps(runningAt)
-        logEvidence(steps.values)
         val statuses = steps.values.filter { isStatusMissing(it, stored) }
-        if (steps == stored.steps && statuses.isEmpty() && !isBaselineMissing(stored)) return
+        if (statuses.isEmpty() && !isItemOutdated(steps, stored)) return
         val changed = steps.values.filter { stored.steps[it.service] != it }
         write(stored, steps, statuses, fence, changed)
     }
@@ -145,14 +151,12 @@
         if (changed.isEmpty()) logger.info { "version-rollout: items written statuses=${statuses.size} result=$result" }
     }
 
-    private fun logEvidence(steps: Collection<RolloutStep>) {
+    /** Reports the rollouts that run. Each instance does, since its share and its evidence may differ from others'. */
+    private fun report(isHolder: Boolean) {
         if (clock.nowMillis() - loggedMillis < LOG_MILLIS) return
         loggedMillis = clock.nowMillis()
-        for (step in steps.filterNot { it.phase.isFinal }) {
-            logger.info {
-                "version-rollout: running service=${step.service} target=${step.target} phase=${step.phase} " +
-                    rollouts.describe(step.service)
-            }
+        for (figures in rollouts.figures()) {
+            logger.info { "version-rollout: running $figures holder=$isHolder hearsPeers=${rollouts.hearsPeers}" }
         }
     }
 
--- a/src/main/kotlin/lacewingweir/coordination/versions/VersionRollouts.kt
+++ b/src/main/kotlin/lacewingweir/coordination/versions/VersionRollouts.kt
@@ -4,7 +4,8 @@
  *
  * The steps come from the store, where the lease holder writes them. Without it and without the store, an instance
  * keeps the shares of calls as they are, and stops calls to a target on its own when too many bad answers are known.
- * A final phase is remembered, so that a store restored from an older copy can't take it back for the same order.
+ * A final phase is remembered, so that a store restored from an older copy can't take it back for the same order. Nor
+ * can an earlier order that such a copy brings back replace a later one.
  */
 package lacewingweir.coordination.versions
 
@@ -21,6 +22,8 @@
 import lacewingweir.state.time.MonotonicClock
 import lacewingweir.state.versions.AnswerTally
 import lacewingweir.state.versions.ExposureCredit
+import lacewingweir.state.versions.PeerContact
+import lacewingweir.state.versions.RolloutOrder
 import lacewingweir.state.versions.RolloutPhase
 import lacewingweir.state.versions.RolloutStep
 import lacewingweir.state.versions.StepFacts
@@ -47,6 +50,7 @@
     private val random: Random = Random.Default,
 ) {
     private val counts = RolloutCounts()
+    private val contact = PeerContact()
     private val rollouts = HashMap<ServiceName, ServiceRollout>()
 
     /** When versions that came without an order begin to serve. */
@@ -58,7 +62,7 @@
     /** Since when no endpoint of an allowed version is registered although others are. */
     private val absentSinceMillis = HashMap<ServiceName, Long>()
 
-    val rules = VersionRules(::accepts, ::prefers, ::onPlaced)
+    val rules = VersionRules(::accepts, ::prefers, ::isReference, ::onPlaced, ::onRejected)
 
     /** The versions that serve without an order, for the store. Null until all endpoints that run must be known. */
     @get:Synchronized
@@ -96,11 +100,23 @@
                 val isLater = step.phase > known.step.phase && !known.step.phase.isFinal
                 if (isLater) known.update(step)
             }
-            // A restored store may show an earlier rollout than that of the order.
-            order == null || !known.step.belongsTo(order) -> rollouts[service] = rollout(step)
+            known.step.supersedes(step.order) -> Unit
+            // A restored store may show an earlier rollout than that of the order, or an earlier order.
+            step.supersedes(known.step.order) || order == null || !known.step.belongsTo(order) ->
+                rollouts[service] = rollout(step)
         }
     }
 
+    /** Returns the order in force, which is not the stored one if the rollout's order has replaced that. */
+    private fun orderOf(
+        service: ServiceName,
+        snapshot: FleetSnapshot,
+    ): StoredOrder? {
+        val order = snapshot.rollouts.orders[service] ?: return null
+        val step = rollouts[service]?.step?.takeIf { it.supersedes(order.id) } ?: return order
+        return StoredOrder(RolloutOrder(service, step.target, step.durationMillis), step.orderRevision)
+    }
+
     private fun rollout(step: RolloutStep): ServiceRollout {
         val now = unixMillis()
         // An instance that starts within a rollout must not add to the slack with each start.
@@ -132,7 +148,7 @@
         if (rollout != null) {
             val old = usable.filter { rollout.isOld(it) }.sumOf { it.slots }
             val target = usable.filter { it.software == rollout.step.target }.sumOf { it.slots }
-            rollout.slotRatio = if (old == 0) 1.0 else minOf(1.0, target.toDouble() / old)
+            rollout.onSlots(old, target)
         }
     }
 
@@ -186,22 +202,45 @@
         return !rollout.isDue || endpoint.software == rollout.step.target
     }
 
+    /** A target that is slow must not lower the speed by which its own answers are judged. */
+    @Synchronized
+    private fun isReference(endpoint: EndpointEntry): Boolean {
+        val step = rollouts[endpoint.service]?.step ?: return true
+        return step.phase.isFinal || endpoint.software != step.target
+    }
+
     @Synchronized
     private fun onPlaced(endpoint: EndpointEntry) {
         rollouts[endpoint.service]?.onPlaced(endpoint.software)
     }
 
+    @Synchronized
+    private fun onRejected(
+        endpoint: EndpointEntry,
+        wasSent: Boolean,
+    ) {
+        rollouts[endpoint.service]?.onRejected(endpoint.software, wasSent)
+    }
+
     /** Counts the end of a send. */
     @Synchronized
     fun onAnswer(answer: VersionAnswer) {
         val rollout = rollouts[answer.service]?.takeUnless { it.step.phase.isFinal } ?: return
         val isTarget = answer.version == rollout.step.target
         val route = answer.route.value.hashCode()
-        val slowMillis = rollout.oldMean(route)?.let { it * SLOW_FACTOR }
-        val isBad = answer.failed || (slowMillis != null && answer.comparedMillis > slowMillis)
-        counts.add(rollout.step.tag, route, isTarget, AnswerTally(1, if (isBad) 1 else 0, answer.comparedMillis))
+        val tally = tally(answer, rollout.oldMean(route))
+        counts.add(rollout.step.tag, route, isTarget, tally)
         // Twenty bad answers may come within less than the period of the checks.
-        if (isBad && isTarget) check(rollout)
+        if (isTarget && tally.bad + tally.unclear > 0) check(rollout)
+    }
+
+    private fun tally(
+        answer: VersionAnswer,
+        oldMean: Double?,
+    ): AnswerTally {
+        if (answer.unclear) return AnswerTally(unclear = 1)
+        val isSlow = oldMean != null && answer.comparedMillis > oldMean * SLOW_FACTOR
+        return AnswerTally(1, if (answer.failed || isSlow) 1 else 0, answer.comparedMillis)
     }
 
     /** Returns the own totals for the digest. */
@@ -209,12 +248,22 @@
     fun tallies(): List<VersionTally> = counts.ownTallies()
 
     @Synchronized
-    fun onDigest(digest: InstanceDigest) = counts.onDigest(digest)
+    fun onDigest(digest: InstanceDigest) {
+        contact.onDigest(digest.instance, clock.nowMillis())
+        counts.onDigest(digest)
+    }
+
+    /** Whether this instance hears enough peers to hold the lease. */
+    @get:Synchronized
+    val hearsPeers: Boolean
+        get() = contact.isSufficient(instances(), clock.nowMillis())
 
     /** Judges the evidence that this instance knows. Must be called several times a second. */
     @Synchronized
     fun check() {
-        rollouts.values.filterNot { it.step.phase.isFinal }.forEach(::check)
+        val running = rollouts.values.filterNot { it.step.phase.isFinal }
+        if (isWarm()) running.forEach { it.onAllKnown() }
+        running.forEach(::check)
     }
 
     private fun check(rollout: ServiceRollout) {
@@ -226,6 +275,25 @@
         }
     }
 
+    /** Returns what this instance knows of the rollouts that run. */
+    @Synchronized
+    fun figures(): List<RolloutFigures> {
+        val now = unixMillis()
+        return rollouts.values.filterNot { it.step.phase.isFinal }.map {
+            val step = it.step
+            RolloutFigures(
+                service = step.service,
+                target = step.target,
+                phase = step.phase,
+                share = if (it.isStopped) 0.0 else it.share,
+                ageMillis = now - step.startUnixMillis,
+                phaseAgeMillis = now - step.phaseUnixMillis,
+                stoppedHere = it.isStopped,
+                evidence = it.describe(),
+            )
+        }
+    }
+
     /** Describes the evidence on a service for the log. */
     @Synchronized
     fun describe(service: ServiceName): String = rollouts[service]?.describe() ?: "no evidence"
@@ -252,7 +320,7 @@
         val orders = snapshot.rollouts.orders
         return (orders.keys + rollouts.keys)
             .filter { it in rollouts || isKnown(it, snapshot) }
-            .associateWith { nextStep(it, orders[it], snapshot, running) }
+            .associateWith { nextStep(it, orderOf(it, snapshot), snapshot, running) }
     }
 
     /** Whether the versions before an order are known. After a start of everything, its endpoints register later. */
@@ -279,13 +347,13 @@
             step.phase.isFinal -> step
             // The order was withdrawn.
             order == null -> step.advance(RolloutPhase.ROLLED_BACK, now)
-            rollout.isStopped || mustStopAlone(rollout.evidence) -> step.advance(RolloutPhase.ROLLED_BACK, now)
+            hearsPeers && (rollout.isStopped || mustStopAlone(rollout.evidence)) ->
+                step.advance(RolloutPhase.ROLLED_BACK, now)
             else -> nextPhase(step, facts(rollout, snapshot, running), now)?.let { step.advance(it, now) } ?: step
         }
     }
 
-    private fun RolloutStep.belongsTo(order: StoredOrder) =
-        orderRevision == order.revision && target == order.order.target && durationMillis == order.order.durationMillis
+    private fun RolloutStep.belongsTo(order: StoredOrder) = this.order == order.id
 
     private fun firstStep(
         order: StoredOrder,
@@ -305,6 +373,7 @@
                 phase = RolloutPhase.CANARY,
                 phaseUnixMillis = now,
                 shareThousandths = (exposeShare * SHARE_USED * 1_000).toInt(),
+                superseded = before?.supersededByNext().orEmpty() - order.id,
             )
         val nothingToMove = first.old.isEmpty() && (target in allowed || lacksAllowed(service))
         return if (nothingToMove) first.advance(RolloutPhase.COMPLETED, now) else first
@@ -329,6 +398,7 @@
                 rollout.evidence
                     .total()
                     .target.answers,
+            hearsPeers = hearsPeers,
         )
     }
 
--- a/src/main/kotlin/lacewingweir/platform/VersionRolloutCodec.kt
+++ b/src/main/kotlin/lacewingweir/platform/VersionRolloutCodec.kt
@@ -10,6 +10,7 @@
 import lacewingweir.coordination.versions.RolloutItems
 import lacewingweir.state.id.ServiceName
 import lacewingweir.state.id.SoftwareVersion
+import lacewingweir.state.versions.OrderId
 import lacewingweir.state.versions.RolloutOrder
 import lacewingweir.state.versions.RolloutPhase
 import lacewingweir.state.versions.RolloutStep
@@ -39,12 +40,24 @@
     ): FleetUpdate? =
         when {
             key.startsWith(PlatformKeys.ROLLOUT_ORDER_PREFIX) -> order(key, parseObject(value))
-            key.startsWith(PlatformKeys.ROLLOUT_STATUS_PREFIX) -> status(key, parseObject(value))
-            key == PlatformKeys.VERSION_ROLLOUTS -> steps(parseObject(value))
+            key.startsWith(PlatformKeys.ROLLOUT_STATUS_PREFIX) ->
+                readOr(FleetUpdate::VersionStatusUnreadable) { status(key, parseObject(value)) }
+            key == PlatformKeys.VERSION_ROLLOUTS ->
+                readOr(FleetUpdate::VersionStepsUnreadable) { steps(parseObject(value)) }
             key == PlatformKeys.VERSION_ROLLOUT_LEASE -> FleetUpdate.VersionRolloutLeader
             else -> null
         }
 
+    private fun readOr(
+        unreadable: (String) -> FleetUpdate,
+        read: () -> FleetUpdate,
+    ): FleetUpdate =
+        try {
+            read()
+        } catch (e: IllegalArgumentException) {
+            unreadable(e.message ?: "malformed")
+        }
+
     /** Encodes the item that tells operators of the rollout at [step]. */
     fun encodeStatus(step: RolloutStep): ByteArray =
         buildJsonObject {
@@ -79,6 +92,7 @@
                         put("phase", step.phase.name)
                         put("since", step.phaseUnixMillis)
                         put("share", step.shareThousandths)
+                        putJsonArray("superseded") { step.superseded.forEach { add(orderId(it)) } }
                     }
                 }
             }
@@ -92,6 +106,16 @@
             }
         }.toString().encodeToByteArray()
 
+    private fun orderId(order: OrderId) =
+        buildJsonObject {
+            put("order", order.revision)
+            put("target", order.target.value)
+            put("durationMs", order.durationMillis)
+        }
+
+    private fun orderId(item: JsonObject) =
+        OrderId(item.integer("order"), SoftwareVersion(item.string("target")), item.integer("durationMs"))
+
     private fun order(
         key: String,
         item: JsonObject,
@@ -144,6 +168,7 @@
             phase = phase ?: throw JsonFieldException("phase is unknown"),
             phaseUnixMillis = item.integer("since"),
             shareThousandths = item.count("share").coerceAtMost(MAX_THOUSANDTHS),
+            superseded = item.objects("superseded").map(::orderId),
         )
     }
 }
--- a/src/test/kotlin/lacewingweir/platform/VersionRolloutFleet.kt
+++ b/src/test/kotlin/lacewingweir/platform/VersionRolloutFleet.kt
@@ -24,6 +24,7 @@
 internal data class PlayedAnswer(
     val failed: Boolean = false,
     val millis: Long = 100,
+    val hangs: Boolean = false,
 )
 
 /** What an answer of the new version depends on. [load] is the number of calls that run at the new endpoints. */
@@ -112,6 +113,9 @@
         val digestIntervalMillis = random.nextLong(300, 1_200)
         var nextDigestMillis = timers.nowMillis() + random.nextLong(digestIntervalMillis)
         private var number = 0L
+
+        /** Whether digests of peers don't arrive. */
+        var isDeaf = false
         private var listedEra = 0L
 
         init {
@@ -171,6 +175,12 @@
         }
     }
 
+    fun removeEndpoints(
+        service: String,
+        version: String,
+        count: Int = 4,
+    ) = repeat(count) { store.remove(PlatformKeys.ENDPOINT_PREFIX + "$service-$version-$it") }
+
     fun order(
         service: String = "s",
         target: String = "new",
@@ -227,10 +237,27 @@
         instance.nextDigestMillis = now + instance.digestIntervalMillis
         val digest = instance.digest()
         // One digest in twenty is lost.
-        val receivers = instances.filter { it !== instance && random.nextInt(20) != 0 }
+        val receivers =
+            instances.filter {
+                it !== instance &&
+                    random.nextInt(20) != 0 &&
+                    !isSplit(it, instance) &&
+                    !it.isDeaf
+            }
         receivers.forEach { it.rollouts.onDigest(digest) }
     }
 
+    /** Names of instances whose digests reach none of the others, and the other way round. */
+    var cutOff: Set<String> = emptySet()
+
+    /** Names of instances whose calls end without an answer, whichever endpoint they go to. */
+    var unreachedBy: Set<String> = emptySet()
+
+    private fun isSplit(
+        first: Instance,
+        second: Instance,
+    ) = (first.name in cutOff) != (second.name in cutOff)
+
     private fun call(
         service: String,
         now: Long,
@@ -264,12 +291,19 @@
         val ended = running.filter { it.endMillis <= now }
         running.removeAll(ended)
         for (it in ended) {
-            val bad = it.isTarget && (it.answer.failed || it.answer.millis > 400)
+            val bad = it.isTarget && (it.answer.failed || it.answer.hangs || it.answer.millis > 400)
             if (bad && badAnswers.merge(it.service, 1, Int::plus) == 50) fiftiethBadMillis[it.service] = now
             val name = ServiceName(it.service)
             val route = RouteId("r${it.route}")
             it.instance.rollouts.onAnswer(
-                VersionAnswer(name, it.endpoint.software, route, it.answer.failed, it.answer.millis),
+                VersionAnswer(
+                    name,
+                    it.endpoint.software,
+                    route,
+                    it.answer.failed,
+                    it.answer.millis,
+                    unclear = it.answer.hangs || it.instance.name in unreachedBy,
+                ),
             )
         }
     }
--- a/src/test/kotlin/lacewingweir/platform/VersionRolloutFleetTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/VersionRolloutFleetTest.kt
@@ -4,8 +4,10 @@
 import lacewingweir.state.id.SoftwareVersion
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
@@ -58,17 +60,21 @@
 
     /** Guards against early good answers that outweigh later failures. */
     @ParameterizedTest
-    @ValueSource(longs = [15_000, 26_000, 32_000])
-    fun `a version that fails later is rolled back`(fromMillis: Long) {
-        val fleet = rollout(8) { _, call -> if (call.elapsedMillis > fromMillis) fail(call) else PlayedAnswer() }
+    @CsvSource("8,15000", "8,26000", "8,32000", "60,26000")
+    fun `a version that fails later is rolled back`(
+        count: Int,
+        fromMillis: Long,
+    ) {
+        val fleet = rollout(count) { _, call -> if (call.elapsedMillis > fromMillis) fail(call) else PlayedAnswer() }
         fleet.play(60.0)
         expectRolledBack(fleet)
     }
 
     /** Guards against steps to a load that shows the fault, without a look at the evidence there. */
-    @Test
-    fun `a version that fails under load is rolled back`() {
-        val fleet = rollout(8) { _, call -> if (call.load > 6) fail(call) else PlayedAnswer() }
+    @ParameterizedTest
+    @ValueSource(ints = [8, 60])
+    fun `a version that fails under load is rolled back`(count: Int) {
+        val fleet = rollout(count) { _, call -> if (call.load > 6) fail(call) else PlayedAnswer() }
         fleet.play(60.0)
         expectRolledBack(fleet)
     }
@@ -91,6 +97,44 @@
         expectRolledBack(fleet)
     }
 
+    /** Guards against a version that is compared with its own times. */
+    @ParameterizedTest
+    @ValueSource(ints = [8, 60])
+    fun `a version that is slow on all calls is rolled back`(count: Int) {
+        val fleet = rollout(count) { _, _ -> PlayedAnswer(millis = 450) }
+        fleet.play(60.0)
+        expectRolledBack(fleet)
+    }
+
+    /** Guards against a version whose calls time out, which isn't seen from its answers. */
+    @ParameterizedTest
+    @CsvSource("8,0", "8,15000", "60,0")
+    fun `a version whose calls hang is rolled back`(
+        count: Int,
+        fromMillis: Long,
+    ) {
+        val fleet =
+            rollout(count) { _, call ->
+                val hangs = call.elapsedMillis > fromMillis && call.random.nextInt(3) == 0
+                PlayedAnswer(millis = if (hangs) 1_500 else 100, hangs = hangs)
+            }
+        fleet.play(60.0)
+        expectRolledBack(fleet)
+    }
+
+    /** Guards against calls that the network of an instance cuts off, which would end the rollout of a good version. */
+    @ParameterizedTest
+    @ValueSource(ints = [8, 60])
+    fun `a good version is completed although an instance is cut off from the endpoints`(count: Int) {
+        val fleet = rollout(count) { _, _ -> PlayedAnswer() }
+        fleet.play(10.0)
+        fleet.unreachedBy = setOf("i0")
+        fleet.play(15.0)
+        fleet.unreachedBy = emptySet()
+        fleet.play(34.0) { fleet.state() == "completed" }
+        expectThat(fleet.state()).isEqualTo("completed")
+    }
+
     /** Guards against a good version that misses its deadline, and old endpoints that stop with calls. */
     @ParameterizedTest
     @ValueSource(ints = [8, 60])
@@ -120,9 +164,12 @@
 
     /** Guards against a rollout that stops when its holder does, and against phases that start again. */
     @ParameterizedTest
-    @ValueSource(ints = [0, 200, 400, 600, 1_000, 2_000, 28_000, 45_000])
-    fun `another instance goes on after the lease holder was killed`(afterMillis: Int) {
-        val fleet = rollout(8) { _, _ -> PlayedAnswer() }
+    @CsvSource("8,0", "8,200", "8,400", "8,600", "8,1000", "8,2000", "8,28000", "8,45000", "60,0", "60,400", "60,45000")
+    fun `another instance goes on after the lease holder was killed`(
+        count: Int,
+        afterMillis: Int,
+    ) {
+        val fleet = rollout(count) { _, _ -> PlayedAnswer() }
         fleet.play(afterMillis / 1_000.0)
         fleet.play(10.0) { fleet.instances.any { it.isLeader } }
         fleet.restart(fleet.instances.first { it.isLeader })
@@ -143,9 +190,12 @@
 
     /** Guards against steps up without the store, and against a good version that isn't completed after its return. */
     @ParameterizedTest
-    @ValueSource(doubles = [1.0, 20.0, 28.0, 34.0, 40.0])
-    fun `while the store is away nothing steps up, and a good version goes on later`(fromSeconds: Double) {
-        val fleet = rollout(8) { _, _ -> PlayedAnswer() }
+    @CsvSource("8,1.0", "8,20.0", "8,28.0", "8,34.0", "8,40.0", "8,45.6", "60,28.0", "60,45.6")
+    fun `while the store is away nothing steps up, and a good version goes on later`(
+        count: Int,
+        fromSeconds: Double,
+    ) {
+        val fleet = rollout(count) { _, _ -> PlayedAnswer() }
         fleet.play(fromSeconds)
         val steps = fleet.store.text(PlatformKeys.VERSION_ROLLOUTS).orEmpty()
         val share = steps.substringAfter("\"share\":", "0").takeWhile { it.isDigit() }.toInt() / 1_000.0
@@ -163,10 +213,14 @@
 
     /** Guards against a bad version that gets calls for as long as the rollback can't be written. */
     @ParameterizedTest
-    @ValueSource(ints = [8, 60])
-    fun `while the store is away each instance stops a bad version`(count: Int) {
-        val fleet = rollout(count) { _, call -> if (call.elapsedMillis > 8_000) fail(call) else PlayedAnswer() }
-        fleet.play(7.0)
+    @CsvSource("8,7", "60,7", "8,28", "8,34", "8,40")
+    fun `while the store is away each instance stops a bad version`(
+        count: Int,
+        fromSeconds: Int,
+    ) {
+        val badMillis = (fromSeconds + 1) * 1_000
+        val fleet = rollout(count) { _, call -> if (call.elapsedMillis > badMillis) fail(call) else PlayedAnswer() }
+        fleet.play(fromSeconds.toDouble())
         fleet.store.away = true
         fleet.play(30.0)
         expectThat(
@@ -181,9 +235,10 @@
     }
 
     /** Guards against a target that keeps its share after the operators have changed their order. */
-    @Test
-    fun `a changed order ends the rollout and starts another`() {
-        val fleet = rollout(8) { _, _ -> PlayedAnswer() }
+    @ParameterizedTest
+    @ValueSource(ints = [8, 60])
+    fun `a changed order ends the rollout and starts another`(count: Int) {
+        val fleet = rollout(count) { _, _ -> PlayedAnswer() }
         fleet.play(30.0)
         fleet.addEndpoints("s", "newer")
         fleet.order(target = "newer")
@@ -223,6 +278,126 @@
         expectThat(fleet.exposed["s"]).isEqualTo(exposed)
     }
 
+    /** Guards against a store restored from an older copy whose order was replaced since, also at a new instance. */
+    @ParameterizedTest
+    @ValueSource(doubles = [3.0, 40.0, 70.0])
+    fun `an earlier order of an older copy never reverts a later one`(orderedAfterSeconds: Double) {
+        val fleet = rollout(8) { _, _ -> PlayedAnswer() }
+        fleet.play(orderedAfterSeconds)
+        val copy = fleet.store.copy()
+        fleet.addEndpoints("s", "newer")
+        fleet.order(target = "newer")
+        fleet.play(5.0)
+        fleet.store.restore(copy)
+        fleet.addEndpoints("s", "newer")
+        val exposed = fleet.exposed["s"]
+        fleet.play(15.0)
+        expectThat(fleet.status()).isEqualTo("""{"service":"s","target":"newer","state":"running"}""")
+        val (holders, others) = fleet.instances.partition { it.isLeader }
+        (holders + others.first()).forEach(fleet::restart)
+        fleet.play(60.0)
+        expectThat(fleet.status()).isEqualTo("""{"service":"s","target":"newer","state":"completed"}""")
+        if (orderedAfterSeconds < 60) expectThat(fleet.exposed["s"]).isEqualTo(exposed)
+    }
+
+    /** Guards against calls that fail for want of an endpoint although the target has some. */
+    @Test
+    fun `calls beyond the share use the target while all old endpoints are gone`() {
+        val fleet = rollout(8) { _, _ -> PlayedAnswer() }
+        fleet.play(10.0)
+        fleet.removeEndpoints("s", "old")
+        // Instances learn of it a little later, and choose none of these endpoints any more.
+        fleet.play(2.0)
+        fleet.unservedCalls = 0
+        val exposed = checkNotNull(fleet.exposed["s"])
+        fleet.play(5.0)
+        expectThat(fleet.unservedCalls).isEqualTo(0)
+        expectThat(checkNotNull(fleet.exposed["s"])).isGreaterThan(exposed + 900)
+        fleet.addEndpoints("s", "old")
+        fleet.play(2.0)
+        val before = checkNotNull(fleet.exposed["s"])
+        fleet.play(5.0)
+        expectThat(checkNotNull(fleet.exposed["s"])).isLessThan(before + 80)
+    }
+
+    /** Guards against a target that was stopped and gets calls because no other version is left. */
+    @Test
+    fun `a bad version gets no calls after its rollback, also if all old endpoints are gone`() {
+        val fleet = rollout(8) { _, call -> fail(call) }
+        fleet.play(20.0)
+        expectThat(fleet.state()).isEqualTo("rolled_back")
+        val exposed = fleet.exposed["s"]
+        fleet.removeEndpoints("s", "old")
+        fleet.play(15.0)
+        expectThat(fleet.exposed["s"]).isEqualTo(exposed)
+    }
+
+    /** Guards against reports of an earlier state, and of a share that an instance no longer sends to the target. */
+    @Test
+    fun `an instance reports phase, share, age and evidence of a rollout`() {
+        val fleet = rollout(8) { _, call -> if (call.elapsedMillis > 20_000) fail(call) else PlayedAnswer() }
+        fleet.play(15.0)
+        fleet.store.away = true
+
+        fun figures() =
+            fleet.instances
+                .first()
+                .rollouts
+                .figures()
+                .single()
+        expectThat(figures().toString()).contains("phase=CANARY share=0.050").contains("stoppedHere=false target=[0/")
+        expectThat(figures().ageMillis).isGreaterThan(13_000).isLessThan(15_001)
+        fleet.play(20.0)
+        expectThat(figures().toString()).contains("share=0.000").contains("stoppedHere=true")
+    }
+
+    /** Guards against a holder that decides on the answers and the running calls of only a few instances. */
+    @ParameterizedTest
+    @ValueSource(ints = [1, 3])
+    fun `a holder without digests from its peers leaves the rollout to them`(count: Int) {
+        val fleet = rollout(8) { _, _ -> PlayedAnswer() }
+        fleet.play(20.0) { fleet.instances.any { it.isLeader } }
+        val holder = fleet.instances.first { it.isLeader }
+        val others = fleet.instances.filterNot { it === holder }.take(count - 1)
+        fleet.cutOff = (others + holder).mapTo(HashSet()) { it.name }
+        fleet.play(6.0)
+        expectThat(fleet.instances.single { it.isLeader }.name in fleet.cutOff).isEqualTo(false)
+        fleet.play(45.0) { fleet.state() == "completed" }
+        expectThat(fleet.state()).isEqualTo("completed")
+    }
+
+    /** Guards against decisions on own counts alone while no instance hears its peers. */
+    @Test
+    fun `without any digests no phase changes`() {
+        val fleet = rollout(8) { _, _ -> PlayedAnswer() }
+        fleet.play(20.0)
+        fleet.instances.forEach { it.isDeaf = true }
+        fleet.play(30.0)
+        expectThat(fleet.store.text(PlatformKeys.VERSION_ROLLOUTS)).isNotNull().contains("CANARY")
+        fleet.instances.forEach { it.isDeaf = false }
+        fleet.play(9.0) { fleet.state() == "completed" }
+        expectThat(fleet.state()).isEqualTo("completed")
+    }
+
+    /** Guards against a rollout that stands still because its items can't be read, and so can't be replaced. */
+    @Test
+    fun `items that can't be read are written again`() {
+        val fleet = rollout(8) { _, _ -> PlayedAnswer() }
+        val keys = listOf(PlatformKeys.VERSION_ROLLOUTS, PlatformKeys.ROLLOUT_STATUS_PREFIX + "s")
+
+        fun spoil() = keys.forEach { fleet.store.put(it, "{".encodeToByteArray()) }
+
+        for (seconds in listOf(0.1, 20.0, 38.0)) {
+            spoil()
+            fleet.play(seconds)
+        }
+        expectThat(fleet.state()).isEqualTo("completed")
+        spoil()
+        fleet.play(10.0)
+        expectThat(fleet.state()).isEqualTo("completed")
+        expectThat(fleet.store.text(PlatformKeys.VERSION_ROLLOUTS)).isNotNull().contains("COMPLETED")
+    }
+
     /** Guards against evidence or shares of one service that count for another. */
     @Test
     fun `of two services at once, only the bad version is rolled back`() {
