--- a/src/main/kotlin/lacewingweir/transport/http/HeldBytes.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/HeldBytes.kt
@@ -71,7 +71,7 @@
         val unreadMillis: Long
             get() = synchronized(lock) { unreadMillis(nanoTime()) }
 
-        fun add(bytes: Int) =
+        fun add(bytes: Int): Unit =
             synchronized(lock) {
                 if (isEnded) return
                 if (ownBytes == 0L) {
@@ -84,7 +84,7 @@
             }
 
         /** Records that the connection has taken up [bytes]. */
-        fun read(bytes: Int) =
+        fun read(bytes: Int): Unit =
             synchronized(lock) {
                 if (isEnded) return
                 lastReadNanos = nanoTime()
