Count usage recorded since the start only once when a peer reports the total

Cause: the first total of a peer replaced the usage assumed at the start even if that had left the window, although the total includes what the instance had recorded itself. After a start of all instances, usage counted twice from 8 to 16 s, so a customer at 0.3 of its rate was stored as hot and was refused after the next kill of all. Only the part of the total that the instance hasn't recorded is taken over now, and nothing once the assumed usage has left the window.

--- a/src/main/kotlin/lacewingweir/state/rate/FleetUsageWindow.kt
+++ b/src/main/kotlin/lacewingweir/state/rate/FleetUsageWindow.kt
@@ -162,14 +162,18 @@
         return maxOf(0.0, sinceReports / MILLIS_PER_SECOND * demandRise.factor(liveDemand, nowMillis))
     }
 
-    /** Replaces the usage assumed at the start with the [total] of a peer. Only the first call has an effect. */
+    /**
+     * Replaces the usage assumed at the start with the part of the [total] of a peer that this instance hasn't recorded
+     * since its start. Only the first call has an effect, and none once the assumed usage has left the window.
+     */
     fun initializeUsage(
         total: Double,
         nowMillis: Long,
     ) {
         if (!initialUsageIsAssumed) return
         initialUsageIsAssumed = false
-        initialUsage.fill(total, nowMillis)
+        if (initialUsage.total(nowMillis) <= 0.0) return
+        initialUsage.fill(maxOf(0.0, total - allUsage.total(nowMillis)), nowMillis)
     }
 
     /** Returns whether the usage within the window exceeds [HOT_SHARE] of the allowed tokens. */
--- a/src/test/kotlin/lacewingweir/state/rate/FleetUsageWindowTest.kt
+++ b/src/test/kotlin/lacewingweir/state/rate/FleetUsageWindowTest.kt
@@ -98,6 +98,26 @@
         expectThat(newWindow.tryAdmit(10, 0, emptySet(), 1)).isTrue()
     }
 
+    /**
+     * All instances start at the same time, so the first totals arrive when a window has passed. Usage that counts
+     * twice makes a customer at a third of its rate hot, and it is refused after the next start.
+     */
+    @Test
+    fun `usage recorded since the start does not count again when a peer reports the total`() {
+        val young = FleetUsageWindow(limit, windowMillis, hot = true, nowMillis = 0)
+        young.recordUsage("peer", 0, 0, demand = 1.0)
+        young.recordUsage("peer", 3_000, 4_000)
+        young.initializeUsage(5_000.0, 4_000)
+        expectThat(young.total(4_000)).isEqualTo(5_000.0, ROUNDING_ERROR)
+
+        val old = FleetUsageWindow(limit, windowMillis, hot = true, nowMillis = 0)
+        old.recordUsage("peer", 0, windowMillis, demand = 1.0)
+        old.recordUsage("peer", 3_000, windowMillis + 500)
+        old.initializeUsage(3_000.0, windowMillis + 500)
+        expectThat(old.total(windowMillis + 500)).isEqualTo(3_000.0, ROUNDING_ERROR)
+        expectThat(old.isHot(windowMillis + 500)).isFalse()
+    }
+
     @Test
     fun `usage expires after the window length and at most one slot later`() {
         val sum = SlidingWindowSum(windowMillis)
@@ -105,4 +125,8 @@
         expectThat(sum.total(1_000 + windowMillis - 1)).isEqualTo(100.0)
         expectThat(sum.total(1_000 + windowMillis + windowMillis / 16 + 1)).isEqualTo(0.0)
     }
+
+    private companion object {
+        const val ROUNDING_ERROR = 1e-6
+    }
 }
