--- a/src/main/kotlin/lacewingweir/state/rate/FleetUsageWindow.kt
+++ b/src/main/kotlin/lacewingweir/state/rate/FleetUsageWindow.kt
@@ -10,8 +10,9 @@
  * Usage is recorded per instance: while the digests of some instances do not arrive, the others limit themselves to
  * their fraction of the limit, so that the parts of a partitioned fleet together do not exceed it. An instance loses
  * its record when its process ends. A new instance therefore assumes some usage until a peer reports the actual total:
- * a full window for a customer known to be hot, that is, to use more than HOT_SHARE of its limit, and HOT_SHARE of a
- * window for any other.
+ * a full window for a customer known to be hot, that is, to use more than HOT_SHARE of its limit, or whose demand
+ * exceeds its rate by far, and HOT_SHARE of a window for any other. Otherwise a customer that floods a fleet whose
+ * instances are all killed every few seconds would get the rest of a window after each kill.
  */
 package lacewingweir.state.rate
 
@@ -28,7 +29,7 @@
 internal class FleetUsageWindow(
     private var limit: RateLimit,
     private val windowMillis: Long,
-    hot: Boolean,
+    private val hot: Boolean,
     nowMillis: Long,
     private val random: Random = Random.Default,
 ) {
@@ -162,14 +163,18 @@
         return maxOf(0.0, sinceReports / MILLIS_PER_SECOND * demandRise.factor(liveDemand, nowMillis))
     }
 
-    /** Replaces the usage assumed at the start with the [total] of a peer. Only the first call has an effect. */
+    /**
+     * Replaces the usage assumed at the start with the part of the [total] of a peer that this instance hasn't recorded
+     * since its start. Only the first call has an effect, and none once the assumed usage has left the window.
+     */
     fun initializeUsage(
         total: Double,
         nowMillis: Long,
     ) {
         if (!initialUsageIsAssumed) return
         initialUsageIsAssumed = false
-        initialUsage.fill(total, nowMillis)
+        if (initialUsage.total(nowMillis) <= 0.0) return
+        initialUsage.fill(maxOf(0.0, total - allUsage.total(nowMillis)), nowMillis)
     }
 
     /** Returns whether the usage within the window exceeds [HOT_SHARE] of the allowed tokens. */
@@ -200,10 +205,13 @@
         val demand = ownDemand(nowMillis) + liveDemand * demandRise.factor(liveDemand, nowMillis)
         if (demand <= limit.perSecond * MODERATE_DEMAND) return 1.0
         val horizon = horizonMillis()
-        val usable = available + expiringWithin(horizon, nowMillis, instances)
+        val usable = available + allowance(nowMillis) + expiringWithin(horizon, nowMillis, instances)
         return (usable * MILLIS_PER_SECOND / horizon / demand).coerceIn(0.0, 1.0)
     }
 
+    /** Returns [ALLOWANCE_TOKENS], or none while usage before the start matters, since each crash would add them. */
+    private fun allowance(nowMillis: Long) = if (initialUsage.total(nowMillis) > 0.0) 0.0 else ALLOWANCE_TOKENS
+
     /**
      * Returns the tokens left for this instance and [livePeers]. [initialUsage] belongs to the whole fleet, so it is
      * subtracted before the allowed tokens are divided.
@@ -214,7 +222,14 @@
         instances: Int,
     ): Double {
         followLivePeers(livePeers, nowMillis)
-        return (allowedTokens() - initialUsage.total(nowMillis)) * liveFraction(instances) - liveTotal(nowMillis)
+        return (allowedTokens() - usageBeforeStart(nowMillis)) * liveFraction(instances) - liveTotal(nowMillis)
+    }
+
+    /** While demand exceeds the rate by far, the usage before the start is assumed as for a hot customer. */
+    private fun usageBeforeStart(nowMillis: Long): Double {
+        val usage = initialUsage.total(nowMillis)
+        val floods = ownDemand(nowMillis) + liveDemand > limit.perSecond * MODERATE_DEMAND
+        return if (initialUsageIsAssumed && !hot && floods) usage / HOT_SHARE else usage
     }
 
     private fun liveTotal(nowMillis: Long) =
@@ -275,8 +290,17 @@
          */
         const val BACKDATED_PERCENT: Long = 60
 
-        /** Short enough to show the start of a flood in the first digest after it. */
-        const val DEMAND_TIME_CONSTANT_MILLIS: Double = 400.0
+        /**
+         * Short enough to show most of a flood in the first digests after its start. With 400 ms, a rise from 0.9 to 6
+         * times the rate was underestimated for most of a digest interval, and usage reached 1.02 of what is tolerated.
+         */
+        const val DEMAND_TIME_CONSTANT_MILLIS: Double = 250.0
+
+        /**
+         * Tokens divided in addition to the free ones, about a third of the 140,000 tokens that a window tolerates
+         * above the limit. Without them, chance variations of demand cause refusals below the rate.
+         */
+        const val ALLOWANCE_TOKENS: Double = 50_000.0
 
         /** Share of the allowed tokens above which a customer is hot. */
         const val HOT_SHARE: Double = 0.6
