Keep the share of a rollout's target bounded when all old endpoints are gone

Cause: let the target get all calls while no old endpoint accepts any. The limit of exposure has no exception for that, so a version that proves bad later would exceed it.

--- a/src/main/kotlin/lacewingweir/coordination/versions/ServiceRollout.kt
+++ b/src/main/kotlin/lacewingweir/coordination/versions/ServiceRollout.kt
@@ -32,9 +32,7 @@
         private set
 
     /** The slots of target endpoints in relation to those of old ones, at most 1. */
-    private var slotRatio = 1.0
-    private var lacksOld = false
-    private var hasSeenOld = false
+    var slotRatio = 1.0
 
     private var phaseBase: ServiceEvidence = emptyMap()
     private var olderBase: ServiceEvidence = emptyMap()
@@ -44,12 +42,9 @@
     var evidence: ServiceEvidence = emptyMap()
         private set
 
-    /** Whether all old endpoints are gone, so that calls beyond the target's share would fail. */
-    private var isOldGone = false
-
     /** The share of calls for the target that this instance sends now. */
     val share: Double
-        get() = if (isOldGone || step.share >= 1.0) 1.0 else minOf(step.share, slotRatio)
+        get() = if (step.share >= 1.0) step.share else minOf(step.share, slotRatio)
 
     val isDue: Boolean
         get() = isOpen && credit.isDue(share)
@@ -64,22 +59,6 @@
             return if (isRolledBackHere) step.copy(phase = RolloutPhase.ROLLED_BACK) else step
         }
 
-    /** Takes over the slots of the endpoints that accept calls. */
-    fun onSlots(
-        old: Int,
-        target: Int,
-    ) {
-        slotRatio = if (old == 0) 1.0 else minOf(1.0, target.toDouble() / old)
-        lacksOld = old == 0
-        if (old > 0) hasSeenOld = true
-        isOldGone = lacksOld && hasSeenOld
-    }
-
-    /** Records that all endpoints that run must have registered, which takes some time after a start of everything. */
-    fun onAllKnown() {
-        if (lacksOld) isOldGone = true
-    }
-
     fun onPlaced(version: SoftwareVersion?) {
         if (isOpen) credit.onCall(share, toTarget = version == step.target)
     }
--- a/src/main/kotlin/lacewingweir/coordination/versions/VersionRollouts.kt
+++ b/src/main/kotlin/lacewingweir/coordination/versions/VersionRollouts.kt
@@ -148,7 +148,7 @@
         if (rollout != null) {
             val old = usable.filter { rollout.isOld(it) }.sumOf { it.slots }
             val target = usable.filter { it.software == rollout.step.target }.sumOf { it.slots }
-            rollout.onSlots(old, target)
+            rollout.slotRatio = if (old == 0) 1.0 else minOf(1.0, target.toDouble() / old)
         }
     }
 
@@ -261,9 +261,7 @@
     /** Judges the evidence that this instance knows. Must be called several times a second. */
     @Synchronized
     fun check() {
-        val running = rollouts.values.filterNot { it.step.phase.isFinal }
-        if (isWarm()) running.forEach { it.onAllKnown() }
-        running.forEach(::check)
+        rollouts.values.filterNot { it.step.phase.isFinal }.forEach(::check)
     }
 
     private fun check(rollout: ServiceRollout) {
