Count silent peers' demand against a rate while a customer floods

The callers' requests congest the links of some instances, so that these hear only 34 to 58 of 67 peers. They reserved an equal part of the limit for each silent peer, though those used more: an instance that heard 34 peers knew of 5.5 million tokens while 9.8 million were used, and went on. Change: while demand exceeds the rate by far, an instance also limits itself to what is left if silent peers go on as they last reported, as it assumes of the others. Result: the new case of FleetUsageWindowTest admits 2,000,000 tokens before, less than 900,000 now.

--- a/src/main/kotlin/lacewingweir/state/rate/FleetUsageWindow.kt
+++ b/src/main/kotlin/lacewingweir/state/rate/FleetUsageWindow.kt
@@ -8,11 +8,13 @@
  * instead of a share of the tokens, because the share of one of 95 instances is often smaller than a single request.
  *
  * Usage is recorded per instance: while the digests of some instances do not arrive, the others limit themselves to
- * their fraction of the limit, so that the parts of a partitioned fleet together do not exceed it. An instance loses
- * its record when its process ends. A new instance therefore assumes some usage until a peer reports the actual total:
- * a full window for a customer known to be hot, that is, to use more than HOT_SHARE of its limit, or whose demand
- * exceeds its rate by far, and HOT_SHARE of a window for any other. Otherwise a customer that floods a fleet whose
- * instances are all killed every few seconds would get the rest of a window after each kill.
+ * their fraction of the limit, so that the parts of a partitioned fleet together do not exceed it, and, while demand
+ * exceeds the rate by far, to what is left if the silent ones go on as they last reported.
+ *
+ * An instance loses its record when its process ends. A new instance therefore assumes some usage until a peer reports
+ * the actual total: a full window for a customer known to be hot, that is, to use more than HOT_SHARE of its limit, or
+ * whose demand exceeds its rate by far, and HOT_SHARE of a window for any other. Otherwise a customer that floods a
+ * fleet whose instances are all killed every few seconds would get the rest of a window after each kill.
  */
 package lacewingweir.state.rate
 
@@ -57,6 +59,9 @@
     private var liveDemand = 0.0
     private var liveDemandTimesOpenMillis = 0.0
 
+    /** Peers whose digests have arrived before, but don't arrive any more. */
+    private var silent = emptyList<PeerUsage>()
+
     private var digestIntervalMillis = 0L
     private val demandRise = DemandRise()
 
@@ -205,10 +210,29 @@
         val demand = ownDemand(nowMillis) + liveDemand * demandRise.factor(liveDemand, nowMillis)
         if (demand <= limit.perSecond * MODERATE_DEMAND) return 1.0
         val horizon = horizonMillis()
-        val usable = available + allowance(nowMillis) + expiringWithin(horizon, nowMillis, instances)
+        val byLivePeers = available + expiringWithin(horizon, nowMillis, instances)
+        val byAllPeers =
+            tokensLeftByAll(nowMillis) + allUsage.expiringWithin(horizon, nowMillis) +
+                initialUsage.expiringWithin(horizon, nowMillis)
+        val usable = minOf(byLivePeers, byAllPeers) + allowance(nowMillis)
         return (usable * MILLIS_PER_SECOND / horizon / demand).coerceIn(0.0, 1.0)
     }
 
+    /**
+     * Returns the tokens that all instances have left, if silent peers go on as they last reported.
+     *
+     * Silent peers may use more than their equal part of the limit: where the digests of many are lost on a congested
+     * link, instances that get most of a customer's requests may be among them.
+     */
+    private fun tokensLeftByAll(nowMillis: Long): Double {
+        val sinceReports =
+            silent
+                .filter { nowMillis - it.reportedMillis < windowMillis }
+                .sumOf { it.demand * (openMillis - it.openMillisAtReport) } / MILLIS_PER_SECOND
+        val known = allUsage.total(nowMillis) + extrapolatedTokens(nowMillis) + sinceReports
+        return allowedTokens() - usageBeforeStart(nowMillis) - known
+    }
+
     /** Returns [ALLOWANCE_TOKENS], or none while usage before the start matters, since each crash would add them. */
     private fun allowance(nowMillis: Long) = if (initialUsage.total(nowMillis) > 0.0) 0.0 else ALLOWANCE_TOKENS
 
@@ -260,6 +284,7 @@
         val changed = livePeers != live
         live = livePeers
         if (!changed) return
+        silent = peers.filterKeys { it !in livePeers }.values.toList()
         liveReported = SlidingWindowSum(windowMillis)
         liveDemand = 0.0
         liveDemandTimesOpenMillis = 0.0
--- a/src/test/kotlin/lacewingweir/state/rate/FleetUsageWindowTest.kt
+++ b/src/test/kotlin/lacewingweir/state/rate/FleetUsageWindowTest.kt
@@ -91,6 +91,29 @@
         expectThat(admitted.toDouble()).isLessThanOrEqualTo(allowedTokens * 0.25)
     }
 
+    /**
+     * Guards against usage beyond the limit where the digests of the instances that get most of a customer's requests
+     * are lost on a congested link: they use more than their equal part.
+     */
+    @Test
+    fun `silent peers that used most of the limit leave little to the others`() {
+        val rate = 1_000_000.0
+        val allowed = rate * 9
+        val window = FleetUsageWindow(RateLimit(rate, rate), windowMillis, hot = false, nowMillis = 0)
+        val start = windowMillis * 2
+        for (peer in listOf("live", "silent-1", "silent-2")) {
+            val used = if (peer == "live") 0L else (allowed * 0.45).toLong()
+            window.recordUsage(peer, 0, start - 500, rate, intervalMillis = 250)
+            window.recordUsage(peer, used, start, rate, intervalMillis = 250)
+        }
+        val admitted =
+            (start until start + 1_000L step 10).count { now ->
+                if (now % 250 == 0L) window.recordUsage("live", 0, now, rate, intervalMillis = 250)
+                window.tryAdmit(20_000, now, setOf("live"), 4)
+            } * 20_000
+        expectThat(admitted.toDouble()).isLessThanOrEqualTo(allowed * 0.1)
+    }
+
     /** All instances restart at the same time and have not received any digests yet. */
     @Test
     fun `an instance that restarts with all others admits its part of a customer's rate`() {
