Divide no tolerated tokens while the usage of silent peers is uncertain

The 50,000 tolerated tokens are divided although usage of silent peers is estimated, and these admit a larger fraction than an instance that hears most of the others. Change: none of them are divided while peers are silent, and the estimate of silent peers counts 1.5 times. Result: FleetRateLimiterFloodTest (23), FleetRateLimiterFleetTest (12), FleetUsageWindowTest (10) and RateFaultTest pass.

--- a/src/main/kotlin/lacewingweir/state/rate/FleetUsageWindow.kt
+++ b/src/main/kotlin/lacewingweir/state/rate/FleetUsageWindow.kt
@@ -226,15 +226,25 @@
      */
     private fun tokensLeftByAll(nowMillis: Long): Double {
         val sinceReports =
-            silent
-                .filter { nowMillis - it.reportedMillis < windowMillis }
-                .sumOf { it.demand * (openMillis - it.openMillisAtReport) } / MILLIS_PER_SECOND
-        val known = allUsage.total(nowMillis) + extrapolatedTokens(nowMillis) + sinceReports
+            lately(silent, nowMillis).sumOf { it.demand * (openMillis - it.openMillisAtReport) } / MILLIS_PER_SECOND
+        val known = allUsage.total(nowMillis) + extrapolatedTokens(nowMillis) + sinceReports * SILENT_FACTOR
         return allowedTokens() - usageBeforeStart(nowMillis) - known
     }
 
-    /** Returns [ALLOWANCE_TOKENS], or none while usage before the start matters, since each crash would add them. */
-    private fun allowance(nowMillis: Long) = if (initialUsage.total(nowMillis) > 0.0) 0.0 else ALLOWANCE_TOKENS
+    /** Returns those of [peers] whose usage may still be within the window. */
+    private fun lately(
+        peers: List<PeerUsage>,
+        nowMillis: Long,
+    ) = peers.filter { nowMillis - it.reportedMillis < windowMillis }
+
+    /**
+     * Returns [ALLOWANCE_TOKENS], or none while usage is uncertain: usage before the start, since each crash would add
+     * them, or that of silent peers.
+     */
+    private fun allowance(nowMillis: Long): Double {
+        val isUncertain = initialUsage.total(nowMillis) > 0.0 || lately(silent, nowMillis).isNotEmpty()
+        return if (isUncertain) 0.0 else ALLOWANCE_TOKENS
+    }
 
     /**
      * Returns the tokens left for this instance and [livePeers]. [initialUsage] belongs to the whole fleet, so it is
@@ -327,6 +337,9 @@
          */
         const val ALLOWANCE_TOKENS: Double = 50_000.0
 
+        /** Silent peers probably hear few others themselves, and admit a larger fraction of the requests. */
+        const val SILENT_FACTOR: Double = 1.5
+
         /** Share of the allowed tokens above which a customer is hot. */
         const val HOT_SHARE: Double = 0.6
 
