Send enough samples in the test of the reference speed of versions

Change: the peer sends samples of 2,000 tokens every 0.4 s, which engines of these speeds can process. The checks are the same.

--- a/src/test/kotlin/lacewingweir/coordination/placement/ReferenceSpeedTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/placement/ReferenceSpeedTest.kt
@@ -45,14 +45,14 @@
 
     private fun prompt() = Prompt(FLEET_MODEL, 8_000, 10, listOf(PromptPart("p${prompts++}", 8_000)))
 
-    /** Sends a peer's samples of 8,000 tokens, which take 200 ms at old engines and 1,600 ms at new ones. */
+    /** Sends a peer's samples of 2,000 tokens, which take 50 ms at old engines and 400 ms at new ones. */
     private fun learn() {
-        for (number in 1L..40) {
-            timers.advance(1_600)
+        for (number in 1L..160) {
+            timers.advance(400)
             val speeds =
                 fleet.endpoints.values.mapNotNull {
-                    val millis = if (it.id.value.startsWith("old")) 200L else 1_600L
-                    SpeedSample.of(it.tag, workUnits = 125, millis = millis, ageMillis = 0)
+                    val millis = if (it.id.value.startsWith("old")) 50L else 400L
+                    SpeedSample.of(it.tag, workUnits = 31, millis = millis, ageMillis = 0)
                 }
             tracker.onDigest(
                 InstanceDigest("peer", 1, number, 250, emptyMap(), emptyList(), emptyList(), speeds = speeds),
