Count no response as held that has no bytes waiting

Cause: the head of a response added the response to those that hold bytes for slow clients, with zero bytes, until it was written. Such a response was counted in the report, and could be the one that is ended when a complete response needs room. Change: parts without bytes aren't counted. Result: the new case of HeldBytesTest fails before and passes now (4 tests).

--- a/src/main/kotlin/lacewingweir/transport/http/HeldBytes.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/HeldBytes.kt
@@ -73,7 +73,7 @@
 
         fun add(bytes: Int): Unit =
             synchronized(lock) {
-                if (isEnded) return
+                if (isEnded || bytes == 0) return
                 if (ownBytes == 0L) {
                     heldSinceNanos = nanoTime()
                     lastReadNanos = heldSinceNanos
--- a/src/test/kotlin/lacewingweir/transport/http/HeldBytesTest.kt
+++ b/src/test/kotlin/lacewingweir/transport/http/HeldBytesTest.kt
@@ -67,4 +67,15 @@
         next.makeRoom(1_000)
         expectThat(ended).containsExactly("slow")
     }
+
+    /** Guards against a response that is ended for want of room though it holds nothing. */
+    @Test
+    fun `a head without a body holds nothing`() {
+        open("head").add(0)
+        pass(900)
+        open("slow").add(900_000)
+        expectThat(held.figures.responses).isEqualTo(1)
+        open("next").makeRoom(1_000)
+        expectThat(ended).containsExactly("slow")
+    }
 }
