--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
@@ -267,7 +267,7 @@
             .orEmpty()
             .filter { it.id !in request.excluded && it.tag !in request.received }
             .filter { request.software == null || it.software == request.software }
-            .filter { versionRules.accepts(it, request.software != null) }
+            .filter(versionRules.accepting(request.service, request.software != null))
             .mapNotNull { states[it.id] }
 
     /** Returns whether the service has an endpoint with this version that accepts new requests in general. */
@@ -275,7 +275,10 @@
     fun serves(
         service: ServiceName,
         software: SoftwareVersion,
-    ): Boolean = fleet?.usable(service).orEmpty().any { it.software == software && versionRules.accepts(it, true) }
+    ): Boolean {
+        val accepts = versionRules.accepting(service, true)
+        return fleet?.usable(service).orEmpty().any { it.software == software && accepts(it) }
+    }
 
     /** Returns whether the request might be placed now or later, as far as exclusions and versions go. */
     @Synchronized
@@ -286,7 +289,8 @@
     fun place(request: PlacementRequest): EndpointReservation? {
         val now = clock.nowMillis()
         val candidates = usableStates(request).filter { closedMillis(it, now) == 0L && mayHaveRoom(it, now) }
-        val preferred = candidates.filter { versionRules.prefers(it.entry) }
+        val prefers = versionRules.preferring(request.service)
+        val preferred = if (prefers == null) candidates else candidates.filter { prefers(it.entry) }
         val choice = if (preferred.size < candidates.size) choosePreferred(request, preferred, now) else null
         return (choice ?: choose(request, candidates, now))?.let(::reserve)
     }
@@ -333,7 +337,7 @@
             snapshot
                 .usable(service)
                 .filter { it.id != from.endpoint.id && it.id !in excluded }
-                .filter { versionRules.accepts(it, true) }
+                .filter(versionRules.accepting(service, true))
                 .mapNotNull { states[it.id] }
                 .filter { closedMillis(it, now) == 0L && mayHaveRoom(it, now) }
         return engineChooser.chooseHandoverTarget(from, candidates, spec)?.let { reserveAgain(it, from) }
--- a/src/main/kotlin/lacewingweir/coordination/versions/VersionRollouts.kt
+++ b/src/main/kotlin/lacewingweir/coordination/versions/VersionRollouts.kt
@@ -62,7 +62,7 @@
     /** Since when no endpoint of an allowed version is registered although others are. */
     private val absentSinceMillis = HashMap<ServiceName, Long>()
 
-    val rules = VersionRules(::accepts, ::prefers, ::isReference, ::onPlaced, ::onRejected)
+    val rules = VersionRules(::accepting, ::preferring, ::isReference, ::onPlaced, ::onRejected)
 
     /** The versions that serve without an order, for the store. Null until all endpoints that run must be known. */
     @get:Synchronized
@@ -180,16 +180,19 @@
     }
 
     @Synchronized
-    private fun accepts(
-        endpoint: EndpointEntry,
+    private fun accepting(
+        service: ServiceName,
         continuesStream: Boolean,
-    ): Boolean {
-        val rollout = rollouts[endpoint.service]
-        val version = endpoint.software
-        val accepted =
-            rollout?.applied?.mayServe(version, continuesStream, rollout.isDue)
-                ?: (version == null || version in allowedVersions(endpoint.service))
-        return accepted || (version != rollout?.step?.target && lacksAllowed(endpoint.service))
+    ): (EndpointEntry) -> Boolean {
+        val lacksAllowed = lacksAllowed(service)
+        val rollout = rollouts[service]
+        if (rollout == null) {
+            val allowed = versionsWithoutOrder(service)
+            return { lacksAllowed || it.software == null || it.software in allowed }
+        }
+        val step = rollout.applied
+        val isDue = rollout.isDue
+        return { step.mayServe(it.software, continuesStream, isDue) || (lacksAllowed && it.software != step.target) }
     }
 
     /** Without an endpoint of an allowed version for some time, others serve, except a target that was rolled back. */
@@ -197,9 +200,9 @@
         absentSinceMillis[service]?.let { clock.nowMillis() - it >= ABSENCE_MILLIS } ?: false
 
     @Synchronized
-    private fun prefers(endpoint: EndpointEntry): Boolean {
-        val rollout = rollouts[endpoint.service] ?: return true
-        return !rollout.isDue || endpoint.software == rollout.step.target
+    private fun preferring(service: ServiceName): ((EndpointEntry) -> Boolean)? {
+        val target = rollouts[service]?.takeIf { it.isDue }?.step?.target ?: return null
+        return { it.software == target }
     }
 
     /** A target that is slow must not lower the speed by which its own answers are judged. */
--- a/src/test/kotlin/lacewingweir/coordination/placement/ReferenceSpeedTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/placement/ReferenceSpeedTest.kt
@@ -33,7 +33,7 @@
             learnSpeeds = true,
             versionRules =
                 VersionRules(
-                    accepts = { endpoint, _ -> endpoint.id.value.startsWith(accepted) },
+                    accepting = { _, _ -> { it.id.value.startsWith(accepted) } },
                     isReference = { it.id.value.startsWith("old") },
                 ),
         ).also { it.onFleet(fleet) }
--- a/src/test/kotlin/lacewingweir/coordination/placement/VersionRulesTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/placement/VersionRulesTest.kt
@@ -25,8 +25,8 @@
             WeightsAgePolicy(SuspendAwareClock(timers, { 0 })) { 8_000 },
             versionRules =
                 VersionRules(
-                    accepts = { endpoint, _ -> endpoint.id.value in accepted },
-                    prefers = { it.id.value == preferred },
+                    accepting = { _, _ -> { it.id.value in accepted } },
+                    preferring = { { it.id.value == preferred } },
                     onPlaced = { placed += it.id.value },
                     onRejected = { endpoint, wasSent -> rejected += endpoint.id.value to wasSent },
                 ),
--- a/src/test/kotlin/lacewingweir/platform/VersionRolloutFleet.kt
+++ b/src/test/kotlin/lacewingweir/platform/VersionRolloutFleet.kt
@@ -5,11 +5,11 @@
 import lacewingweir.coordination.fleet.FleetSnapshot
 import lacewingweir.coordination.fleet.StoreContactProof
 import lacewingweir.coordination.gossip.InstanceDigest
+import lacewingweir.coordination.lease.RolloutLease
 import lacewingweir.coordination.store.StoreChange
 import lacewingweir.coordination.versions.VersionAnswer
 import lacewingweir.coordination.versions.VersionRolloutAgent
 import lacewingweir.coordination.versions.VersionRollouts
-import lacewingweir.coordination.weights.RolloutLease
 import lacewingweir.state.fleet.EndpointEntry
 import lacewingweir.state.id.EndpointId
 import lacewingweir.state.id.RouteId
@@ -265,8 +265,10 @@
         // Callers prefer some instances.
         val instance = instances[(random.nextDouble() * random.nextDouble() * instances.size).toInt()]
         val rules = instance.rollouts.rules
-        val usable = instance.snapshot.usable(ServiceName(service)).filter { rules.accepts(it, false) }
-        val endpoint = usable.filter(rules.prefers).ifEmpty { usable }.randomOrNull(random)
+        val name = ServiceName(service)
+        val usable = instance.snapshot.usable(name).filter(rules.accepting(name, false))
+        val preferred = rules.preferring(name)?.let { usable.filter(it) }.orEmpty()
+        val endpoint = preferred.ifEmpty { usable }.randomOrNull(random)
         if (now >= orderMillis) calls.merge(service, 1, Int::plus)
         if (endpoint == null) {
             unservedCalls++
--- a/src/test/kotlin/lacewingweir/platform/VersionRolloutFleetTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/VersionRolloutFleetTest.kt
@@ -1,6 +1,5 @@
 package lacewingweir.platform
 
-import lacewingweir.state.fleet.EndpointEntry
 import lacewingweir.state.id.SoftwareVersion
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
@@ -431,18 +430,21 @@
         val fleet = rollout(8) { _, call -> fail(call) }
         val instance = fleet.instances.first()
 
-        fun target(): EndpointEntry =
-            instance.snapshot.endpoints.values
-                .first { it.software == SoftwareVersion("new") }
+        fun acceptsTarget(): Boolean {
+            val target =
+                instance.snapshot.endpoints.values
+                    .first { it.software == SoftwareVersion("new") }
+            return instance.rollouts.rules.accepting(target.service, true)(target)
+        }
         fleet.play(5.0) {
             fleet.state() == "running" &&
                 instance.snapshot.rollouts.steps
                     .isNotEmpty()
         }
-        expectThat(instance.rollouts.rules.accepts(target(), true)).isTrue()
+        expectThat(acceptsTarget()).isTrue()
         fleet.play(30.0)
         expectThat(fleet.state()).isEqualTo("rolled_back")
-        expectThat(instance.rollouts.rules.accepts(target(), true)).isEqualTo(false)
+        expectThat(acceptsTarget()).isEqualTo(false)
         expectThat(fleet.store.commits).isGreaterThan(0)
     }
 }
