Hash the shared prefix of a prompt once for each placement

Cause: its hash and its tokens were computed for the homes of the prefix, and again for each comparison of engines. Change: both belong to what the engines cache of the prompt, which is made once. Result: EndpointTrackerTest, ContendedEnginesTest, UnevenEnginesTest and EnginePlacementTest pass.

--- a/src/main/kotlin/lacewingweir/coordination/placement/EngineChooser.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EngineChooser.kt
@@ -84,7 +84,7 @@
         if (!isContended && unevenSpeeds(request.service) == null) {
             return chooseAmong(Candidates(accepting, caches), request, prompt, spec, target)
         }
-        val homes = homesOf(request, prompt, accepting)
+        val homes = homesOf(request, prompt, accepting, caches)
         // While weights are rolled out, the few engines that have loaded them are the cheapest for all instances.
         val isRollingOut = accepting.any { target?.outdatedSince(it.weights()) != null }
         return if (isContended || isRollingOut) {
@@ -121,7 +121,10 @@
         val isSample: Boolean = false,
     )
 
-    /** What each of [engines] is known to cache of a prompt, in [tokens]. */
+    /**
+     * What each of [engines] is known to cache of a prompt, in [tokens]. [sharedTokens] are those of the prefix that
+     * other prompts may share, and [sharedHash] is its hash, or null if it is empty.
+     */
     private class PromptCaches(
         engines: List<EndpointState>,
         prompt: Prompt,
@@ -133,6 +136,12 @@
                 .map { it.weights() }
                 .distinct()
                 .associateWith { prompt.prefixHashes(cacheSalt(it, cacheIsolation)) }
+        private val sharedParts = (prompt.parts.size - 1).coerceAtLeast(0)
+        val sharedTokens = partTokens.take(sharedParts).sum()
+
+        // Hashed without the weights, so that a prompt keeps its home engine when new weights are loaded.
+        val sharedHash =
+            if (sharedParts > 0) prompt.prefixHashes(cacheIsolation.orEmpty())[sharedParts - 1] else null
         val tokens = engines.associateWith { it.prefixes.cachedTokens(prefixHashesAt(it), partTokens) }
 
         fun prefixHashesAt(engine: EndpointState): LongArray = prefixHashes.getValue(engine.weights())
@@ -174,11 +183,10 @@
         request: PlacementRequest,
         prompt: Prompt,
         engines: List<EndpointState>,
+        caches: PromptCaches,
     ): List<EndpointId> {
-        val shared = prompt.parts.size - 1
-        if (shared <= 0) return emptyList()
-        val hash = prompt.prefixHashes(request.cacheIsolation.orEmpty())[shared - 1]
-        val ownTokens = (prompt.inputTokens - prompt.parts.take(shared).sumOf { it.tokens }).coerceAtLeast(0)
+        val hash = caches.sharedHash ?: return emptyList()
+        val ownTokens = (prompt.inputTokens - caches.sharedTokens).coerceAtLeast(0)
         val rate = prefixRates.record(hash, ownTokens, clock.nowMillis()) * (peerLoads.peers + 1)
         val speed = speeds[request.service]?.tokensPerMilli ?: PrefillSpeed.INITIAL_TOKENS_PER_MILLI
         return homeEngines(hash, engines.map { it.entry.id }, rate / speed)
@@ -209,7 +217,13 @@
             }
         val speed = speeds.getOrPut(request.service) { PrefillSpeed() }
         val copyMillisPerToken = spec?.transferMillisPerToken ?: Double.MAX_VALUE
-        val query = query(request, prompt, caches.partTokens)
+        val query =
+            PromptQuery(
+                inputTokens = prompt.inputTokens.toDouble(),
+                sharedTokens = caches.sharedTokens.toDouble(),
+                sharedHash = caches.sharedHash,
+                usableMillis = request.usableMillis,
+            )
         val unevenEngines =
             uneven
                 ?.takeUnless { candidates.isSample }
@@ -254,21 +268,6 @@
         return handoverTarget(views) { usable.getValue(it).entry.domain == from.endpoint.domain }?.let(usable::getValue)
     }
 
-    private fun query(
-        request: PlacementRequest,
-        prompt: Prompt,
-        partTokens: IntArray,
-    ): PromptQuery {
-        val shared = prompt.parts.size - 1
-        return PromptQuery(
-            inputTokens = prompt.inputTokens.toDouble(),
-            sharedTokens = partTokens.take(shared.coerceAtLeast(0)).sum().toDouble(),
-            // Hashed without the weights, so that a prompt keeps its home engine when new weights are loaded.
-            usableMillis = request.usableMillis,
-            sharedHash = if (shared > 0) prompt.prefixHashes(request.cacheIsolation.orEmpty())[shared - 1] else null,
-        )
-    }
-
     /** What engines of different software versions write doesn't fit together. */
     private fun hasSameSoftware(
         first: EndpointEntry,
