Simplify names and places that the review of the whole change found

- RolloutLease serves rollouts of weights and of versions, so it moves to a package of its own.
- FleetDirectory records each kind of item in a function of its own instead of two kinds in one.
- CallRelay reports answers of versions only where a rollout may use them.
- Two constants with the same name and different values are told apart.
- Tests of slow clients share the socket with a small window.

Behaviour is the same; the tests keep their assertions.

--- a/src/main/kotlin/lacewingweir/cli/operations/BundleReview.kt
+++ b/src/main/kotlin/lacewingweir/cli/operations/BundleReview.kt
@@ -3,6 +3,7 @@
 import lacewingweir.state.bundle.Bundle
 import lacewingweir.state.bundle.ClaimOutagePolicy
 import lacewingweir.state.bundle.EndpointKind
+import lacewingweir.state.id.ModelName
 
 /**
  * Finds what is probably wrong with a bundle that follows all rules of its format: entries without any effect, and
@@ -34,8 +35,8 @@
                 add("routes[${route.id}]: removed; its requests are refused")
             }
             for (model in new.models) {
-                val before = enginesOf(old, model.name.value)
-                val after = enginesOf(new, model.name.value)
+                val before = enginesOf(old, model.name)
+                val after = enginesOf(new, model.name)
                 if (after * 2 < before) add("models[${model.name}]: $after of $before engines are left")
             }
         }
@@ -76,7 +77,7 @@
             }
             val loads = bundle.rollout.maxConcurrentLoads
             for (model in bundle.models) {
-                val engines = enginesOf(bundle, model.name.value)
+                val engines = enginesOf(bundle, model.name)
                 if (engines in 1..loads) {
                     add(
                         "rollout.maxConcurrentLoads: $loads covers all $engines engines of ${model.name}, " +
@@ -88,9 +89,9 @@
 
     private fun enginesOf(
         bundle: Bundle,
-        model: String,
+        model: ModelName,
     ): Int =
         bundle.endpoints.count { endpoint ->
-            endpoint.kind == EndpointKind.ENGINE && endpoint.models.any { it.value == model }
+            endpoint.kind == EndpointKind.ENGINE && model in endpoint.models
         }
 }
--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -26,6 +26,7 @@
 import lacewingweir.coordination.gossip.InstanceDigest
 import lacewingweir.coordination.gossip.PeerDatagram
 import lacewingweir.coordination.gossip.PeerDigests
+import lacewingweir.coordination.lease.RolloutLease
 import lacewingweir.coordination.placement.EndpointStatements
 import lacewingweir.coordination.placement.EndpointTracker
 import lacewingweir.coordination.placement.VersionRules
@@ -42,7 +43,6 @@
 import lacewingweir.coordination.time.keepRunning
 import lacewingweir.coordination.versions.VersionRolloutAgent
 import lacewingweir.coordination.versions.VersionRollouts
-import lacewingweir.coordination.weights.RolloutLease
 import lacewingweir.coordination.weights.WeightsRollout
 import lacewingweir.platform.PlatformEndpointProtocol
 import lacewingweir.platform.PlatformEngineClient
@@ -270,7 +270,7 @@
             { relayLimits },
             reach = reach,
             passer = CallPasser(peerClient, PlatformPassProtocol, reach, passTargets),
-            onAnswer = { versionRollouts?.onAnswer(it) },
+            onAnswer = versionRollouts?.let { it::onAnswer },
             awaitDisconnects = loopLag::awaitNextPass,
         )
     private val relayLimits = RelayLimits(maxKeyProofAgeMillis = bounds.keyWithdrawalMillis - KEY_CHECK_MARGIN_MILLIS)
--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetDirectory.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetDirectory.kt
@@ -191,10 +191,11 @@
             FleetUpdate.RolloutLeader -> leaderKey = key
             is FleetUpdate.HotCustomers -> hotCustomers = update.customers
             is FleetUpdate.BlockList -> blockListWritten(key, update)
-            is FleetUpdate.TargetMoments, is FleetUpdate.ServedVersions -> recordWritten(key, update)
+            is FleetUpdate.TargetMoments -> targetMomentsWritten(key, update)
+            is FleetUpdate.ServedVersions -> servedVersionsWritten(key, update)
             is FleetUpdate.VersionRolloutUpdate ->
                 versionRollouts.onWritten(key, update, revisions.getValue(key))
-            is FleetUpdate.BegunStreams -> streamObservers.forEach { it(update.streams) }
+            is FleetUpdate.BegunStreams -> begunStreamsWritten(update)
             is FleetUpdate.Unreadable -> {
                 logger.warn { "directory: unreadable item key=$key reason=${update.reason}" }
                 endpointsByKey.remove(key)
@@ -202,6 +203,8 @@
         }
     }
 
+    private fun begunStreamsWritten(update: FleetUpdate.BegunStreams) = streamObservers.forEach { it(update.streams) }
+
     private fun blockListWritten(
         key: String,
         update: FleetUpdate.BlockList,
@@ -210,18 +213,20 @@
         blockList = blockList.copy(ids = update.ids, revision = revisions.getValue(key))
     }
 
-    private fun recordWritten(
+    private fun targetMomentsWritten(
         key: String,
-        update: FleetUpdate,
+        update: FleetUpdate.TargetMoments,
     ) {
-        if (update is FleetUpdate.TargetMoments) {
-            targetMomentsKey = key
-            targetMoments = StoredTargetMoments(update.moments, revisions.getValue(key))
-        }
-        if (update is FleetUpdate.ServedVersions) {
-            servedVersionsKey = key
-            servedVersions = StoredVersions(update.versions, revisions.getValue(key))
-        }
+        targetMomentsKey = key
+        targetMoments = StoredTargetMoments(update.moments, revisions.getValue(key))
+    }
+
+    private fun servedVersionsWritten(
+        key: String,
+        update: FleetUpdate.ServedVersions,
+    ) {
+        servedVersionsKey = key
+        servedVersions = StoredVersions(update.versions, revisions.getValue(key))
     }
 
     /** Decodes an item. Whatever it holds, a failure concerns this item only. */
--- a/src/main/kotlin/lacewingweir/coordination/fleet/FleetSnapshot.kt
+++ b/src/main/kotlin/lacewingweir/coordination/fleet/FleetSnapshot.kt
@@ -79,8 +79,8 @@
  * The rollouts of software versions according to the store.
  *
  * [revision] is that of the item with [steps] and [allowed], or zero if there is none. They are the last ones that were
- * read if the item isn't [readable]. [allowed] are the versions that
- * serve without an order. [statuses] is what operators are told.
+ * read if the item isn't [readable]. [allowed] are the versions that serve without an order. [statuses] is what
+ * operators are told.
  */
 internal data class StoredRollouts(
     val orders: Map<ServiceName, StoredOrder> = emptyMap(),
--- a/src/main/kotlin/lacewingweir/coordination/weights/RolloutLease.kt
+++ b/src/main/kotlin/lacewingweir/coordination/lease/RolloutLease.kt
@@ -7,7 +7,7 @@
  * The holder stops sending commands well before the lease can expire, and doesn't treat an acquisition or renewal
  * without a response as successful.
  */
-package lacewingweir.coordination.weights
+package lacewingweir.coordination.lease
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import lacewingweir.coordination.store.ClusterStore
--- a/src/main/kotlin/lacewingweir/coordination/versions/ServiceRollout.kt
+++ b/src/main/kotlin/lacewingweir/coordination/versions/ServiceRollout.kt
@@ -94,8 +94,8 @@
     fun verdicts() =
         Verdicts(
             sinceOrder = judge(evidence),
-            sincePhase = judge(evidence - phaseBase, evidence, MIN_DOUBT_BAD),
-            recent = judge(evidence - olderBase, evidence, MIN_DOUBT_BAD),
+            sincePhase = judge(evidence - phaseBase, evidence, MIN_RECENT_DOUBT_BAD),
+            recent = judge(evidence - olderBase, evidence, MIN_RECENT_DOUBT_BAD),
         )
 
     /** Returns the mean time of the old version's answers on [route], or null if there are too few. */
@@ -116,6 +116,6 @@
         const val MIN_MEAN_ANSWERS = 20
 
         /** In a short period, one or two bad answers of a good version are a large share. */
-        const val MIN_DOUBT_BAD = 3
+        const val MIN_RECENT_DOUBT_BAD = 3
     }
 }
--- a/src/main/kotlin/lacewingweir/coordination/versions/VersionRolloutAgent.kt
+++ b/src/main/kotlin/lacewingweir/coordination/versions/VersionRolloutAgent.kt
@@ -10,13 +10,13 @@
 import kotlinx.coroutines.delay
 import lacewingweir.coordination.fleet.FleetSnapshot
 import lacewingweir.coordination.fleet.StoredRollouts
+import lacewingweir.coordination.lease.RolloutLease
 import lacewingweir.coordination.store.ClusterStore
 import lacewingweir.coordination.store.CommitResult
 import lacewingweir.coordination.store.StoreTransaction
 import lacewingweir.coordination.store.StoreWrite
 import lacewingweir.coordination.store.valueOrNull
 import lacewingweir.coordination.time.TimerService
-import lacewingweir.coordination.weights.RolloutLease
 import lacewingweir.state.id.EndpointId
 import lacewingweir.state.id.ServiceName
 import lacewingweir.state.id.SoftwareVersion
--- a/src/main/kotlin/lacewingweir/coordination/weights/WeightsRollout.kt
+++ b/src/main/kotlin/lacewingweir/coordination/weights/WeightsRollout.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.launch
 import lacewingweir.coordination.fleet.FleetDirectory
 import lacewingweir.coordination.fleet.FleetSnapshot
+import lacewingweir.coordination.lease.RolloutLease
 import lacewingweir.coordination.placement.EndpointTracker
 import lacewingweir.coordination.placement.WeightsAgePolicy
 import lacewingweir.coordination.time.TimerService
--- a/src/main/kotlin/lacewingweir/state/rate/FleetUsageWindow.kt
+++ b/src/main/kotlin/lacewingweir/state/rate/FleetUsageWindow.kt
@@ -226,23 +226,20 @@
      */
     private fun tokensLeftByAll(nowMillis: Long): Double {
         val sinceReports =
-            lately(silent, nowMillis).sumOf { it.demand * (openMillis - it.openMillisAtReport) } / MILLIS_PER_SECOND
+            recentlySilent(nowMillis).sumOf { it.demand * (openMillis - it.openMillisAtReport) } / MILLIS_PER_SECOND
         val known = allUsage.total(nowMillis) + extrapolatedTokens(nowMillis) + sinceReports * SILENT_FACTOR
         return allowedTokens() - usageBeforeStart(nowMillis) - known
     }
 
-    /** Returns those of [peers] whose usage may still be within the window. */
-    private fun lately(
-        peers: List<PeerUsage>,
-        nowMillis: Long,
-    ) = peers.filter { nowMillis - it.reportedMillis < windowMillis }
+    /** Returns the silent peers whose usage may still be within the window. */
+    private fun recentlySilent(nowMillis: Long) = silent.filter { nowMillis - it.reportedMillis < windowMillis }
 
     /**
      * Returns [ALLOWANCE_TOKENS], or none while usage is uncertain: usage before the start, since each crash would add
      * them, or that of silent peers.
      */
     private fun allowance(nowMillis: Long): Double {
-        val isUncertain = initialUsage.total(nowMillis) > 0.0 || lately(silent, nowMillis).isNotEmpty()
+        val isUncertain = initialUsage.total(nowMillis) > 0.0 || recentlySilent(nowMillis).isNotEmpty()
         return if (isUncertain) 0.0 else ALLOWANCE_TOKENS
     }
 
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -58,7 +58,7 @@
     private val random: Random = Random.Default,
     private val reach: ReachMonitor? = null,
     private val passer: CallPasser? = null,
-    private val onAnswer: (VersionAnswer) -> Unit = {},
+    private val onAnswer: ((VersionAnswer) -> Unit)? = null,
     private val awaitDisconnects: suspend () -> Unit,
 ) {
     private val admission = CallAdmission(directory, proof, rateLimiter, quarantine, limits)
@@ -407,8 +407,10 @@
                     ?: SendOutcome.Broken("out of time", outOfTime = true)
             if (outcome is SendOutcome.NotRun && !outcome.refused) onUnreachable(reservation.endpoint)
             if (outcome is SendOutcome.Broken && !outcome.givenUp) state.onRead()
-            val cutOff = reach?.isCutOff(service) ?: false
-            versionAnswer(admitted.route.id, reservation, outcome, cutOff)?.let(onAnswer)
+            onAnswer?.let { report ->
+                val cutOff = reach?.isCutOff(service) ?: false
+                versionAnswer(admitted.route.id, reservation, outcome, cutOff)?.let(report)
+            }
             when {
                 state.progress.lastNumber != lastEvent -> state.onStreamContinued()
                 mayBeAnsweredLate(state, outcome) -> state.onReceived(reservation.endpoint.tag)
--- a/src/test/kotlin/lacewingweir/coordination/weights/RolloutLeaseTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/lease/RolloutLeaseTest.kt
@@ -1,4 +1,4 @@
-package lacewingweir.coordination.weights
+package lacewingweir.coordination.lease
 
 import kotlinx.coroutines.runBlocking
 import lacewingweir.coordination.store.ClusterStore
--- a/src/test/kotlin/lacewingweir/platform/SlowCallerTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/SlowCallerTest.kt
@@ -1,5 +1,6 @@
 package lacewingweir.platform
 
+import lacewingweir.testing.smallWindowSocket
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
@@ -9,7 +10,6 @@
 import strikt.assertions.isGreaterThan
 import strikt.assertions.startsWith
 import java.io.IOException
-import java.net.InetSocketAddress
 import java.net.Socket
 
 /** Callers of a relay that send or read slowly, or not at all. */
@@ -22,12 +22,7 @@
     @AfterEach
     fun close() = relay.close()
 
-    private fun connect() =
-        Socket().apply {
-            receiveBufferSize = WINDOW_BYTES
-            soTimeout = READ_TIMEOUT_MILLIS
-            connect(InetSocketAddress("127.0.0.1", relay.callerPort))
-        }
+    private fun connect() = smallWindowSocket(relay.callerPort, READ_TIMEOUT_MILLIS)
 
     private fun Socket.send(text: String) = getOutputStream().write(text.encodeToByteArray())
 
@@ -79,7 +74,6 @@
 
     private companion object {
         const val RESPONSE_BYTES = 6_000_000
-        const val WINDOW_BYTES = 16_384
         const val READ_TIMEOUT_MILLIS = 5_000
         const val SETTLE_MILLIS = 700L
 
--- a/src/test/kotlin/lacewingweir/transport/http/ResponseCutByCloseTest.kt
+++ b/src/test/kotlin/lacewingweir/transport/http/ResponseCutByCloseTest.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
+import lacewingweir.testing.smallWindowSocket
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
@@ -13,7 +14,6 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import java.io.IOException
-import java.net.InetSocketAddress
 import java.net.Socket
 import java.util.concurrent.atomic.AtomicInteger
 
@@ -39,13 +39,7 @@
         group.shutdownGracefully()
     }
 
-    /** Connects with a small window, so that responses wait at the server until they are read. */
-    private fun connect() =
-        Socket().apply {
-            receiveBufferSize = WINDOW_BYTES
-            soTimeout = READ_TIMEOUT_MILLIS
-            connect(InetSocketAddress("127.0.0.1", server.port))
-        }
+    private fun connect() = smallWindowSocket(server.port, READ_TIMEOUT_MILLIS)
 
     private fun Socket.request() = getOutputStream().write("GET / HTTP/1.1\r\nHost: h\r\n\r\n".encodeToByteArray())
 
@@ -128,7 +122,6 @@
     }
 
     private companion object {
-        const val WINDOW_BYTES = 16_384
         const val CLOSE_MILLIS = 400L
         const val WRITE_STALL_MILLIS = 1_000L
         const val READ_TIMEOUT_MILLIS = 2_000
--- a/src/test/kotlin/lacewingweir/transport/http/SlowReaderTest.kt
+++ b/src/test/kotlin/lacewingweir/transport/http/SlowReaderTest.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.job
+import lacewingweir.testing.smallWindowSocket
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
@@ -16,7 +17,6 @@
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
 import java.io.IOException
-import java.net.InetSocketAddress
 import java.net.Socket
 import java.util.concurrent.atomic.AtomicInteger
 
@@ -57,10 +57,7 @@
 
     /** Connects with a small window and sends a request. */
     private fun request(target: String) =
-        Socket().apply {
-            receiveBufferSize = WINDOW_BYTES
-            soTimeout = READ_TIMEOUT_MILLIS
-            connect(InetSocketAddress("127.0.0.1", server.port))
+        smallWindowSocket(server.port, READ_TIMEOUT_MILLIS).apply {
             getOutputStream().write("GET $target HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n".encodeToByteArray())
         }
 
@@ -138,7 +135,6 @@
         const val MAX_BYTES = 16_000_000L
         const val FULL_STALL_MILLIS = 1_000L
         const val PART_BYTES = 100_000
-        const val WINDOW_BYTES = 16_384
         const val READ_TIMEOUT_MILLIS = 5_000
         const val AWAIT_NANOS = 10_000_000_000L
     }
