--- a/review/lab2/Lab.java
+++ b/review/lab2/Lab.java
@@ -5,6 +5,8 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.PrintWriter;
+import java.net.BindException;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -24,6 +26,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -95,10 +98,18 @@
         }
     }
 
+    /** Returns a port that is free for TCP and UDP, below those that systems use for outgoing connections. */
     public static int freePort() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
-            return s.getLocalPort();
+        InetAddress host = InetAddress.getByName(HOST);
+        for (int i = 0; i < 1_000; i++) {
+            int port = ThreadLocalRandom.current().nextInt(12_000, 32_000);
+            try (ServerSocket tcp = new ServerSocket(port, 1, host); DatagramSocket udp = new DatagramSocket(port, host)) {
+                return port;
+            } catch (BindException e) {
+                // The port is in use.
+            }
         }
+        throw new IOException("no free port");
     }
 
     public static Thread daemon(Runnable body) {
@@ -675,6 +686,11 @@
                 if (isReady()) return;
                 sleep(100);
             }
+            try {
+                recordLog("");
+            } catch (IOException e) {
+                log("no log of " + name);
+            }
             cannotRun(name + " isn't ready");
         }
 
