Count connections closed as idle, and log what a stop leaves unfinished

A server now counts the connections that it closes as idle, how often input turned up just before that, and requests that arrive behind the end of a connection's output. 'router: stopped' has these figures, the duration and the longest lag. Each call that a stop cuts is logged with where it stands, and each close before a complete response with the time since the last byte of the request. Input that turns up is still ignored and the connection closed, as before.

--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -428,7 +428,9 @@
      * run at that time are cut off.
      */
     suspend fun shutdown() {
+        val beganAtMillis = clock.nowMillis()
         logger.info { "router: stopping, requests in flight=${callerServer.requestsInFlight}" }
+        loopLag.resetLongest()
         draining = true
         callerServer.beginDrain()
         passedCallServer.beginDrain()
@@ -441,10 +443,13 @@
             launch { passedCallServer.drain(endMillis - clock.nowMillis()) }
             callerServer.drain(endMillis - clock.nowMillis())
         }
+        relay.logUnfinished()
         registration.stop()
         logger.info {
             "router: stopped, requests in flight=${callerServer.requestsInFlight} " +
-                "connections=${callerServer.openConnections}"
+                "connections=${callerServer.openConnections} tookMs=${clock.nowMillis() - beganAtMillis} " +
+                "longestLagMs=${loopLag.longestMillis} callers=${callerServer.idleCloses} " +
+                "instances=${passedCallServer.idleCloses}"
         }
     }
 
--- a/src/main/kotlin/lacewingweir/transport/http/EventLoopLag.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/EventLoopLag.kt
@@ -18,6 +18,17 @@
     private var nextTickNanos = 0L
     private var laggedAtNanos: Long? = null
 
+    @Volatile
+    private var longestNanos = 0L
+
+    /** The longest time for which the loop was held up since [resetLongest], to the precision of a tick. */
+    val longestMillis: Long
+        get() = TimeUnit.NANOSECONDS.toMillis(longestNanos)
+
+    fun resetLongest() {
+        longestNanos = 0L
+    }
+
     /** Begins to measure. The lag before counts as high, since a process that starts is short of processor time. */
     fun start() {
         laggedAtNanos = System.nanoTime()
@@ -30,6 +41,7 @@
     }
 
     private fun tick() {
+        longestNanos = maxOf(longestNanos, System.nanoTime() - nextTickNanos)
         if (isLate()) laggedAtNanos = System.nanoTime()
         scheduleTick()
     }
--- a/src/main/kotlin/lacewingweir/transport/http/HttpServer.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/HttpServer.kt
@@ -49,6 +49,7 @@
     private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
     private val inFlight = AtomicInteger()
     private val closes = UnansweredCloses()
+    private val idle = IdleCloses()
 
     @Volatile
     internal var listener: Channel? = null
@@ -84,6 +85,10 @@
     public val unansweredCloses: Map<CloseReason, Long>
         get() = closes.totals
 
+    /** How often connections were ended between two requests so far. */
+    public val idleCloses: IdleCloseFigures
+        get() = idle.figures
+
     /** Binds the address and accepts connections. */
     public fun start(): HttpServer {
         val bootstrap =
@@ -136,7 +141,7 @@
             .pipeline()
             .addLast(IdleStateHandler(limits.idleReadMillis, 0, 0, TimeUnit.MILLISECONDS))
             .addLast(HttpServerCodec(decoder))
-            .addLast(ServerConnectionHandler(limits, held, { draining }, closes, this::dispatch))
+            .addLast(ServerConnectionHandler(limits, held, { draining }, closes, idle, this::dispatch))
     }
 
     private fun dispatch(exchange: NettyServerExchange) {
@@ -197,6 +202,7 @@
             delay(DRAIN_POLL_MILLIS)
         }
         refusing = true
+        connections.forEach { it.pipeline().fireUserEventTriggered(ServerConnectionHandler.LogUnfinished) }
         return isDrained
     }
 
--- a/src/main/kotlin/lacewingweir/transport/http/NettyServerExchange.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/NettyServerExchange.kt
@@ -38,6 +38,9 @@
     private val onComplete: () -> Unit,
 ) : ServerExchange {
     private val decoder = QueryStringDecoder(request.uri())
+
+    /** When the last byte of the request had been read. */
+    internal val completedAtNanos: Long = System.nanoTime()
     private val keepAlive = HttpUtil.isKeepAlive(request)
     private val disconnectAction = AtomicReference<(() -> Unit)?>(null)
     private val handlerDone = AtomicBoolean()
@@ -193,6 +196,15 @@
     internal val isDelivering: Boolean
         get() = output.isDelivering
 
+    /** Logs the state of a request whose server ends before it has responded. */
+    internal fun logUnfinished() =
+        logger.info {
+            "http: request unfinished at the end of the server $method $path started=$responseStarted " +
+                "finished=$finished sinceLastByteMs=${TimeUnit.NANOSECONDS.toMillis(
+                    System.nanoTime() - completedAtNanos,
+                )}"
+        }
+
     /** Reports that the connection has failed in the middle of the response. */
     internal fun connectionFailed() {
         if (!finished) close(CloseReason.CONNECTION_FAILED)
--- a/src/main/kotlin/lacewingweir/transport/http/ServerConnectionHandler.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ServerConnectionHandler.kt
@@ -6,6 +6,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.nio.AbstractNioChannel
 import io.netty.handler.codec.TooLongFrameException
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpContent
@@ -36,6 +37,7 @@
     private val held: HeldBytes,
     private val draining: () -> Boolean,
     private val closes: UnansweredCloses,
+    private val idleCloses: IdleCloses,
     private val dispatch: (NettyServerExchange) -> Unit,
 ) : SimpleChannelInboundHandler<HttpObject>() {
     private val pipelined = ArrayDeque<NettyServerExchange>()
@@ -54,6 +56,9 @@
     private var ignoring = false
     private var pendingRejection: DefaultFullHttpResponse? = null
 
+    /** Whether a part of a request has been decoded since this was reset. */
+    private var received = false
+
     /** When the client became idle: at the last response, because a request may take much longer than the limit. */
     private var idleSinceNanos = System.nanoTime()
     private var headReceivedAtNanos = 0L
@@ -69,7 +74,11 @@
         ctx: ChannelHandlerContext,
         message: HttpObject,
     ) {
-        if (ignoring) return
+        received = true
+        if (ignoring) {
+            if (message is HttpRequest) idleCloses.onRequestBehindEnd()
+            return
+        }
         if (message.decoderResult().isFailure) {
             rejectMalformed(ctx, message.decoderResult().cause())
             return
@@ -216,6 +225,7 @@
         ctx: ChannelHandlerContext,
         event: Any,
     ) {
+        if (event === LogUnfinished) current?.logUnfinished()
         if (current != null) return
         if (event is IdleStateEvent && previous?.isDelivering == true) {
             // The response itself is ended if the client does not read it.
@@ -227,15 +237,25 @@
             if (event is IdleStateEvent) ctx.close()
             return
         }
-        if (event === CloseIfIdle && requestHead == null && isFlushed(ctx)) ctx.close()
+        if (event === CloseIfIdle && requestHead == null && isFlushed(ctx)) closeIdle(ctx)
         if (event !is IdleStateEvent) return
         if (requestHead != null) {
             reject(ctx, HttpResponseStatus.REQUEST_TIMEOUT, "request was not sent in time")
         } else if (System.nanoTime() - idleSinceNanos >= TimeUnit.MILLISECONDS.toNanos(limits.idleReadMillis)) {
-            ctx.close()
+            closeIdle(ctx)
         }
     }
 
+    /** Closes the connection, and counts whether input had arrived on it that the event loop has not read yet. */
+    private fun closeIdle(ctx: ChannelHandlerContext) {
+        idleCloses.onClosed()
+        ignoring = true
+        received = false
+        (ctx.channel().unsafe() as AbstractNioChannel.NioUnsafe).read()
+        if (received) idleCloses.onInputFound()
+        ctx.close()
+    }
+
     /** A close would drop responses that wait for the client to read. */
     private fun isFlushed(ctx: ChannelHandlerContext) =
         ctx
@@ -275,6 +295,9 @@
     /** An event that closes the connection unless a request is being read or handled, or a response being sent. */
     internal object CloseIfIdle
 
+    /** An event that logs the request that is being handled, if there is one. */
+    internal object LogUnfinished
+
     internal companion object {
         const val RUN_STATE_HEADER: String = "X-Lacewingweir-Run"
         const val RUN_STATE_NOT_RUN: String = "not-run"
--- a/src/main/kotlin/lacewingweir/transport/http/UnansweredCloses.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/UnansweredCloses.kt
@@ -34,14 +34,17 @@
     /** Records that the connection with this [use] is closed in the middle of [exchange]. */
     fun record(
         reason: CloseReason,
-        exchange: ServerExchange,
+        exchange: NettyServerExchange,
         use: ConnectionUse,
     ) {
         counts.increment(reason)
         logger.info {
-            val ageMillis = (System.nanoTime() - exchange.arrivedAtNanos) / NANOS_PER_MILLI
+            val now = System.nanoTime()
+            val ageMillis = (now - exchange.arrivedAtNanos) / NANOS_PER_MILLI
+            val sinceLastByteMillis = (now - exchange.completedAtNanos) / NANOS_PER_MILLI
             "http: connection closed before the end of a response reason=$reason ${exchange.method} ${exchange.path} " +
-                "started=${exchange.responseStarted} requestMs=$ageMillis $use"
+                "started=${exchange.responseStarted} requestMs=$ageMillis " +
+                "sinceLastByteMs=$sinceLastByteMillis $use"
         }
     }
 
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -31,6 +31,7 @@
 import lacewingweir.state.time.MonotonicClock
 import lacewingweir.transport.http.PeerClosedException
 import lacewingweir.transport.http.ServerExchange
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.random.Random
 
 private val logger = KotlinLogging.logger {}
@@ -62,6 +63,7 @@
     private val awaitDisconnects: suspend () -> Unit,
 ) {
     private val admission = CallAdmission(directory, proof, rateLimiter, quarantine, limits)
+    private val unfinished: MutableSet<CallState> = ConcurrentHashMap.newKeySet()
 
     /**
      * Serves one call, which another instance passes on if [passOrigin] isn't null. Cancelling the coroutine closes the
@@ -73,6 +75,7 @@
         passOrigin: PassOrigin? = null,
     ) {
         val state = CallState(call, exchange, directory, proof, clock, limits, random, passOrigin)
+        unfinished += state
         try {
             serve(state)
         } catch (e: CancellationException) {
@@ -80,9 +83,14 @@
             throw e
         } catch (e: PeerClosedException) {
             state.log("caller disconnected: ${e.message}")
+        } finally {
+            unfinished -= state
         }
     }
 
+    /** Logs where each call stands that has not ended. */
+    fun logUnfinished() = unfinished.forEach { it.log("unfinished at the end of the instance") }
+
     private suspend fun serve(state: CallState) {
         try {
             val admitted = admission.admit(state) ?: return
