Show requests that a stop or an idle time-out leaves without an answer

RequestLostByIdleCloseTest plays an event loop that is held up, as by a scarce processor, and requests at the edges of a drain: input that the system holds, heads in part, the backlog of the listener, a request behind a stream that began before the drain, a connection opened just before it, and a request that is incomplete when the drain ends.

The first one needs the loop to be held between selecting and running its tasks: held in a task, Netty selects again before the closes, and all 20 are answered.

--- /dev/null
+++ b/src/test/kotlin/lacewingweir/transport/http/RequestLostByIdleCloseTest.kt
@@ -0,0 +1,213 @@
+package lacewingweir.transport.http
+
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Tag
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.Timeout
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import strikt.assertions.startsWith
+import java.io.IOException
+import java.net.Socket
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
+
+/**
+ * Guards against requests that had arrived when their server closed the connection as idle, and get no answer.
+ *
+ * An event loop that is held up stands for a process that gets no processor time.
+ */
+@Timeout(30)
+internal class RequestLostByIdleCloseTest {
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val loop = group.next()
+    private val scope = CoroutineScope(SupervisorJob() + loop.asCoroutineDispatcher())
+
+    @Volatile
+    private var idleMillis = 10_000L
+    private val streamHeadSent = CompletableDeferred<Unit>()
+    private val streamMayEnd = CompletableDeferred<Unit>()
+    private val holdAtAcceptMillis = AtomicLong()
+    private val server =
+        HttpServer(group, scope, "127.0.0.1", 0, ::limits) { exchange ->
+            if (exchange.path == "/stream") stream(exchange) else exchange.respond(200)
+        }.start()
+
+    private fun limits(): HttpLimits {
+        Thread.sleep(holdAtAcceptMillis.getAndSet(0))
+        return HttpLimits(idleReadMillis = idleMillis)
+    }
+
+    private suspend fun stream(exchange: ServerExchange) {
+        exchange.startStream(200)
+        exchange.write("first".encodeToByteArray())
+        streamHeadSent.complete(Unit)
+        streamMayEnd.await()
+        exchange.finish()
+    }
+
+    @AfterEach
+    fun close() {
+        server.close()
+        scope.cancel()
+        group.shutdownGracefully()
+    }
+
+    private fun connect() = Socket("127.0.0.1", server.port).apply { soTimeout = READ_TIMEOUT_MILLIS }
+
+    private fun Socket.send(text: String) = getOutputStream().write(text.encodeToByteArray())
+
+    /** Returns the status line and the headers of the next response, or why there is none. */
+    private fun Socket.readHead(): String =
+        try {
+            val head = StringBuilder()
+            while (!head.endsWith("\r\n\r\n")) {
+                val byte = getInputStream().read()
+                if (byte < 0) return "end of input"
+                head.append(byte.toChar())
+            }
+            head.toString()
+        } catch (e: IOException) {
+            "failed: ${e.message}"
+        }
+
+    private fun Socket.exchange(text: String = REQUEST): String {
+        send(text)
+        return readHead()
+    }
+
+    private fun holdUpLoop(millis: Long) = loop.execute { Thread.sleep(millis) }
+
+    /** Holds the loop up while it handles what it has selected, so that its tasks run before it selects again. */
+    private fun holdUpBehindSelect(millis: Long) {
+        holdAtAcceptMillis.set(millis)
+        connect()
+        while (holdAtAcceptMillis.get() > 0) Thread.sleep(1)
+    }
+
+    private fun drain() = scope.async { server.drain(DRAIN_MILLIS) }
+
+    @Test
+    @Tag("known-red")
+    fun `requests that arrived before their idle connections are closed are answered`() {
+        val sockets = List(CONNECTIONS) { connect() }
+        sockets.forEach { expectThat(it.exchange()).startsWith(OK) }
+        Thread.sleep(PAUSE_MILLIS)
+        holdUpBehindSelect(HOLD_MILLIS)
+        sockets.forEach { it.send(REQUEST) }
+        server.closeIdleConnections()
+        val answers = sockets.map { it.readHead().substringBefore("\r\n") }
+        println("idle close: answers=${answers.groupingBy { it }.eachCount()} figures=${server.idleCloses}")
+        expectThat(answers.filter { it == OK }.size).isEqualTo(CONNECTIONS)
+        sockets.forEach { it.close() }
+    }
+
+    /** The clock of the idle time-out goes on while the loop is held up. */
+    @Test
+    @Tag("known-red")
+    fun `a request that arrived before its connection has been idle for too long is answered`() {
+        idleMillis = IDLE_MILLIS
+        connect().use { socket ->
+            expectThat(socket.exchange()).startsWith(OK)
+            // The second hold begins before the time-out, and ends together with it behind the first one.
+            loop.schedule({ Thread.sleep(2 * OVERLAP_MILLIS) }, IDLE_MILLIS - OVERLAP_MILLIS, TimeUnit.MILLISECONDS)
+            loop.schedule({ Thread.sleep(HOLD_MILLIS) }, IDLE_MILLIS - OVERLAP_MILLIS / 2, TimeUnit.MILLISECONDS)
+            Thread.sleep(IDLE_MILLIS + 2 * OVERLAP_MILLIS)
+            expectThat(socket.exchange()).startsWith(OK)
+        }
+    }
+
+    @Test
+    @Tag("known-red")
+    fun `a request whose head has arrived in part when its server drains is answered`() {
+        val heads = listOf("POST /x", "POST /x HTTP/1.1\r\nHost: h\r\n", "POST /x HTTP/1.1\r\nHost: h\r\nCont")
+        val sockets = heads.map { connect() }
+        sockets.forEach { expectThat(it.exchange()).startsWith(OK) }
+        sockets.zip(heads).forEach { (socket, head) -> socket.send(head) }
+        Thread.sleep(PAUSE_MILLIS)
+        drain()
+        Thread.sleep(DRAIN_MILLIS / 2)
+        val rest = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"
+        val answers = sockets.zip(heads).map { (socket, head) -> socket.exchange(rest.removePrefix(head)) }
+        sockets.forEach { it.close() }
+        expectThat(answers.filter { it.startsWith(OK) }.size).isEqualTo(heads.size)
+    }
+
+    @Test
+    @Tag("known-red")
+    fun `requests on connections that wait in the backlog when their server drains are answered`() {
+        holdUpLoop(HOLD_MILLIS)
+        val sockets = List(CONNECTIONS) { connect().apply { send(REQUEST) } }
+        val drained = drain()
+        val answers = sockets.map { it.readHead().substringBefore("\r\n") }
+        println("backlog: answers=${answers.groupingBy { it }.eachCount()}")
+        expectThat(answers.filter { it == OK }.size).isEqualTo(CONNECTIONS)
+        sockets.forEach { it.close() }
+        runBlocking { expectThat(drained.await()).isEqualTo(true) }
+    }
+
+    /** The head was sent before the server began to drain, so the client doesn't know that the connection ends. */
+    @Test
+    @Tag("known-red")
+    fun `a request behind a stream that began before the drain is answered`() {
+        connect().use { socket ->
+            expectThat(socket.exchange("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n")).startsWith(OK)
+            runBlocking { streamHeadSent.await() }
+            val drained = drain()
+            Thread.sleep(PAUSE_MILLIS)
+            streamMayEnd.complete(Unit)
+            val body = StringBuilder()
+            while (!body.endsWith("0\r\n\r\n")) body.append(socket.getInputStream().read().toChar())
+            val answer = socket.exchange()
+            expectThat(answer).startsWith(OK)
+            expectThat(answer.lowercase()).contains("connection: close")
+            runBlocking { expectThat(drained.await()).isEqualTo(true) }
+        }
+    }
+
+    @Test
+    @Tag("known-red")
+    fun `the first request on a connection that was opened just before its server drains is answered`() {
+        connect().use { socket ->
+            Thread.sleep(PAUSE_MILLIS)
+            drain()
+            Thread.sleep(PAUSE_MILLIS)
+            expectThat(socket.exchange()).startsWith(OK)
+        }
+    }
+
+    @Test
+    @Tag("known-red")
+    fun `a request that is still incomplete when the drain ends is refused as not run`() {
+        connect().use { socket ->
+            socket.send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nab")
+            Thread.sleep(PAUSE_MILLIS)
+            runBlocking { drain().await() }
+            val answer = socket.readHead()
+            expectThat(answer).startsWith("HTTP/1.1 503")
+            expectThat(answer.lowercase()).contains("x-lacewingweir-run: not-run")
+        }
+    }
+
+    private companion object {
+        const val CONNECTIONS = 20
+        const val PAUSE_MILLIS = 100L
+        const val HOLD_MILLIS = 400L
+        const val IDLE_MILLIS = 1_000L
+        const val OVERLAP_MILLIS = 60L
+        const val DRAIN_MILLIS = 2_000L
+        const val READ_TIMEOUT_MILLIS = 5_000
+        const val OK = "HTTP/1.1 200 OK"
+        const val REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+    }
+}
