Count the time of a stop from its signal

A stop ended two leases at the store before it computed how much time was left until the platform kills the process. With a slow store everything after that was late, and what still ran was cut by the kill.

The time of the signal counts now, and leases are ended beside the drain. They and the registration are given up when the time is over.

--- a/src/main/kotlin/lacewingweir/cli/router/RouteCommand.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouteCommand.kt
@@ -9,11 +9,12 @@
 import lacewingweir.cli.io.CommandContext
 import lacewingweir.protocol.settings.RouterSettings
 import lacewingweir.protocol.settings.RouterSettingsResult
+import lacewingweir.state.time.MonotonicClock
 import sun.misc.Signal
 import java.io.File
 import java.io.IOException
 import java.net.BindException
-import java.util.concurrent.CountDownLatch
+import java.util.concurrent.CompletableFuture
 
 private val logger = KotlinLogging.logger {}
 
@@ -61,8 +62,8 @@
         settings: RouterSettings,
     ): Int {
         val instance = RouterInstance(settings)
-        val terminated = CountDownLatch(1)
-        Signal.handle(Signal("TERM")) { terminated.countDown() }
+        val terminated = CompletableFuture<Long>()
+        Signal.handle(Signal("TERM")) { terminated.complete(MonotonicClock.SYSTEM.nowMillis()) }
         Signal.handle(Signal("HUP")) { reload(path, settings) }
         try {
             runBlocking { instance.start() }
@@ -71,8 +72,8 @@
             context.err("can't listen at ${e.message}")
             return ExitCode.FAILED
         }
-        terminated.await()
-        runBlocking { instance.shutdown() }
+        val terminatedAtMillis = terminated.join()
+        runBlocking { instance.shutdown(terminatedAtMillis) }
         return ExitCode.SUCCESS
     }
 
--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import lacewingweir.cli.BuildInfo
 import lacewingweir.coordination.crash.BlockListWriter
 import lacewingweir.coordination.crash.CrashQuarantine
@@ -424,35 +425,44 @@
 
     /**
      * Fails the readiness probes until the platform's load balancer sends no more requests, and waits until all
-     * requests that have begun to arrive have ended. Returns before the platform kills the process; requests that still
-     * run at that time are cut off.
+     * requests that have begun to arrive have ended. Returns before the platform kills the process, which it does a set
+     * time after the signal at [signalledAtMillis] of the monotonic clock. Calls that still run at the end are
+     * cut off.
      */
-    suspend fun shutdown() {
-        val beganAtMillis = clock.nowMillis()
+    suspend fun shutdown(signalledAtMillis: Long = clock.nowMillis()) {
+        val endAtMillis =
+            signalledAtMillis + (bounds.shutdownSeconds * MILLIS_PER_SECOND).toLong() - SHUTDOWN_MARGIN_MILLIS
         logger.info { "router: stopping, requests in flight=${callerServer.requestsInFlight}" }
         loopLag.resetLongest()
         draining = true
         callerServer.beginDrain()
         passedCallServer.beginDrain()
-        rollout.stop()
-        versionRolloutAgent?.stop()
-        val endMillis =
-            clock.nowMillis() + (bounds.shutdownSeconds * MILLIS_PER_SECOND).toLong() - SHUTDOWN_MARGIN_MILLIS
-        delay(ROTATION_EXIT_MILLIS)
+        // The store may be slow, and callers must not wait for it.
+        val leases =
+            scope.launch {
+                rollout.stop()
+                versionRolloutAgent?.stop()
+            }
+        delayUntil(signalledAtMillis + ROTATION_EXIT_MILLIS)
         coroutineScope {
-            launch { passedCallServer.drain(endMillis - clock.nowMillis()) }
-            callerServer.drain(endMillis - clock.nowMillis())
+            launch { passedCallServer.drain(endAtMillis - clock.nowMillis()) }
+            callerServer.drain(endAtMillis - clock.nowMillis())
         }
         relay.logUnfinished()
-        registration.stop()
+        withTimeoutOrNull(endAtMillis - clock.nowMillis()) {
+            leases.join()
+            registration.stop()
+        }
         logger.info {
             "router: stopped, requests in flight=${callerServer.requestsInFlight} " +
-                "connections=${callerServer.openConnections} tookMs=${clock.nowMillis() - beganAtMillis} " +
+                "connections=${callerServer.openConnections} tookMs=${clock.nowMillis() - signalledAtMillis} " +
                 "longestLagMs=${loopLag.longestMillis} callers=${callerServer.idleCloses} " +
                 "instances=${passedCallServer.idleCloses}"
         }
     }
 
+    private suspend fun delayUntil(millis: Long) = delay(millis - clock.nowMillis())
+
     /** Ends the instance immediately, as in a crash. */
     override fun close() {
         scope.cancel()
