Answer or refuse calls that last longer than their instance

No call knew when its instance ends. Calls that ran at the end of the grace period were cut, and calls that came late were sent on though they might not end in time.

InstanceStop tells them now. What can't end in time is answered 200 ms before the instance ends: 503 if it has not run, 504 if that is unknown. Once the load balancer sends callers to other instances, a call whose time limit lies behind the end is refused at once, before it counts against the rate of its customer, and may come back at another instance at once. Streams that have begun are still cut at the end; those that are sent late are refused.

--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -76,6 +76,7 @@
 import lacewingweir.transport.relay.CallRelay
 import lacewingweir.transport.relay.EndpointSender
 import lacewingweir.transport.relay.InboundCall
+import lacewingweir.transport.relay.InstanceStop
 import lacewingweir.transport.relay.PassedExchange
 import lacewingweir.transport.relay.RelayLimits
 import lacewingweir.transport.relay.RelayRefusal
@@ -249,6 +250,7 @@
             peers = { directory.snapshot.peers.values },
             digests = peerDigests::validDigests,
         )
+    private val stop = InstanceStop(clock)
     private val relay =
         CallRelay(
             directory,
@@ -272,6 +274,7 @@
             reach = reach,
             passer = CallPasser(peerClient, PlatformPassProtocol, reach, passTargets),
             onAnswer = versionRollouts?.let { it::onAnswer },
+            stop = stop,
             awaitDisconnects = loopLag::awaitNextPass,
         )
     private val relayLimits = RelayLimits(maxKeyProofAgeMillis = bounds.keyWithdrawalMillis - KEY_CHECK_MARGIN_MILLIS)
@@ -426,8 +429,8 @@
     /**
      * Fails the readiness probes until the platform's load balancer sends no more requests, and waits until all
      * requests that have begun to arrive have ended. Returns before the platform kills the process, which it does a set
-     * time after the signal at [signalledAtMillis] of the monotonic clock. Calls that still run at the end are
-     * cut off.
+     * time after the signal at [signalledAtMillis] of the monotonic clock. Calls that still run shortly before get an
+     * answer then.
      */
     suspend fun shutdown(signalledAtMillis: Long = clock.nowMillis()) {
         val endAtMillis =
@@ -437,6 +440,7 @@
         draining = true
         callerServer.beginDrain()
         passedCallServer.beginDrain()
+        stop.begin(endAtMillis - LAST_ANSWER_MILLIS)
         // The store may be slow, and callers must not wait for it.
         val leases =
             scope.launch {
@@ -444,10 +448,17 @@
                 versionRolloutAgent?.stop()
             }
         delayUntil(signalledAtMillis + ROTATION_EXIT_MILLIS)
+        stop.onRotationLeft()
+        val lastAnswers =
+            scope.launch {
+                delayUntil(stop.endAtMillis)
+                stop.endCalls()
+            }
         coroutineScope {
             launch { passedCallServer.drain(endAtMillis - clock.nowMillis()) }
             callerServer.drain(endAtMillis - clock.nowMillis())
         }
+        lastAnswers.cancel()
         relay.logUnfinished()
         withTimeoutOrNull(endAtMillis - clock.nowMillis()) {
             leases.join()
@@ -632,6 +643,9 @@
         /** The platform's load balancer probes readiness every second and removes an instance after two failures. */
         const val ROTATION_EXIT_MILLIS: Long = 2_600
 
+        /** Time for the answers of calls that the end of the instance cuts short to reach their callers. */
+        const val LAST_ANSWER_MILLIS: Long = 200
+
         /** Time between the end of the drain and the time at which the platform kills the process. */
         const val SHUTDOWN_MARGIN_MILLIS: Long = 400
 
--- a/src/main/kotlin/lacewingweir/transport/relay/CallAdmission.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallAdmission.kt
@@ -26,6 +26,7 @@
     private val rateLimiter: FleetRateLimiter,
     private val quarantine: CrashQuarantine,
     private val limits: () -> RelayLimits,
+    private val stop: InstanceStop,
 ) {
     sealed interface Check {
         class Passed(
@@ -38,14 +39,19 @@
         ) : Check
     }
 
-    /** Checks route, key, standing and rate. Refuses the call and returns null if a check fails. */
+    /** Checks route, key, time, standing and rate. Refuses the call and returns null if a check fails. */
     suspend fun admit(state: CallState): Admitted? =
         when (val checked = checkRouteAndKey(state.call)) {
             is Check.Refused -> state.refuse(checked.refusal, checked.retryAfterMillis)
             is Check.Passed -> {
                 state.route = checked.admitted.route
                 state.customer = checked.admitted.customer?.id
+                state.deadlineAtMillis =
+                    state.call.arrivedAtMillis +
+                    minOf(state.call.callerTimeoutMillis ?: Long.MAX_VALUE, checked.admitted.route.timeoutMillis)
                 when {
+                    stop.isTooLateFor(state.deadlineAtMillis) ->
+                        state.refuse(RelayRefusal.STOPPING, limits().stoppingRetryMillis)
                     !isAllowed(state) -> null
                     // The rate counts a call where its caller sent it.
                     state.passOrigin != null -> checked.admitted
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -41,7 +41,7 @@
  *
  * Each send uses the newest configuration known when it starts. A call that can't be sent again ends immediately with
  * an error. If [reach] finds that this instance is cut off from the endpoints of a service, [passer] passes calls on to
- * another instance; without them, no call is passed on. [awaitDisconnects] returns once the connections of callers that
+ * another instance; without them, no call is passed on. No call goes on beyond the end of [stop]. [awaitDisconnects] returns once the connections of callers that
  * have left by now are known to be closed.
  */
 internal class CallRelay(
@@ -60,9 +60,10 @@
     private val reach: ReachMonitor? = null,
     private val passer: CallPasser? = null,
     private val onAnswer: ((VersionAnswer) -> Unit)? = null,
+    private val stop: InstanceStop = InstanceStop(clock),
     private val awaitDisconnects: suspend () -> Unit,
 ) {
-    private val admission = CallAdmission(directory, proof, rateLimiter, quarantine, limits)
+    private val admission = CallAdmission(directory, proof, rateLimiter, quarantine, limits, stop)
     private val unfinished: MutableSet<CallState> = ConcurrentHashMap.newKeySet()
 
     /**
@@ -74,7 +75,7 @@
         exchange: ServerExchange,
         passOrigin: PassOrigin? = null,
     ) {
-        val state = CallState(call, exchange, directory, proof, clock, limits, random, passOrigin)
+        val state = CallState(call, exchange, directory, proof, clock, limits, random, passOrigin, stop)
         unfinished += state
         try {
             serve(state)
@@ -110,9 +111,6 @@
             // The outcome of a non-idempotent call that was sent could not be determined after a cancellation.
             if (admitted.route.kind != RequestKind.NON_IDEMPOTENT) job.cancel()
         }
-        state.deadlineAtMillis =
-            state.call.arrivedAtMillis +
-            minOf(state.call.callerTimeoutMillis ?: Long.MAX_VALUE, admitted.route.timeoutMillis)
         awaitDisconnects()
         val service = serviceOf(state, admitted.route)
         if (state.passOrigin == null) repeatBudgets.onRequest(service)
@@ -154,7 +152,7 @@
         if (passer?.applies(state, service) != true) return PassOutcome.NotSent("not cut off")
         var outcome: PassOutcome = PassOutcome.Unknown("out of time")
         try {
-            withTimeoutOrNull(state.remainingMillis) { passer.pass(state, service, admitted.route.repeatable) }
+            withinTime(state.remainingMillis) { passer.pass(state, service, admitted.route.repeatable) }
                 ?.let { outcome = it }
         } finally {
             if (outcome !is PassOutcome.NotSent) state.onPassed()
@@ -411,7 +409,7 @@
         try {
             val lastEvent = state.progress.lastNumber
             val outcome =
-                withTimeoutOrNull(timeoutMillis) { send(state, admitted, outbound, reservation) }
+                withinTime(timeoutMillis) { send(state, admitted, outbound, reservation) }
                     ?: SendOutcome.Broken("out of time", outOfTime = true)
             if (outcome is SendOutcome.NotRun && !outcome.refused) onUnreachable(reservation.endpoint)
             if (outcome is SendOutcome.Broken && !outcome.givenUp) state.onRead()
@@ -432,6 +430,12 @@
         }
     }
 
+    /** Returns the result of [block], or null if it takes longer than [timeoutMillis] or until the instance ends. */
+    private suspend fun <T : Any> withinTime(
+        timeoutMillis: Long,
+        block: suspend () -> T,
+    ): T? = stop.beforeEnd { withTimeoutOrNull(timeoutMillis) { block() } }
+
     /** Finds out whether other endpoints can be reached before the call is sent to one. */
     private suspend fun onUnreachable(endpoint: EndpointEntry) {
         reach?.onUnreachable(endpoint)
--- a/src/main/kotlin/lacewingweir/transport/relay/CallState.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallState.kt
@@ -33,6 +33,7 @@
     private val limits: () -> RelayLimits,
     private val random: Random,
     val passOrigin: PassOrigin? = null,
+    private val stop: InstanceStop = InstanceStop(clock),
 ) {
     val progress = StreamProgress(exchange)
     var route: RoutePolicy? = null
@@ -182,7 +183,7 @@
     }
 
     val remainingMillis: Long
-        get() = deadlineAtMillis - clock.nowMillis()
+        get() = stop.remainingMillis(deadlineAtMillis)
 
     /** Ends the call without another send: refuses it as [refusal], or calls [fail] if it may have run. */
     suspend fun refuseOrFail(
--- a/src/main/kotlin/lacewingweir/transport/relay/RelayLimits.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/RelayLimits.kt
@@ -27,4 +27,5 @@
     val cannotContinueRetryMillis: Long = 2_000,
     val unknownOriginRetryMillis: Long = 500,
     val noShareRetryMillis: Long = 500,
+    val stoppingRetryMillis: Long = 20,
 )
