Add a soak of routers that stop and start in series

StopPlay runs route processes under callers that keep connections until they end, pipeline, send in pieces and read slowly, with SIGTERM, second SIGTERM, SIGHUP, pauses of up to 500 ms and SIGKILL drawn from a seed, while the configuration changes. It judges lost requests from outside by the rule of the platform, and checks that refused requests weren't received and none was reserved twice.

--- /dev/null
+++ b/src/test/kotlin/lacewingweir/platform/StopPlay.kt
@@ -0,0 +1,399 @@
+/**
+ * Router processes that are stopped and started again in series, with signals drawn from a seed, under the load of
+ * callers that keep their connections until they end.
+ *
+ * What callers see is judged from outside, by the rule of the platform on planned work: a request whose connection ends
+ * without a complete answer is lost if an endpoint had received it, or if the end came more than 200 ms after its last
+ * byte.
+ */
+package lacewingweir.platform
+
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.serialization.json.Json
+import lacewingweir.protocol.settings.PlatformBounds
+import lacewingweir.protocol.settings.RouterSettings
+import lacewingweir.testing.ProgramProcess
+import java.io.File
+import java.io.IOException
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.concurrent.thread
+import kotlin.random.Random
+
+/** A play of [seconds] with this number of [routers]. */
+internal class StopPlay(
+    private val seed: Long,
+    private val routers: Int = 3,
+    private val callersPerRouter: Int = 16,
+    private val seconds: Int = 30,
+) : AutoCloseable {
+    private val random = Random(seed)
+    private val group = MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory())
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val store = StandinKeyValueStore(group, scope)
+    private val engines = List(2) { StandinPromptEngine("e$it", group, scope, store) }
+    private val desks = List(2) { StandinPromptEngine("d$it", group, scope, store, service = "desk") }
+    private val subnet = "127.${100 + seed % 100}.${1 + ProcessHandle.current().pid() % 250}"
+    private val nodes = List(routers) { Node(it) }
+    private val ids = AtomicLong(seed shl 32)
+    private val outcomes = ConcurrentHashMap<String, Long>()
+    private val unanswered = ConcurrentLinkedQueue<Unanswered>()
+    private val refused = ConcurrentLinkedQueue<String>()
+    private val endNanos = AtomicLong(Long.MAX_VALUE)
+
+    private val isOver: Boolean
+        get() = System.nanoTime() >= endNanos.get()
+
+    /** A request whose connection ended without a complete answer. [closeAnnounced] by the response before it. */
+    private class Unanswered(
+        val id: String,
+        val node: Node,
+        val kind: String,
+        val sentAtMillis: Long,
+        val endedAtMillis: Long,
+        val closeAnnounced: Boolean,
+        val seen: String,
+    )
+
+    private inner class Node(
+        private val index: Int,
+    ) {
+        val host = "$subnet.${index + 1}"
+        val stops = CopyOnWriteArrayList<Long>()
+        private val settings = File.createTempFile("stop-play-", ".json").also { it.deleteOnExit() }
+
+        @Volatile
+        private var process: ProgramProcess? = null
+
+        @Volatile
+        var inRotation = false
+
+        fun start() {
+            val values =
+                RouterSettings(
+                    name = "node-$index",
+                    failureDomain = "z1",
+                    host = host,
+                    callerListen = "$host:$CALLER_PORT",
+                    readinessListen = "$host:$READINESS_PORT",
+                    internalPorts = listOf(INTERNAL_PORT),
+                    storeAddress = store.address,
+                    bounds = PlatformBounds(repeatRatio = 0.2, repeatExtra = 56.0),
+                )
+            settings.writeText(Json.encodeToString(RouterSettings.serializer(), values))
+            process = ProgramProcess.start("stop-play-$seed-$index", "route", "--settings", settings.path)
+        }
+
+        fun isReady(): Boolean =
+            try {
+                StutterCaller(host, READINESS_PORT).use { caller ->
+                    caller.send("GET /lacewingweir/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+                    caller.read("ready").status == STATUS_OK
+                }
+            } catch (_: IOException) {
+                false
+            }
+
+        /** Stops the process as the platform does: with SIGKILL if SIGTERM doesn't end it in time. */
+        fun stop(plan: StopPlan) {
+            val stopped = checkNotNull(process)
+            if (plan.hangUpFirst) stopped.hangUp()
+            stops += nowMillis()
+            stopped.beginTermination()
+            val signals = thread { plan.disturbances.forEach { disturb(stopped, it) } }
+            val exitCode = stopped.awaitExit(GRACE_SECONDS)
+            if (exitCode == null) {
+                count("killed after the grace period")
+                stopped.kill()
+            }
+            signals.join()
+        }
+
+        private fun disturb(
+            stopped: ProgramProcess,
+            disturbance: Disturbance,
+        ) {
+            TimeUnit.MILLISECONDS.sleep(stops.last() + disturbance.atMillis - nowMillis())
+            if (!stopped.isAlive) return
+            try {
+                when (disturbance.kind) {
+                    "term" -> stopped.beginTermination()
+                    "hup" -> stopped.hangUp()
+                    else -> {
+                        stopped.pause()
+                        Thread.sleep(disturbance.forMillis)
+                        stopped.resume()
+                    }
+                }
+            } catch (_: IllegalStateException) {
+                // The process has ended since.
+            }
+        }
+
+        fun close() {
+            process?.close()
+        }
+    }
+
+    private class Disturbance(
+        val kind: String,
+        val atMillis: Long,
+        val forMillis: Long,
+    )
+
+    private class StopPlan(
+        val afterMillis: Long,
+        val hangUpFirst: Boolean,
+        val disturbances: List<Disturbance>,
+    )
+
+    private fun drawStop() =
+        StopPlan(
+            afterMillis = random.nextLong(3_000),
+            hangUpFirst = random.nextInt(3) == 0,
+            disturbances =
+                List(random.nextInt(4)) {
+                    // Half of the pauses begin just before idle connections are closed.
+                    val atClose = random.nextBoolean()
+                    Disturbance(
+                        kind = listOf("term", "hup", "pause", "pause", "pause")[random.nextInt(5)],
+                        atMillis = if (atClose) random.nextLong(2_200, 2_700) else random.nextLong(7_000),
+                        forMillis = random.nextLong(50, 500),
+                    )
+                }.sortedBy { it.atMillis },
+        )
+
+    private fun count(outcome: String) = outcomes.merge(outcome, 1, Long::plus)
+
+    /** Plays, and returns what broke a rule. */
+    fun run(): List<String> {
+        store.write("op/config", CONFIG)
+        val eventMillis = listOf(20L, 60L, 110L)[random.nextInt(3)]
+        engines.forEach {
+            it.events = EVENTS
+            it.eventMillis = eventMillis
+            it.start()
+        }
+        desks.forEach {
+            it.prefillMillis = random.nextLong(20, 400)
+            it.start()
+        }
+        nodes.forEach { it.start() }
+        val startNanos = System.nanoTime()
+        while (!nodes.all { it.isReady() }) {
+            check(System.nanoTime() - startNanos < TimeUnit.SECONDS.toNanos(START_SECONDS)) { "routers aren't ready" }
+            Thread.sleep(POLL_MILLIS)
+        }
+        nodes.forEach { it.inRotation = true }
+        endNanos.set(System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds.toLong()))
+        val plans = nodes.map { node -> node to List(MAX_STOPS) { drawStop() } }
+        val callerSeeds = List(routers * callersPerRouter) { random.nextLong() }
+        val threads =
+            nodes.map { thread { balance(it) } } +
+                plans.map { (node, drawn) -> thread { operate(node, drawn) } } +
+                callerSeeds.map { thread { callUntilEnd(Random(it)) } } +
+                thread { changeConfiguration() }
+        threads.forEach { it.join() }
+        return judge()
+    }
+
+    /** Takes a node out of rotation after two probes in a row without success, as the platform's load balancer does. */
+    private fun balance(node: Node) {
+        var misses = 0
+        while (!isOver) {
+            misses = if (node.isReady()) 0 else misses + 1
+            node.inRotation = misses < 2
+            Thread.sleep(PROBE_MILLIS)
+        }
+    }
+
+    private fun operate(
+        node: Node,
+        plans: List<StopPlan>,
+    ) {
+        for (plan in plans) {
+            Thread.sleep(plan.afterMillis)
+            if (isOver) return
+            // Callers need an instance that goes on.
+            if (nodes.count { it.inRotation } <= 1) continue
+            node.stop(plan)
+            count("stops")
+            node.start()
+        }
+    }
+
+    private fun changeConfiguration() {
+        var version = 1
+        while (!isOver) {
+            Thread.sleep(CHANGE_MILLIS)
+            store.write("op/config", CONFIG.replaceFirst("\"version\":1", "\"version\":${++version}"))
+        }
+    }
+
+    private fun callUntilEnd(random: Random) {
+        while (!isOver) {
+            val node = nodes.filter { it.inRotation }.ifEmpty { nodes }.random(random)
+            val caller =
+                try {
+                    StutterCaller(node.host, CALLER_PORT)
+                } catch (_: IOException) {
+                    count("port closed")
+                    Thread.sleep(RECONNECT_MILLIS)
+                    continue
+                }
+            caller.use { useConnection(node, it, random) }
+        }
+    }
+
+    private fun useConnection(
+        node: Node,
+        caller: StutterCaller,
+        random: Random,
+    ) {
+        while (caller.open && !isOver) {
+            // Some connections are idle for longer than the load balancer needs to notice a stop.
+            Thread.sleep(if (random.nextInt(4) == 0) random.nextLong(4_000) else random.nextLong(600))
+            if (caller.hasEnded()) return
+            val pipelined = if (random.nextInt(8) == 0) 2 else 1
+            val requests = List(pipelined) { Request("%016x".format(ids.incrementAndGet()), random) }
+            try {
+                sendInPieces(requests.joinToString("") { it.text }, caller, random)
+            } catch (_: IOException) {
+                count("not sent")
+                return
+            }
+            val sentAtMillis = nowMillis()
+            if (random.nextInt(6) == 0 && caller.awaitByte()) Thread.sleep(random.nextLong(400))
+            var open = true
+            for (request in requests) {
+                val seen = caller.read(request.id)
+                if (seen.complete) {
+                    count("status ${seen.status}")
+                    if (seen.status == STATUS_NOT_RUN) refused += request.id
+                } else {
+                    unanswered +=
+                        Unanswered(request.id, node, request.kind, sentAtMillis, nowMillis(), !open, seen.toString())
+                }
+                open = caller.open
+            }
+        }
+    }
+
+    private fun sendInPieces(
+        text: String,
+        caller: StutterCaller,
+        random: Random,
+    ) {
+        val cuts =
+            List(
+                if (random.nextInt(3) ==
+                    0
+                ) {
+                    random.nextInt(1, 4)
+                } else {
+                    0
+                },
+            ) { random.nextInt(text.length) }.sorted()
+        for ((from, to) in (listOf(0) + cuts).zip(cuts + text.length)) {
+            if (from > 0) Thread.sleep(random.nextLong(150))
+            caller.send(text.substring(from, to))
+        }
+    }
+
+    private class Request(
+        val id: String,
+        random: Random,
+    ) {
+        val kind: String = KINDS[random.nextInt(KINDS.size)]
+        private val body = kind.repeat(if (random.nextInt(10) == 0) LARGE_BODY_REPEATS else 1 + random.nextInt(20))
+        private val prompt =
+            if (kind in STREAMS) "Model: m\r\nToken-Counts: 300,20\r\nPrompt-Prefix: sys:100,last$id:100\r\n" else ""
+        val text: String =
+            "POST /$kind/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: $id\r\nX-Api-Key: k1\r\nDeadline-Ms: 5000\r\n" +
+                "${prompt}Content-Length: ${body.length}\r\n\r\n$body"
+    }
+
+    private fun judge(): List<String> {
+        val arrivals = (engines + desks).flatMap { it.arrivals }.groupBy { it.requestId }
+        val lost =
+            unanswered.mapNotNull { request ->
+                val passedOn = request.id in arrivals
+                val afterMillis = request.endedAtMillis - request.sentAtMillis
+                val stoppedAt = request.node.stops.lastOrNull { it <= request.endedAtMillis }
+                val isAllowed =
+                    if (passedOn) {
+                        stoppedAt != null &&
+                            request.sentAtMillis <= stoppedAt + LATEST_EXEMPT_MILLIS &&
+                            request.endedAtMillis >= stoppedAt + EXEMPT_CUT_MILLIS
+                    } else {
+                        request.closeAnnounced || afterMillis <= LOSS_SLACK_MILLIS
+                    }
+                val sinceStop = stoppedAt?.let { request.sentAtMillis - it }
+                count(if (isAllowed) "cut, allowed" else "lost")
+                if (isAllowed) {
+                    null
+                } else {
+                    "lost: ${request.kind} ${request.id} at ${request.node.host}, sent $sinceStop ms after SIGTERM, cut " +
+                        "$afterMillis ms later, passed on=$passedOn, ${request.seen.take(SHOWN_CHARACTERS)}"
+                }
+            }
+        val untrue = refused.filter { it in arrivals }.map { "refused as not run, but received: $it" }
+        val twice =
+            arrivals
+                .filterValues { it.size > 1 && it.first().body.startsWith(RESERVATION) }
+                .map { "reserved twice: ${it.key}" }
+        println(
+            "stop play: seed=$seed routers=$routers callers=${routers * callersPerRouter} ${outcomes.toSortedMap()}",
+        )
+        return lost + untrue + twice
+    }
+
+    private fun nowMillis() = StandinPromptEngine.nowMillis()
+
+    override fun close() {
+        endNanos.set(0)
+        nodes.forEach { it.close() }
+        (engines + desks).forEach { it.close() }
+        store.close()
+        scope.cancel()
+        group.shutdownGracefully(100, 1_000, TimeUnit.MILLISECONDS)
+    }
+
+    private companion object {
+        const val CALLER_PORT = 8_606
+        const val READINESS_PORT = 8_605
+        const val INTERNAL_PORT = 7_600
+        const val STATUS_OK = 200
+        const val STATUS_NOT_RUN = 503
+        const val EVENTS = 20
+        const val MAX_STOPS = 20
+        const val START_SECONDS = 60L
+        const val POLL_MILLIS = 100L
+        const val PROBE_MILLIS = 1_000L
+        const val CHANGE_MILLIS = 2_500L
+        const val RECONNECT_MILLIS = 50L
+        const val LARGE_BODY_REPEATS = 20_000
+        const val SHOWN_CHARACTERS = 200
+
+        /** The terms of the platform: grace period, slack of a cut, and the exemption of requests sent early. */
+        const val GRACE_SECONDS = 8L
+        const val LOSS_SLACK_MILLIS = 200L
+        const val LATEST_EXEMPT_MILLIS = 3_000L
+        const val EXEMPT_CUT_MILLIS = GRACE_SECONDS * 1_000 * 5 / 6
+        const val RESERVATION = "reserve"
+        val STREAMS = setOf("tag", "plan")
+        val KINDS = listOf("tag", "plan", "lookup", RESERVATION)
+        const val PLAN_ROUTE =
+            """{"name":"plan","host":"h.example","prefix":"/plan/","kind":"stream","timeoutMs":15000,
+            "latencyTargetMs":1000,"priority":1,"service":"engine","maxAttempts":1,"public":false,"resumable":false},"""
+        val CONFIG = RouterFleet.CONFIG.replace("""{"name":"lookup"""", """$PLAN_ROUTE{"name":"lookup"""")
+    }
+}
--- a/src/test/kotlin/lacewingweir/platform/StutterCaller.kt
+++ b/src/test/kotlin/lacewingweir/platform/StutterCaller.kt
@@ -73,6 +73,34 @@
             null
         }
 
+    /** Waits for the next byte. Returns false if the server ends the connection instead. */
+    fun awaitByte(): Boolean = probe(READ_TIMEOUT_MILLIS) != Probe.ENDED
+
+    /** Returns whether the server has ended the connection by now. */
+    fun hasEnded(): Boolean = probe(timeoutMillis = 1) == Probe.ENDED
+
+    private enum class Probe {
+        BYTE,
+        SILENT,
+        ENDED,
+    }
+
+    /** Finds out what comes next within [timeoutMillis], and leaves it to be read. */
+    private fun probe(timeoutMillis: Int): Probe =
+        try {
+            socket.soTimeout = timeoutMillis
+            input.mark(1)
+            val byte = input.read()
+            input.reset()
+            if (byte < 0) Probe.ENDED else Probe.BYTE
+        } catch (_: SocketTimeoutException) {
+            Probe.SILENT
+        } catch (_: IOException) {
+            Probe.ENDED
+        } finally {
+            socket.soTimeout = READ_TIMEOUT_MILLIS
+        }
+
     private fun readBody(
         headers: Map<String, String>,
         body: StringBuilder,
--- a/src/test/kotlin/lacewingweir/testing/ProgramProcess.kt
+++ b/src/test/kotlin/lacewingweir/testing/ProgramProcess.kt
@@ -35,6 +35,11 @@
     fun awaitExit(timeoutSeconds: Long = EXIT_TIMEOUT_SECONDS): Int? =
         if (process.waitFor(timeoutSeconds, TimeUnit.SECONDS)) process.exitValue() else null
 
+    /** Sends SIGTERM and doesn't wait for the process to exit. */
+    fun beginTermination() = signal("TERM")
+
+    fun hangUp() = signal("HUP")
+
     fun pause() = signal("STOP")
 
     fun resume() = signal("CONT")
