Read a pooled connection before it is used again

The same cause as in closing idle connections: a pooled connection counted as usable though its server had ended it, if the event loop had not read that. The request was sent, and its outcome was unknown: 502 for a booking, a repeat for other calls.

The connection is read before it is taken from the pool, if that happens on its event loop, as it does in a router with one. ReadArrived is the one place for this now.

--- a/src/main/kotlin/lacewingweir/transport/http/ClientConnection.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ClientConnection.kt
@@ -418,7 +418,10 @@
             close()
             return false
         }
-        return state.compareAndSet(IDLE, BUSY) && context?.channel()?.isActive == true
+        val channel = context?.channel() ?: return false
+        // The server may have ended the connection while the event loop was held up.
+        if (channel.eventLoop().inEventLoop()) channel.readArrived()
+        return state.compareAndSet(IDLE, BUSY) && channel.isActive
     }
 
     /** Returns how long the connection can stay idle after [response] before the server may close it. */
--- a/src/main/kotlin/lacewingweir/transport/http/HttpServer.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/HttpServer.kt
@@ -11,7 +11,6 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.group.DefaultChannelGroup
-import io.netty.channel.nio.AbstractNioChannel
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
@@ -206,7 +205,7 @@
     private fun closeBehindBacklog(channel: Channel) {
         do {
             val acceptedBefore = accepted.get()
-            if (channel.isOpen) (channel.unsafe() as AbstractNioChannel.NioUnsafe).read()
+            if (channel.isOpen) channel.readArrived()
         } while (accepted.get() > acceptedBefore)
         channel.close()
     }
--- a/src/main/kotlin/lacewingweir/transport/http/ServerConnectionHandler.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ServerConnectionHandler.kt
@@ -6,7 +6,6 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
-import io.netty.channel.nio.AbstractNioChannel
 import io.netty.handler.codec.TooLongFrameException
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpContent
@@ -262,15 +261,10 @@
     private fun isIdle(ctx: ChannelHandlerContext) =
         current == null && !ignoring && !codec.isReceiving && isFlushed(ctx)
 
-    /**
-     * Reads and handles what the system has received, and returns whether that was anything.
-     *
-     * An event loop that gets no processor time between selecting its connections and running its tasks knows nothing
-     * of what has arrived meanwhile.
-     */
+    /** Reads and handles what the system has received, and returns whether that was anything. */
     private fun readArrived(ctx: ChannelHandlerContext): Boolean {
         val before = codec.readBytes
-        (ctx.channel().unsafe() as AbstractNioChannel.NioUnsafe).read()
+        ctx.channel().readArrived()
         return codec.readBytes > before
     }
 
