--- a/src/test/kotlin/lacewingweir/platform/StopPlay.kt
+++ b/src/test/kotlin/lacewingweir/platform/StopPlay.kt
@@ -341,8 +341,8 @@
                 if (isAllowed) {
                     null
                 } else {
-                    "lost: ${request.kind} ${request.id} at ${request.node.host}, sent $sinceStop ms after SIGTERM, cut " +
-                        "$afterMillis ms later, passed on=$passedOn, ${request.seen.take(SHOWN_CHARACTERS)}"
+                    "lost: ${request.kind} ${request.id} at ${request.node.host}, sent $sinceStop ms after SIGTERM, " +
+                        "cut $afterMillis ms later, passed on=$passedOn, ${request.seen.take(SHOWN_CHARACTERS)}"
                 }
             }
         val untrue = refused.filter { it in arrivals }.map { "refused as not run, but received: $it" }
