Split the stop soak, and leave the store time at the end of a stop

StoppableRouter has the process and its signals, StopPlay the callers and the judge. The leases and the registration get at least 0.2 s at the end of a stop that took its whole time; before, they got none.

--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -460,7 +460,7 @@
         }
         lastAnswers.cancel()
         relay.logUnfinished()
-        withTimeoutOrNull(endAtMillis - clock.nowMillis()) {
+        withTimeoutOrNull(maxOf(endAtMillis - clock.nowMillis(), LEAVE_MILLIS)) {
             leases.join()
             registration.stop()
         }
@@ -646,6 +646,9 @@
         /** Time for the answers of calls that the end of the instance cuts short to reach their callers. */
         const val LAST_ANSWER_MILLIS: Long = 200
 
+        /** Least time to end the leases at the store. */
+        const val LEAVE_MILLIS: Long = 200
+
         /** Time between the end of the drain and the time at which the platform kills the process. */
         const val SHUTDOWN_MARGIN_MILLIS: Long = 400
 
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -41,8 +41,8 @@
  *
  * Each send uses the newest configuration known when it starts. A call that can't be sent again ends immediately with
  * an error. If [reach] finds that this instance is cut off from the endpoints of a service, [passer] passes calls on to
- * another instance; without them, no call is passed on. No call goes on beyond the end of [stop]. [awaitDisconnects] returns once the connections of callers that
- * have left by now are known to be closed.
+ * another instance; without them, no call is passed on. No call goes on beyond the end of [stop]. [awaitDisconnects]
+ * returns once the connections of callers that have left by now are known to be closed.
  */
 internal class CallRelay(
     private val directory: FleetDirectory,
--- a/src/test/kotlin/lacewingweir/platform/StopPlay.kt
+++ b/src/test/kotlin/lacewingweir/platform/StopPlay.kt
@@ -14,15 +14,9 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
-import kotlinx.serialization.json.Json
-import lacewingweir.protocol.settings.PlatformBounds
-import lacewingweir.protocol.settings.RouterSettings
-import lacewingweir.testing.ProgramProcess
-import java.io.File
 import java.io.IOException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
-import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.concurrent.thread
@@ -42,7 +36,7 @@
     private val engines = List(2) { StandinPromptEngine("e$it", group, scope, store) }
     private val desks = List(2) { StandinPromptEngine("d$it", group, scope, store, service = "desk") }
     private val subnet = "127.${100 + seed % 100}.${1 + ProcessHandle.current().pid() % 250}"
-    private val nodes = List(routers) { Node(it) }
+    private val nodes = List(routers) { StoppableRouter("node-$seed-$it", "$subnet.${it + 1}", store.address) }
     private val ids = AtomicLong(seed shl 32)
     private val outcomes = ConcurrentHashMap<String, Long>()
     private val unanswered = ConcurrentLinkedQueue<Unanswered>()
@@ -60,7 +54,7 @@
      */
     private class Unanswered(
         val id: String,
-        val node: Node,
+        val node: StoppableRouter,
         val kind: String,
         times: List<Long>,
         val closeAnnounced: Boolean,
@@ -71,114 +65,6 @@
         val outOfTime = endedAtMillis - times[0] >= TIME_LIMITS_MILLIS.getValue(kind)
     }
 
-    private inner class Node(
-        private val index: Int,
-    ) {
-        val host = "$subnet.${index + 1}"
-        val stops = CopyOnWriteArrayList<Long>()
-        private val settings = File.createTempFile("stop-play-", ".json").also { it.deleteOnExit() }
-
-        @Volatile
-        private var process: ProgramProcess? = null
-
-        @Volatile
-        var inRotation = false
-
-        fun start() {
-            val values =
-                RouterSettings(
-                    name = "node-$index",
-                    failureDomain = "z1",
-                    host = host,
-                    callerListen = "$host:$CALLER_PORT",
-                    readinessListen = "$host:$READINESS_PORT",
-                    internalPorts = listOf(INTERNAL_PORT),
-                    storeAddress = store.address,
-                    bounds = PlatformBounds(repeatRatio = 0.2, repeatExtra = 56.0),
-                )
-            settings.writeText(Json.encodeToString(RouterSettings.serializer(), values))
-            process = ProgramProcess.start("stop-play-$seed-$index", "route", "--settings", settings.path)
-        }
-
-        fun isReady(): Boolean =
-            try {
-                StutterCaller(host, READINESS_PORT).use { caller ->
-                    caller.send("GET /lacewingweir/ready HTTP/1.1\r\nHost: h\r\n\r\n")
-                    caller.read("ready").status == STATUS_OK
-                }
-            } catch (_: IOException) {
-                false
-            }
-
-        /** Stops the process as the platform does: with SIGKILL if SIGTERM doesn't end it in time. */
-        fun stop(plan: StopPlan) {
-            val stopped = checkNotNull(process)
-            if (plan.hangUpFirst) stopped.hangUp()
-            stops += nowMillis()
-            stopped.beginTermination()
-            val signals = thread { plan.disturbances.forEach { disturb(stopped, it) } }
-            val exitCode = stopped.awaitExit(GRACE_SECONDS)
-            if (exitCode == null) {
-                count("killed after the grace period")
-                stopped.kill()
-            }
-            signals.join()
-        }
-
-        private fun disturb(
-            stopped: ProgramProcess,
-            disturbance: Disturbance,
-        ) {
-            TimeUnit.MILLISECONDS.sleep(stops.last() + disturbance.atMillis - nowMillis())
-            if (!stopped.isAlive) return
-            try {
-                when (disturbance.kind) {
-                    "term" -> stopped.beginTermination()
-                    "hup" -> stopped.hangUp()
-                    else -> {
-                        stopped.pause()
-                        Thread.sleep(disturbance.forMillis)
-                        stopped.resume()
-                    }
-                }
-            } catch (_: IllegalStateException) {
-                // The process has ended since.
-            }
-        }
-
-        fun close() {
-            process?.close()
-        }
-    }
-
-    private class Disturbance(
-        val kind: String,
-        val atMillis: Long,
-        val forMillis: Long,
-    )
-
-    private class StopPlan(
-        val afterMillis: Long,
-        val hangUpFirst: Boolean,
-        val disturbances: List<Disturbance>,
-    )
-
-    private fun drawStop() =
-        StopPlan(
-            afterMillis = random.nextLong(3_000),
-            hangUpFirst = random.nextInt(3) == 0,
-            disturbances =
-                List(random.nextInt(4)) {
-                    // Half of the pauses begin just before idle connections are closed.
-                    val atClose = random.nextBoolean()
-                    Disturbance(
-                        kind = listOf("term", "hup", "pause", "pause", "pause")[random.nextInt(5)],
-                        atMillis = if (atClose) random.nextLong(2_200, 2_700) else random.nextLong(7_000),
-                        forMillis = random.nextLong(50, 500),
-                    )
-                }.sortedBy { it.atMillis },
-        )
-
     private fun count(outcome: String) = outcomes.merge(outcome, 1, Long::plus)
 
     /** Plays, and returns what broke a rule. */
@@ -202,7 +88,7 @@
         }
         nodes.forEach { it.inRotation = true }
         endNanos.set(System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds.toLong()))
-        val plans = nodes.map { node -> node to List(MAX_STOPS) { drawStop() } }
+        val plans = nodes.map { node -> node to List(MAX_STOPS) { StopPlan.draw(random) } }
         val callerSeeds = List(routers * callersPerRouter) { random.nextLong() }
         val threads =
             nodes.map { thread { balance(it) } } +
@@ -214,7 +100,7 @@
     }
 
     /** Takes a node out of rotation after two probes in a row without success, as the platform's load balancer does. */
-    private fun balance(node: Node) {
+    private fun balance(node: StoppableRouter) {
         var misses = 0
         while (!isOver) {
             misses = if (node.isReady()) 0 else misses + 1
@@ -224,7 +110,7 @@
     }
 
     private fun operate(
-        node: Node,
+        node: StoppableRouter,
         plans: List<StopPlan>,
     ) {
         for (plan in plans) {
@@ -232,7 +118,7 @@
             if (isOver) return
             // Callers need an instance that goes on.
             if (nodes.count { it.inRotation } <= 1) continue
-            node.stop(plan)
+            if (node.stop(plan)) count("killed after the grace period")
             count("stops")
             node.start()
         }
@@ -251,7 +137,7 @@
             val node = nodes.filter { it.inRotation }.ifEmpty { nodes }.random(random)
             val caller =
                 try {
-                    StutterCaller(node.host, CALLER_PORT)
+                    StutterCaller(node.host, RouterFleet.CALLER_PORT)
                 } catch (_: IOException) {
                     count("port closed")
                     Thread.sleep(RECONNECT_MILLIS)
@@ -262,7 +148,7 @@
     }
 
     private fun useConnection(
-        node: Node,
+        node: StoppableRouter,
         caller: StutterCaller,
         random: Random,
     ) {
@@ -281,21 +167,27 @@
             }
             val sentAtMillis = nowMillis()
             if (random.nextInt(6) == 0 && caller.awaitByte()) Thread.sleep(random.nextLong(400))
-            var open = true
             for (request in requests) {
+                val openBefore = caller.open
                 val seen = caller.read(request.id)
-                if (seen.complete) {
-                    count("status ${seen.status}")
-                    if (seen.status == STATUS_NOT_RUN) refused += request.id
-                } else {
-                    val times = listOf(begunAtMillis, sentAtMillis, nowMillis())
-                    unanswered += Unanswered(request.id, node, request.kind, times, !open, seen.toString())
-                }
-                open = caller.open
+                val times = listOf(begunAtMillis, sentAtMillis, nowMillis())
+                record(seen, Unanswered(request.id, node, request.kind, times, !openBefore, seen.toString()))
             }
         }
     }
 
+    private fun record(
+        seen: SeenResponse,
+        ifUnanswered: Unanswered,
+    ) {
+        if (!seen.complete) {
+            unanswered += ifUnanswered
+            return
+        }
+        count("status ${seen.status}")
+        if (seen.status == STATUS_NOT_RUN) refused += seen.id
+    }
+
     private fun sendInPieces(
         text: String,
         caller: StutterCaller,
@@ -379,10 +271,6 @@
     }
 
     private companion object {
-        const val CALLER_PORT = 8_606
-        const val READINESS_PORT = 8_605
-        const val INTERNAL_PORT = 7_600
-        const val STATUS_OK = 200
         const val STATUS_NOT_RUN = 503
         const val EVENTS = 20
         const val MAX_STOPS = 20
@@ -394,11 +282,10 @@
         const val LARGE_BODY_REPEATS = 20_000
         const val SHOWN_CHARACTERS = 200
 
-        /** The terms of the platform: grace period, slack of a cut, and the exemption of requests sent early. */
-        const val GRACE_SECONDS = 8L
+        /** The terms of the platform: slack of a cut, and the exemption of requests that are sent early. */
         const val LOSS_SLACK_MILLIS = 200L
         const val LATEST_EXEMPT_MILLIS = 3_000L
-        const val EXEMPT_CUT_MILLIS = GRACE_SECONDS * 1_000 * 5 / 6
+        const val EXEMPT_CUT_MILLIS = StoppableRouter.GRACE_SECONDS * 1_000 * 5 / 6
         const val RESERVATION = "reserve"
         val STREAMS = setOf("tag", "plan")
 
--- a/src/test/kotlin/lacewingweir/platform/StopSoakTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/StopSoakTest.kt
@@ -8,7 +8,8 @@
 /**
  * Guards against requests that routers lose while they are stopped and started in series.
  *
- * Longer runs are started by hand: `-DstopSoak.seeds=1-50 -DstopSoak.routers=6`, with `-DstopSoak.seconds` for each seed.
+ * Longer runs are started by hand: `-DstopSoak.seeds=1-50 -DstopSoak.routers=6 -DstopSoak.seconds=30`, the time of each
+ * seed.
  */
 @Timeout(7_200)
 internal class StopSoakTest {
--- /dev/null
+++ b/src/test/kotlin/lacewingweir/platform/StoppableRouter.kt
@@ -0,0 +1,150 @@
+/** A router process that is stopped and started again as the platform does, with further signals during the stop. */
+package lacewingweir.platform
+
+import kotlinx.serialization.json.Json
+import lacewingweir.protocol.settings.PlatformBounds
+import lacewingweir.protocol.settings.RouterSettings
+import lacewingweir.testing.ProgramProcess
+import java.io.File
+import java.io.IOException
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.concurrent.thread
+import kotlin.random.Random
+
+/** A signal [atMillis] after SIGTERM, or a pause of [forMillis] without processor time. */
+internal class Disturbance(
+    val kind: Kind,
+    val atMillis: Long,
+    val forMillis: Long,
+) {
+    enum class Kind {
+        TERM,
+        HUP,
+        PAUSE,
+    }
+}
+
+/** A stop [afterMillis] after the start, with SIGHUP just before SIGTERM if [hangUpFirst]. */
+internal class StopPlan(
+    val afterMillis: Long,
+    val hangUpFirst: Boolean,
+    val disturbances: List<Disturbance>,
+) {
+    companion object {
+        private val kinds = Disturbance.Kind.entries + Disturbance.Kind.PAUSE + Disturbance.Kind.PAUSE
+
+        fun draw(random: Random) =
+            StopPlan(
+                afterMillis = random.nextLong(3_000),
+                hangUpFirst = random.nextInt(3) == 0,
+                disturbances = List(random.nextInt(4)) { drawDisturbance(random) }.sortedBy { it.atMillis },
+            )
+
+        private fun drawDisturbance(random: Random): Disturbance {
+            val justBeforeIdleConnectionsClose = random.nextBoolean()
+            return Disturbance(
+                kind = kinds.random(random),
+                atMillis =
+                    if (justBeforeIdleConnectionsClose) {
+                        random.nextLong(
+                            2_200,
+                            2_700,
+                        )
+                    } else {
+                        random.nextLong(7_000)
+                    },
+                forMillis = random.nextLong(50, 500),
+            )
+        }
+    }
+}
+
+/** The router at [host], which uses the store at [storeAddress]. */
+internal class StoppableRouter(
+    private val name: String,
+    val host: String,
+    private val storeAddress: String,
+) : AutoCloseable {
+    /** When the router was sent SIGTERM, in milliseconds of the monotonic clock. */
+    val stops = CopyOnWriteArrayList<Long>()
+
+    /** Whether the load balancer sends callers here. */
+    @Volatile
+    var inRotation = false
+    private val settings = File.createTempFile("stop-play-", ".json").also { it.deleteOnExit() }
+
+    @Volatile
+    private var process: ProgramProcess? = null
+
+    fun start() {
+        val values =
+            RouterSettings(
+                name = name,
+                failureDomain = "z1",
+                host = host,
+                callerListen = "$host:${RouterFleet.CALLER_PORT}",
+                readinessListen = "$host:$READINESS_PORT",
+                internalPorts = listOf(INTERNAL_PORT),
+                storeAddress = storeAddress,
+                bounds = PlatformBounds(repeatRatio = 0.2, repeatExtra = 56.0),
+            )
+        settings.writeText(Json.encodeToString(RouterSettings.serializer(), values))
+        process = ProgramProcess.start("stop-play-$name", "route", "--settings", settings.path)
+    }
+
+    fun isReady(): Boolean =
+        try {
+            StutterCaller(host, READINESS_PORT).use { caller ->
+                caller.send("GET /lacewingweir/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+                caller.read("ready").status == STATUS_OK
+            }
+        } catch (_: IOException) {
+            false
+        }
+
+    /** Stops the process with SIGTERM, and returns whether it took SIGKILL at the end of the grace period. */
+    fun stop(plan: StopPlan): Boolean {
+        val stopped = checkNotNull(process)
+        if (plan.hangUpFirst) stopped.hangUp()
+        stops += StandinPromptEngine.nowMillis()
+        stopped.beginTermination()
+        val signals = thread { plan.disturbances.forEach { disturb(stopped, it) } }
+        val needsKill = stopped.awaitExit(GRACE_SECONDS) == null
+        if (needsKill) stopped.kill()
+        signals.join()
+        return needsKill
+    }
+
+    private fun disturb(
+        stopped: ProgramProcess,
+        disturbance: Disturbance,
+    ) {
+        Thread.sleep(maxOf(0, stops.last() + disturbance.atMillis - StandinPromptEngine.nowMillis()))
+        if (!stopped.isAlive) return
+        try {
+            when (disturbance.kind) {
+                Disturbance.Kind.TERM -> stopped.beginTermination()
+                Disturbance.Kind.HUP -> stopped.hangUp()
+                Disturbance.Kind.PAUSE -> {
+                    stopped.pause()
+                    Thread.sleep(disturbance.forMillis)
+                    stopped.resume()
+                }
+            }
+        } catch (_: IllegalStateException) {
+            // The process has ended since.
+        }
+    }
+
+    override fun close() {
+        process?.close()
+    }
+
+    companion object {
+        /** The time that the platform gives a process to end. */
+        const val GRACE_SECONDS = 8L
+        private const val READINESS_PORT = 8_605
+        private const val INTERNAL_PORT = 7_600
+        private const val STATUS_OK = 200
+    }
+}
