Take the listener from its selector before it is closed

The JDK closes a channel that is registered at a selector only when the selector is used again. Until then the system goes on accepting connections, which are reset then.

The listener is deregistered first. One pass of the event loop later its backlog is accepted and it is closed, with nothing in between.

--- a/src/main/kotlin/lacewingweir/transport/http/HttpServer.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/HttpServer.kt
@@ -17,6 +17,7 @@
 import io.netty.handler.timeout.IdleStateHandler
 import io.netty.util.concurrent.GlobalEventExecutor
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -189,25 +190,41 @@
         connections.forEach { if (it.isRegistered) it.pipeline().fireUserEventTriggered(event) }
     }
 
-    /** Stops accepting connections. Open connections are closed after their next response. */
-    private fun stopAccepting() {
+    /** Open connections are closed after their next response. */
+    private fun beginStop() {
         draining = true
         stopped = true
-        val channel = listener ?: return
-        if (channel.eventLoop().inEventLoop()) {
-            closeBehindBacklog(channel)
-        } else {
-            channel.eventLoop().submit { closeBehindBacklog(channel) }.syncUninterruptibly()
+    }
+
+    /**
+     * Closes the listener [channel] behind its backlog, which the system would reset.
+     *
+     * The system goes on accepting connections for a channel that is closed until the selector of the channel is used
+     * again. So the selector has to forget the channel first, which takes one pass of the event loop.
+     */
+    private suspend fun closeBehindBacklog(channel: Channel) {
+        val loop = channel.eventLoop()
+        val closed = CompletableDeferred<Unit>()
+        loop.execute {
+            channel.deregister()
+            loop.schedule(
+                {
+                    acceptBacklog(channel)
+                    channel.close()
+                    closed.complete(Unit)
+                },
+                PASS_MILLIS,
+                TimeUnit.MILLISECONDS,
+            )
         }
+        closed.await()
     }
 
-    /** Closes the listener [channel] after accepting its backlog, which the system would reset. */
-    private fun closeBehindBacklog(channel: Channel) {
+    private fun acceptBacklog(channel: Channel) {
         do {
             val acceptedBefore = accepted.get()
             if (channel.isOpen) channel.readArrived()
         } while (accepted.get() > acceptedBefore)
-        channel.close()
     }
 
     /**
@@ -219,8 +236,9 @@
      * likeliest to send a request while the connection is being closed.
      */
     public suspend fun drain(timeoutMillis: Long): Boolean {
-        stopAccepting()
         val deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis)
+        beginStop()
+        listener?.let { closeBehindBacklog(it) }
         while (!isDrained && System.nanoTime() < deadlineNanos) {
             closeIdleConnections(RECENT_USE_MILLIS)
             delay(DRAIN_POLL_MILLIS)
@@ -236,7 +254,8 @@
         get() = connections.isEmpty() && inFlight.get() == 0
 
     override fun close() {
-        stopAccepting()
+        beginStop()
+        listener?.close()?.syncUninterruptibly()
         connections.close().awaitUninterruptibly()
     }
 
@@ -263,6 +282,9 @@
         const val SEND_BUFFER_BYTES: Int = 256 * 1024
         const val DRAIN_POLL_MILLIS: Long = 20
         const val RECENT_USE_MILLIS: Long = 500
+
+        /** The shortest wait after which an event loop goes on only with another pass over its channels. */
+        const val PASS_MILLIS: Long = 1
         const val LISTEN_RETRY_MILLIS: Long = 200
     }
 }
--- a/src/test/kotlin/lacewingweir/transport/http/RequestLostByIdleCloseTest.kt
+++ b/src/test/kotlin/lacewingweir/transport/http/RequestLostByIdleCloseTest.kt
@@ -151,6 +151,22 @@
         runBlocking { expectThat(drained.await()).isEqualTo(true) }
     }
 
+    /** The system accepts connections for a closed listener until its event loop selects again. */
+    @Test
+    fun `requests on connections that arrive while their server closes its listener are answered`() {
+        holdUpLoop(HOLD_MILLIS)
+        // Both run without a selection in between, since the loop selects behind a long task.
+        val drained = drain()
+        holdUpLoop(HOLD_MILLIS)
+        Thread.sleep(HOLD_MILLIS + PAUSE_MILLIS)
+        val sockets = List(CONNECTIONS) { connect().apply { send(REQUEST) } }
+        val answers = sockets.map { it.readHead().substringBefore("\r\n") }
+        println("closing listener: answers=${answers.groupingBy { it }.eachCount()}")
+        expectThat(answers.filter { it == OK }.size).isEqualTo(CONNECTIONS)
+        sockets.forEach { it.close() }
+        runBlocking { expectThat(drained.await()).isEqualTo(true) }
+    }
+
     /** The head was sent before the server began to drain, so the client doesn't know that the connection ends. */
     @Test
     fun `a request behind a stream that began before the drain is answered`() {
