Announce the end of a connection only behind all that has arrived on it

Found by review: a pipelined request that waits in the system when the response before it says that the connection ends was read and ignored. It is the class of the idle close. While a server drains, the connection is read before the head of a response is built. The listener's close is scheduled when it has been deregistered, and its wait is bounded; a request that is refused at the end isn't logged as unfinished too.

--- a/src/main/kotlin/lacewingweir/transport/http/HttpServer.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/HttpServer.kt
@@ -21,6 +21,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import java.net.InetSocketAddress
 import java.net.SocketAddress
 import java.util.concurrent.TimeUnit
@@ -205,18 +206,12 @@
     private suspend fun closeBehindBacklog(channel: Channel) {
         val loop = channel.eventLoop()
         val closed = CompletableDeferred<Unit>()
-        loop.execute {
-            channel.deregister()
-            loop.schedule(
-                {
-                    acceptBacklog(channel)
-                    channel.close()
-                    closed.complete(Unit)
-                },
-                PASS_MILLIS,
-                TimeUnit.MILLISECONDS,
-            )
+        val close = {
+            acceptBacklog(channel)
+            channel.close()
+            closed.complete(Unit)
         }
+        channel.deregister().addListener { loop.schedule(close, PASS_MILLIS, TimeUnit.MILLISECONDS) }
         closed.await()
     }
 
@@ -238,7 +233,7 @@
     public suspend fun drain(timeoutMillis: Long): Boolean {
         val deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis)
         beginStop()
-        listener?.let { closeBehindBacklog(it) }
+        withTimeoutOrNull(timeoutMillis) { listener?.let { closeBehindBacklog(it) } }
         while (!isDrained && System.nanoTime() < deadlineNanos) {
             closeIdleConnections(RECENT_USE_MILLIS)
             delay(DRAIN_POLL_MILLIS)
--- a/src/main/kotlin/lacewingweir/transport/http/ServerConnectionHandler.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ServerConnectionHandler.kt
@@ -138,7 +138,7 @@
                 headReceivedAtNanos,
                 limits,
                 held,
-                draining = { draining() && waiting == 0 && !codec.isReceiving },
+                draining = { draining() && isLastRequest(ctx) },
                 onUnanswered = { exchange, reason -> closes.record(reason, exchange, use) },
             ) { startNext(ctx) }
         when {
@@ -151,6 +151,12 @@
         }
     }
 
+    /** Returns whether nothing of another request has arrived behind the current one. */
+    private fun isLastRequest(ctx: ChannelHandlerContext): Boolean {
+        if (ctx.channel().eventLoop().inEventLoop()) ctx.channel().readArrived()
+        return waiting == 0 && !codec.isReceiving
+    }
+
     private fun startExchange(exchange: NettyServerExchange) {
         current = exchange
         dispatch(exchange)
@@ -252,7 +258,7 @@
         readArrived(ctx)
         if (!isIdle(ctx)) {
             idleCloses.onInputFound()
-        } else {
+        } else if (ctx.channel().isActive) {
             idleCloses.onClosed()
             ctx.close()
         }
@@ -270,11 +276,9 @@
 
     /** Refuses a request that is still being received, and logs one that is still being handled. */
     private fun endUnfinished(ctx: ChannelHandlerContext) {
+        current?.logUnfinished()
         readArrived(ctx)
-        val unfinished = current
-        if (unfinished != null) {
-            unfinished.logUnfinished()
-        } else if (codec.isReceiving && !ignoring) {
+        if (current == null && codec.isReceiving && !ignoring) {
             reject(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, "server is about to be closed")
         }
     }
--- a/src/test/kotlin/lacewingweir/transport/http/RequestLostByIdleCloseTest.kt
+++ b/src/test/kotlin/lacewingweir/transport/http/RequestLostByIdleCloseTest.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.async
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
@@ -39,7 +40,11 @@
     private val holdAtAcceptMillis = AtomicLong()
     private val server =
         HttpServer(group, scope, "127.0.0.1", 0, ::limits) { exchange ->
-            if (exchange.path == "/stream") stream(exchange) else exchange.respond(200)
+            when (exchange.path) {
+                "/stream" -> stream(exchange)
+                "/slow" -> delay(PAUSE_MILLIS).also { exchange.respond(200) }
+                else -> exchange.respond(200)
+            }
         }.start()
 
     private fun limits(): HttpLimits {
@@ -185,6 +190,19 @@
         }
     }
 
+    @Test
+    fun `a pipelined request that arrived before its connection is announced to end is answered`() {
+        connect().use { socket ->
+            server.beginDrain()
+            socket.send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+            Thread.sleep(PAUSE_MILLIS / 2)
+            holdUpBehindSelect(HOLD_MILLIS)
+            socket.send(REQUEST)
+            expectThat(socket.readHead()).startsWith(OK)
+            expectThat(socket.readHead()).startsWith(OK)
+        }
+    }
+
     @Test
     fun `the first request on a connection that was opened just before its server drains is answered`() {
         connect().use { socket ->
