Refuse no call as not run that another instance may have run

Found by review: a call that is passed on with a possible run was refused with 503 by a stopping instance, and by any other refusal of admission. Such a call now ends as one whose outcome is unknown, wherever it is refused.

--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -173,7 +173,7 @@
         service: ServiceName,
     ): Boolean {
         if (state.sends == 0 || reach?.isCutOff(service) != true || state.progress.started) return false
-        state.refuseOrFail(RelayRefusal.NO_ENDPOINT, limits().noEndpointRetryMillis)
+        state.refuse<Unit>(RelayRefusal.NO_ENDPOINT, limits().noEndpointRetryMillis)
         return true
     }
 
@@ -299,7 +299,7 @@
         val origin = state.progress.origin
         if (origin != null && !canContinue(origin)) {
             streamVersions.recordRefusal()
-            state.refuseOrFail(RelayRefusal.CANNOT_CONTINUE, limits().cannotContinueRetryMillis)
+            state.refuse<Unit>(RelayRefusal.CANNOT_CONTINUE, limits().cannotContinueRetryMillis)
             return null
         }
         while (true) {
@@ -326,10 +326,10 @@
             tracker.closedMillis(if (exhausted && !state.mayHaveRun) request.withoutReceived() else request)
         when {
             exhausted && closedMillis == null -> state.fail()
-            closedMillis != null -> state.refuseOrFail(RelayRefusal.LIMITED, limitedRetryMillis(closedMillis))
+            closedMillis != null -> state.refuse<Unit>(RelayRefusal.LIMITED, limitedRetryMillis(closedMillis))
             clock.nowMillis() >= waitUntilMillis -> {
                 tracker.onRefused(request)
-                state.refuseOrFail(RelayRefusal.NO_ENDPOINT, limits().noEndpointRetryMillis)
+                state.refuse<Unit>(RelayRefusal.NO_ENDPOINT, limits().noEndpointRetryMillis)
             }
             else -> return false
         }
@@ -382,10 +382,12 @@
         if (refused == null && reservation.expectedMillis <= usableMillis) return reservation
         reservation.end(ReservationOutcome.NOT_SENT)
         if (refused != null) {
-            state.refuseOrFail(refused.refusal, refused.retryAfterMillis)
+            state.refuse<Unit>(refused.refusal, refused.retryAfterMillis)
+        } else if (stop.endAtMillis < state.deadlineAtMillis) {
+            state.refuse<Unit>(RelayRefusal.STOPPING, limits().stoppingRetryMillis)
         } else {
             val excessMillis = (reservation.expectedMillis - usableMillis).toLong()
-            state.refuseOrFail(RelayRefusal.OVERLOADED, maxOf(excessMillis, limits().overloadRetryMillis))
+            state.refuse<Unit>(RelayRefusal.OVERLOADED, maxOf(excessMillis, limits().overloadRetryMillis))
         }
         return null
     }
--- a/src/main/kotlin/lacewingweir/transport/relay/CallState.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallState.kt
@@ -166,11 +166,18 @@
         repeatCause = RepeatCause.BROKEN
     }
 
-    /** Refuses the call. Always returns null, so that a function can return the result in place of a value. */
+    /**
+     * Refuses the call, or calls [fail] if it may have run, because a refusal says that it has not. Always returns
+     * null, so that a function can return the result in place of a value.
+     */
     suspend fun <T> refuse(
         refusal: RelayRefusal,
         retryAfterMillis: Long,
     ): T? {
+        if (mayHaveRun) {
+            fail()
+            return null
+        }
         val retryAfter =
             String.format(
                 Locale.ROOT,
@@ -185,14 +192,6 @@
     val remainingMillis: Long
         get() = stop.remainingMillis(deadlineAtMillis)
 
-    /** Ends the call without another send: refuses it as [refusal], or calls [fail] if it may have run. */
-    suspend fun refuseOrFail(
-        refusal: RelayRefusal,
-        retryAfterMillis: Long,
-    ) {
-        if (mayHaveRun) fail() else refuse<Unit>(refusal, retryAfterMillis)
-    }
-
     /** Ends the call because its deadline has passed. */
     suspend fun failOnTimeout() {
         if (mayHaveRun) finish(RelayRefusal.TIMED_OUT) else finish(RelayRefusal.OUT_OF_TIME)
--- a/src/test/kotlin/lacewingweir/platform/CallCutByStopTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/CallCutByStopTest.kt
@@ -45,33 +45,52 @@
             expectThat(responses.filter { !it.complete }).isEmpty()
         }
 
-    /** The connection is kept because a request is being received on it. */
+    /**
+     * Returns the head of the response to a look-up with [headers] whose body is complete when other instances take
+     * calls. The connection at [port] is kept because the request is being received.
+     */
+    private suspend fun callLate(
+        fleet: RouterFleet,
+        port: Int,
+        headers: String = "",
+    ): List<String> =
+        Socket(fleet.host(0), port).use { socket ->
+            socket.getOutputStream().write((HEAD + headers + BODY_HEAD).encodeToByteArray())
+            delay(REST_MILLIS)
+            socket.getOutputStream().write("0\r\n\r\n".encodeToByteArray())
+            socket.soTimeout = AT_ONCE_MILLIS
+            socket
+                .getInputStream()
+                .bufferedReader()
+                .lineSequence()
+                .takeWhile { it.isNotEmpty() }
+                .toList()
+        }
+
     @Test
     fun `a call that may last longer than its instance is refused once others take calls`() =
         play { fleet ->
             val stop = async { fleet.stopInstance(0) }
             delay(HEAD_MILLIS)
-            Socket(fleet.host(0), RouterFleet.CALLER_PORT).use { socket ->
-                socket.getOutputStream().write(HEAD.encodeToByteArray())
-                delay(REST_MILLIS)
-                socket.getOutputStream().write("0\r\n\r\n".encodeToByteArray())
-                socket.soTimeout = AT_ONCE_MILLIS
-                val head =
-                    socket
-                        .getInputStream()
-                        .bufferedReader()
-                        .lineSequence()
-                        .takeWhile { it.isNotEmpty() }
-                        .toList()
-                expectThat(head.first()).startsWith("HTTP/1.1 503")
-                val retryAfter = head.find { it.lowercase().startsWith("retry-after") }?.substringAfter(':')
-                expectThat(retryAfter?.trim()?.toDouble()).isNotNull().isLessThan(MAX_RETRY_SECONDS)
-            }
+            val head = callLate(fleet, RouterFleet.CALLER_PORT)
+            expectThat(head.first()).startsWith("HTTP/1.1 503")
+            val retryAfter = head.find { it.lowercase().startsWith("retry-after") }?.substringAfter(':')
+            expectThat(retryAfter?.trim()?.toDouble()).isNotNull().isLessThan(MAX_RETRY_SECONDS)
             stop.await()
             val arrivals = fleet.desks.flatMap { desk -> desk.arrivals.map { it.body } }
             expectThat(arrivals.filter { it == LATE_BODY }).isEmpty()
         }
 
+    @Test
+    fun `a late call that may have run at another instance is not refused as not run`() =
+        play { fleet ->
+            val stop = async { fleet.stopInstance(0) }
+            delay(HEAD_MILLIS)
+            val passed = "X-Lacewingweir-Passed-Service: desk\r\nX-Lacewingweir-Passed-Runs: 1\r\n"
+            expectThat(callLate(fleet, RouterFleet.INTERNAL_PORT, passed).first()).startsWith("HTTP/1.1 502")
+            stop.await()
+        }
+
     @Test
     fun `a slow store does not delay the end of a stop`() =
         play { fleet ->
@@ -101,7 +120,8 @@
         const val LATE_BODY = "late"
         const val HEAD =
             "POST /lookup/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 00000000000000ab\r\nX-Api-Key: k1\r\n" +
-                "Deadline-Ms: 20000\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n$LATE_BODY\r\n"
+                "Deadline-Ms: 20000\r\nTransfer-Encoding: chunked\r\n"
+        const val BODY_HEAD = "\r\n4\r\n$LATE_BODY\r\n"
         val LONG_LIMITS = RouterFleet.CONFIG.replace("\"timeoutMs\":3000", "\"timeoutMs\":20000")
     }
 }
--- a/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
+++ b/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
@@ -145,7 +145,7 @@
             host = host(index),
             callerListen = "${host(index)}:$CALLER_PORT",
             readinessListen = "${host(index)}:$READINESS_PORT",
-            internalPorts = listOf(DIGEST_PORT),
+            internalPorts = listOf(INTERNAL_PORT),
             storeAddress = pathToStore(index, storeView(index)),
             bounds =
                 PlatformBounds(
@@ -305,7 +305,7 @@
     internal companion object {
         const val CALLER_PORT = 8_606
         private const val READINESS_PORT = 8_605
-        private const val DIGEST_PORT = 7_600
+        const val INTERNAL_PORT = 7_600
 
         /** Prompts that share a part share an engine, so the engines get several parts. */
         private const val SHARED_DOCUMENTS = 12
