Give last answers their time if the event loop was held up at the end

Found by review: an event loop that is held up across the end of a stop let the process leave before the calls had been ended, though 0.2 s were left. The calls are ended behind the drain in any case, answers have the time that leaving takes, and the registration doesn't wait for the other leases.

--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -459,11 +459,14 @@
             callerServer.drain(endAtMillis - clock.nowMillis())
         }
         lastAnswers.cancel()
-        relay.logUnfinished()
+        stop.endCalls()
         withTimeoutOrNull(maxOf(endAtMillis - clock.nowMillis(), LEAVE_MILLIS)) {
+            launch { registration.stop() }
             leases.join()
-            registration.stop()
+            val servers = listOf(callerServer, passedCallServer)
+            while (servers.any { it.requestsInFlight > 0 }) delay(LAST_ANSWERS_POLL_MILLIS)
         }
+        relay.logUnfinished()
         logger.info {
             "router: stopped, requests in flight=${callerServer.requestsInFlight} " +
                 "connections=${callerServer.openConnections} tookMs=${clock.nowMillis() - signalledAtMillis} " +
@@ -646,8 +649,9 @@
         /** Time for the answers of calls that the end of the instance cuts short to reach their callers. */
         const val LAST_ANSWER_MILLIS: Long = 200
 
-        /** Least time to end the leases at the store. */
+        /** Least time for the last answers, and to end the leases at the store. */
         const val LEAVE_MILLIS: Long = 200
+        const val LAST_ANSWERS_POLL_MILLIS: Long = 10
 
         /** Time between the end of the drain and the time at which the platform kills the process. */
         const val SHUTDOWN_MARGIN_MILLIS: Long = 400
