--- a/src/test/kotlin/lacewingweir/testing/ProgramProcess.kt
+++ b/src/test/kotlin/lacewingweir/testing/ProgramProcess.kt
@@ -2,6 +2,7 @@
 
 import java.io.File
 import java.nio.file.Path
+import java.util.Locale
 import java.util.concurrent.TimeUnit
 
 /** A process of the program, started with the class path of the test. Its output is written to the file [log]. */
@@ -44,6 +45,17 @@
 
     fun resume() = signal("CONT")
 
+    /**
+     * Stops the process for [millis], and returns for how long it was stopped at most. One shell does both, since
+     * starting a second one may take long on a busy machine.
+     */
+    fun pauseFor(millis: Long): Long {
+        val startNanos = System.nanoTime()
+        val seconds = String.format(Locale.ROOT, "%.3f", millis / 1_000.0)
+        ProcessBuilder("sh", "-c", "kill -STOP $pid; sleep $seconds; kill -CONT $pid").start().waitFor()
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos)
+    }
+
     private fun signal(name: String) {
         val exitCode = ProcessBuilder("kill", "-$name", pid.toString()).start().waitFor()
         check(exitCode == 0) { "could not send $name to $pid" }
