Count the continuation before its response in JoinedStreamTest

'an extra stream is not the repeat of a resumed stream that was refused' failed once, in 46 ms: the stand-in counted after it had written, and the caller compared the count before that. The stand-in counts first now; the check is the same. The class passes.

--- a/src/test/kotlin/lacewingweir/platform/JoinedStreamTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/JoinedStreamTest.kt
@@ -248,8 +248,8 @@
     fun `an extra stream is not the repeat of a resumed stream that was refused`() {
         val engine =
             server { request ->
-                write(if (request.send == 1) refusal() else stream(extraEvents(BEGUN + 1..ALL)))
                 continued.incrementAndGet()
+                write(if (request.send == 1) refusal() else stream(extraEvents(BEGUN + 1..ALL)))
             }
         relay.registerEngine("i-1", engine.port)
         val received = call(RESUMPTION)
