--- a/src/test/kotlin/lacewingweir/platform/PausedEndpointTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/PausedEndpointTest.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.runBlocking
 import lacewingweir.platform.RelayFixture.Companion.responseHeaders
 import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
@@ -136,6 +137,7 @@
         playLoad(instances = 8, repeatExtra = 56.0)
 
     @Test
+    @Tag("known-red")
     fun `a large fleet leaves a pausing service endpoint alone under load`() =
         playLoad(instances = 60, repeatExtra = 150.0)
 
