--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -71,6 +71,7 @@
 import lacewingweir.transport.http.HttpClient
 import lacewingweir.transport.http.HttpLimits
 import lacewingweir.transport.http.HttpServer
+import lacewingweir.transport.http.RequestBodies
 import lacewingweir.transport.http.ServerExchange
 import lacewingweir.transport.http.delayAndRead
 import lacewingweir.transport.relay.CallPasser
@@ -108,6 +109,7 @@
         HttpClient(group, maxIdlePerAddress = MAX_IDLE_PEER_CONNECTIONS, defaultIdleTimeoutMillis = PEER_IDLE_MILLIS)
     private val internalAddress = "${settings.host}:${settings.internalPorts.first()}"
     private val heldBytes = HeldBytes()
+    private val requestBodies = RequestBodies()
     private val proof = StoreContactProof(ageClock)
     private val directory = FleetDirectory(PlatformItemCodec::decode, ageClock, timers, proof)
     private val mirror = StoreMirror(store, ALL_KEYS_PREFIX, WATCH_WAIT_MILLIS, ageClock, proof, directory)
@@ -339,6 +341,7 @@
                 storeResponses = store.responses.total(),
                 storeFailures = store.failures,
                 held = heldBytes.figures,
+                requestBodies = requestBodies.figures,
             )
         }
     private val admissionReporter =
@@ -494,7 +497,7 @@
         handler: suspend (ServerExchange) -> Unit,
     ): HttpServer {
         val listen = checkNotNull(HostPort.parse(address))
-        return HttpServer(group, scope, listen.host, listen.port, ::httpLimits, heldBytes, handler)
+        return HttpServer(group, scope, listen.host, listen.port, ::httpLimits, heldBytes, requestBodies, handler)
     }
 
     private fun httpLimits(): HttpLimits {
--- a/src/main/kotlin/lacewingweir/cli/router/TrafficReporter.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/TrafficReporter.kt
@@ -10,13 +10,14 @@
 import lacewingweir.coordination.time.TimerService
 import lacewingweir.state.time.MonotonicClock
 import lacewingweir.transport.http.HeldFigures
+import lacewingweir.transport.http.RequestBodyFigures
 import lacewingweir.transport.traffic.MessageTotal
 
 private val logger = KotlinLogging.logger {}
 
 /**
- * Totals since the start of the process, and what responses hold at present for callers that read slowly. A store
- * call counts as failed if it was refused or got no usable response.
+ * Totals since the start of the process, and what responses for callers that read slowly and request bodies hold at
+ * present. A store call counts as failed if it was refused or got no usable response.
  */
 internal data class BackgroundTraffic(
     val digestsSent: MessageTotal,
@@ -24,6 +25,7 @@
     val storeResponses: MessageTotal,
     val storeFailures: Long,
     val held: HeldFigures,
+    val requestBodies: RequestBodyFigures,
 )
 
 internal class TrafficReporter(
@@ -61,7 +63,9 @@
                 "storeResponses=${store.messages} storeBytes=${store.bytes} storeFailures=$storeFailures " +
                 "timerLateMs=$maxLateMillis inFlight=${requestsInFlight()} heldBytes=${current.held.bytes} " +
                 "heldResponses=${current.held.responses} maxHeldBytes=${current.held.maxBytesOfOne} " +
-                "endedUnread=${current.held.ended - reported.held.ended}"
+                "endedUnread=${current.held.ended - reported.held.ended} " +
+                "bodyBytes=${current.requestBodies.bytes} " +
+                "refusedBodies=${current.requestBodies.refused - reported.requestBodies.refused}"
         }
         reported = current
         reportedAtMillis = now
--- a/src/main/kotlin/lacewingweir/transport/http/HttpServer.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/HttpServer.kt
@@ -39,6 +39,7 @@
  * @param port the port to bind; zero selects a free port
  * @param limits called for each new connection
  * @param held the bytes that responses hold for slow clients, which several servers may share
+ * @param bodies the bytes that request bodies hold, which several servers may share
  * @throws java.net.BindException from [start] if the address is in use
  */
 public class HttpServer(
@@ -48,6 +49,7 @@
     port: Int,
     private val limits: () -> HttpLimits = { HttpLimits() },
     private val held: HeldBytes = HeldBytes(),
+    private val bodies: RequestBodies = RequestBodies(),
     private val handler: suspend (ServerExchange) -> Unit,
 ) : AutoCloseable {
     private val requestedPort = port
@@ -148,7 +150,7 @@
             .pipeline()
             .addLast(IdleStateHandler(limits.idleReadMillis, 0, 0, TimeUnit.MILLISECONDS))
             .addLast(codec)
-            .addLast(ServerConnectionHandler(codec, limits, held, { draining }, closes, idle, this::dispatch))
+            .addLast(ServerConnectionHandler(codec, limits, held, bodies, { draining }, closes, idle, this::dispatch))
     }
 
     private fun dispatch(exchange: NettyServerExchange) {
--- a/src/main/kotlin/lacewingweir/transport/http/NettyServerExchange.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/NettyServerExchange.kt
@@ -29,7 +29,7 @@
 internal class NettyServerExchange(
     private val ctx: ChannelHandlerContext,
     request: HttpRequest,
-    override val body: ByteArray,
+    private val requestBody: RequestBody,
     override val arrivedAtNanos: Long,
     limits: HttpLimits,
     held: HeldBytes,
@@ -68,6 +68,8 @@
     override var responseStarted: Boolean = false
         private set
 
+    override var body: ByteArray = requestBody.toByteArray()
+        private set
     override val method: String = request.method().name()
     override val path: String = decoder.path()
     override val rawPath: String = request.uri().substringBefore('?').substringBefore('#')
@@ -133,7 +135,10 @@
     }
 
     private fun enqueueEnd() {
-        output.enqueue(DefaultLastHttpContent(), onWritten = if (endsConnection) LingeringClose else null)
+        output.enqueue(
+            DefaultLastHttpContent(),
+            onWritten = if (endsConnection) LingeringClose.BEHIND_REQUEST else null,
+        )
     }
 
     private fun checkConnected() {
@@ -226,7 +231,16 @@
     }
 
     /** Responds with 503 instead of handling the request. */
-    internal fun refuse() = endWith(HttpResponseStatus.SERVICE_UNAVAILABLE)
+    internal fun refuse() {
+        releaseBody()
+        endWith(HttpResponseStatus.SERVICE_UNAVAILABLE)
+    }
+
+    /** Drops the body of a request that is not handled any more, because kept connections refer to their last one. */
+    internal fun releaseBody() {
+        body = NO_BODY
+        requestBody.close()
+    }
 
     private fun endWith(status: HttpResponseStatus) {
         responseStarted = true
@@ -242,7 +256,7 @@
         if (status == HttpResponseStatus.SERVICE_UNAVAILABLE) {
             response.headers().set(ServerConnectionHandler.RUN_STATE_HEADER, ServerConnectionHandler.RUN_STATE_NOT_RUN)
         }
-        output.enqueue(response, onWritten = LingeringClose)
+        output.enqueue(response, onWritten = LingeringClose.BEHIND_REQUEST)
         output.flush()
     }
 
@@ -253,11 +267,13 @@
 
     internal fun handlerCompleted() {
         if (!handlerDone.compareAndSet(false, true)) return
+        releaseBody()
         if (!finished) close(CloseReason.NOT_ANSWERED)
         ctx.executor().execute { output.whenDrained(onComplete) }
     }
 
     private companion object {
+        val NO_BODY = ByteArray(0)
         val IMMEDIATE_CLOSES = setOf(CloseReason.WRITE_STALLED, CloseReason.CONNECTION_FAILED)
 
         /** Interval at which a response that waits for room checks whether others leave it some. */
--- a/src/main/kotlin/lacewingweir/transport/http/ServerConnectionHandler.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ServerConnectionHandler.kt
@@ -1,8 +1,6 @@
 package lacewingweir.transport.http
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.netty.buffer.ByteBufUtil
-import io.netty.buffer.CompositeByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
@@ -21,6 +19,7 @@
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.handler.timeout.IdleStateEvent
 import java.util.concurrent.TimeUnit
+import kotlin.random.Random
 
 private val logger = KotlinLogging.logger {}
 
@@ -35,6 +34,7 @@
     private val codec: RequestCodec,
     private val limits: HttpLimits,
     private val held: HeldBytes,
+    private val bodies: RequestBodies,
     private val draining: () -> Boolean,
     private val closes: UnansweredCloses,
     private val idleCloses: IdleCloses,
@@ -50,11 +50,11 @@
     /** The exchange before [current], whose response the client may still be reading. */
     private var previous: NettyServerExchange? = null
     private var requestHead: HttpRequest? = null
-    private var content: CompositeByteBuf? = null
+    private var content: RequestBody? = null
 
     /** Whether further input is ignored, because the connection ends. */
     private var ignoring = false
-    private var pendingRejection: DefaultFullHttpResponse? = null
+    private var pendingRejection: Rejection? = null
 
     /** When the client became idle: at the last response, because a request may take much longer than the limit. */
     private var idleSinceNanos = System.nanoTime()
@@ -87,17 +87,19 @@
         ctx: ChannelHandlerContext,
         request: HttpRequest,
     ) {
-        if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes) {
-            reject(
-                ctx,
-                HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
-                "request body exceeds ${limits.maxBodyBytes} bytes",
-            )
+        val expectedBytes = HttpUtil.getContentLength(request, 0L)
+        if (expectedBytes > limits.maxBodyBytes) {
+            rejectTooLarge(ctx)
+            return
+        }
+        val body = bodies.open(expectedBytes.toInt())
+        if (body == null) {
+            rejectWithoutRoom(ctx, request, expectedBytes)
             return
         }
         requestHead = request
         headReceivedAtNanos = System.nanoTime()
-        content = Unpooled.compositeBuffer(MAX_BUFFER_COMPONENTS)
+        content = body
         if (HttpUtil.is100ContinueExpected(request)) {
             ctx.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
         }
@@ -107,27 +109,24 @@
         ctx: ChannelHandlerContext,
         part: HttpContent,
     ) {
-        val buffer = content ?: return
-        if (buffer.readableBytes() + part.content().readableBytes() > limits.maxBodyBytes) {
-            reject(
-                ctx,
-                HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
-                "request body exceeds ${limits.maxBodyBytes} bytes",
-            )
+        val body = content ?: return
+        val receivedBytes = body.size + part.content().readableBytes()
+        if (receivedBytes > limits.maxBodyBytes) {
+            rejectTooLarge(ctx)
             return
         }
-        buffer.addComponent(true, part.content().retain())
-        if (part is LastHttpContent) completeRequest(ctx, buffer)
+        when {
+            !body.tryAppend(part.content()) -> rejectWithoutRoom(ctx, checkNotNull(requestHead), receivedBytes.toLong())
+            part is LastHttpContent -> completeRequest(ctx, body)
+        }
     }
 
     private fun completeRequest(
         ctx: ChannelHandlerContext,
-        buffer: CompositeByteBuf,
+        body: RequestBody,
     ) {
         val request = checkNotNull(requestHead)
         requests++
-        val body = ByteBufUtil.getBytes(buffer)
-        buffer.release()
         requestHead = null
         content = null
         val exchange =
@@ -147,7 +146,10 @@
                 pipelined.addLast(exchange)
                 waiting = pipelined.size
             }
-            else -> reject(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, "too many requests wait on the connection")
+            else -> {
+                exchange.releaseBody()
+                reject(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, "too many requests wait on the connection")
+            }
         }
     }
 
@@ -171,12 +173,41 @@
         if (connectionEnds) {
             // The response may still be in the buffers, so the connection may be open.
             ignoring = true
-            pipelined.clear()
+            dropPipelined()
             return
         }
         val next = pipelined.removeFirstOrNull()
         waiting = pipelined.size
-        if (next != null) startExchange(next) else pendingRejection?.let { sendRejection(ctx, it) }
+        if (next != null) startExchange(next) else pendingRejection?.send(ctx)
+    }
+
+    private fun dropPipelined() {
+        pipelined.forEach { it.releaseBody() }
+        pipelined.clear()
+    }
+
+    private fun rejectTooLarge(ctx: ChannelHandlerContext) =
+        reject(
+            ctx,
+            HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
+            "request body exceeds ${limits.maxBodyBytes} bytes",
+            close = LingeringClose.DURING_REQUEST,
+        )
+
+    /** Refuses an upload. It may come back when others have ended, and not at the same moment as all others. */
+    private fun rejectWithoutRoom(
+        ctx: ChannelHandlerContext,
+        request: HttpRequest,
+        bytes: Long,
+    ) {
+        logger.info { "http: no room for a body ${request.method()} ${request.uri()} bytes=$bytes ${bodies.figures}" }
+        reject(
+            ctx,
+            HttpResponseStatus.SERVICE_UNAVAILABLE,
+            "request body needs memory that other requests take up",
+            retryAfterSeconds = Random.nextInt(1, MAX_RETRY_SECONDS + 1),
+            close = LingeringClose.DURING_REQUEST,
+        )
     }
 
     private fun rejectMalformed(
@@ -201,6 +232,8 @@
         ctx: ChannelHandlerContext,
         status: HttpResponseStatus,
         message: String,
+        retryAfterSeconds: Int? = null,
+        close: LingeringClose = LingeringClose.BEHIND_REQUEST,
     ) {
         ignoring = true
         releaseContent()
@@ -213,14 +246,18 @@
             .set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
             .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
             .set(RUN_STATE_HEADER, RUN_STATE_NOT_RUN)
-        if (current == null) sendRejection(ctx, response) else pendingRejection = response
+        retryAfterSeconds?.let { response.headers().set(HttpHeaderNames.RETRY_AFTER, it) }
+        val rejection = Rejection(response, close)
+        if (current == null) rejection.send(ctx) else pendingRejection = rejection
     }
 
-    private fun sendRejection(
-        ctx: ChannelHandlerContext,
-        response: DefaultFullHttpResponse,
+    private class Rejection(
+        private val response: DefaultFullHttpResponse,
+        private val close: LingeringClose,
     ) {
-        ctx.writeAndFlush(response).addListener(LingeringClose)
+        fun send(ctx: ChannelHandlerContext) {
+            ctx.writeAndFlush(response).addListener(close)
+        }
     }
 
     override fun userEventTriggered(
@@ -298,7 +335,7 @@
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
         releaseContent()
-        pipelined.clear()
+        dropPipelined()
         current?.channelInactive()
         ctx.fireChannelInactive()
     }
@@ -314,7 +351,7 @@
     }
 
     private fun releaseContent() {
-        content?.release()
+        content?.close()
         content = null
         requestHead = null
     }
@@ -330,6 +367,6 @@
     internal companion object {
         const val RUN_STATE_HEADER: String = "X-Lacewingweir-Run"
         const val RUN_STATE_NOT_RUN: String = "not-run"
-        private const val MAX_BUFFER_COMPONENTS: Int = 1024
+        private const val MAX_RETRY_SECONDS: Int = 4
     }
 }
