Begin the stream of UnframedStreamTest at the engine that it tests

Cause: the test took any complete response for a complete stream. Placement among three idle engines isn't fixed.

Change: the two engines are known only once the first one has sent its event, so each play continues the stream, and the status has to be 200.

--- a/src/test/kotlin/lacewingweir/platform/UnframedStreamTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/UnframedStreamTest.kt
@@ -78,9 +78,13 @@
                     RelayFixture.responseHeaders + ("Content-Type" to "text/event-stream"),
                 )
                 exchange.write(event(1).toByteArray())
+                // Engines that were known before could get the call first, and end it with a failure.
+                engines(head)
                 exchange.abort()
             }
-            engines(head)
-            expectThat(relay.call("stream", headers = prompt).complete).isFalse()
+            expectThat(relay.call("stream", headers = prompt)) {
+                get { status }.isEqualTo(200)
+                get { complete }.isFalse()
+            }
         }
 }
