Keep the body of a claimed call that goes on without its caller

Callers would have got bookings with an empty body: since the memory of request bodies is bounded, an exchange drops its body when its handler ends. A claimed call of serve goes on in the background after its caller has left, and read the body from the exchange when it sent.

Change: a service call holds its body itself, and an exchange that has dropped its body throws instead of returning an empty one.

--- a/src/main/kotlin/lacewingweir/transport/gateway/ServiceCall.kt
+++ b/src/main/kotlin/lacewingweir/transport/gateway/ServiceCall.kt
@@ -18,8 +18,9 @@
 ) {
     val method: String
         get() = context.exchange.method
-    val body: ByteArray
-        get() = context.exchange.body
+
+    /** The exchange drops its body when its handler ends, but a claimed call may go on. */
+    val body: ByteArray = context.exchange.body
 
     /**
      * Returns the SHA-256 digest of method, target and body in hexadecimal.
--- a/src/main/kotlin/lacewingweir/transport/http/NettyServerExchange.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/NettyServerExchange.kt
@@ -68,8 +68,10 @@
     override var responseStarted: Boolean = false
         private set
 
-    override var body: ByteArray = requestBody.toByteArray()
-        private set
+    @Volatile
+    private var receivedBody: ByteArray? = requestBody.toByteArray()
+    override val body: ByteArray
+        get() = checkNotNull(receivedBody) { "the request is not handled any more" }
     override val method: String = request.method().name()
     override val path: String = decoder.path()
     override val rawPath: String = request.uri().substringBefore('?').substringBefore('#')
@@ -238,7 +240,7 @@
 
     /** Drops the body of a request that is not handled any more, because kept connections refer to their last one. */
     internal fun releaseBody() {
-        body = NO_BODY
+        receivedBody = null
         requestBody.close()
     }
 
@@ -273,7 +275,6 @@
     }
 
     private companion object {
-        val NO_BODY = ByteArray(0)
         val IMMEDIATE_CLOSES = setOf(CloseReason.WRITE_STALLED, CloseReason.CONNECTION_FAILED)
 
         /** Interval at which a response that waits for room checks whether others leave it some. */
--- a/src/main/kotlin/lacewingweir/transport/http/ServerExchange.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ServerExchange.kt
@@ -31,7 +31,11 @@
     /** The request headers as received. */
     public val headers: HttpHeaders
 
-    /** The whole request body. */
+    /**
+     * The whole request body.
+     *
+     * @throws IllegalStateException if the handler of the request has ended
+     */
     public val body: ByteArray
 
     /** The [System.nanoTime] at which the head of the request had arrived. */
--- a/src/test/kotlin/lacewingweir/transport/http/LargeUploadsTest.kt
+++ b/src/test/kotlin/lacewingweir/transport/http/LargeUploadsTest.kt
@@ -18,6 +18,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.startsWith
 import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
 
 /** Guards against an instance that runs out of memory and answers nobody while callers upload large bodies. */
 @Timeout(60)
@@ -25,9 +26,11 @@
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val scope = CoroutineScope(SupervisorJob() + group.next().asCoroutineDispatcher())
     private val bodies = RequestBodies(maxBytes = 1L shl 20)
+    private val exchanges = CopyOnWriteArrayList<ServerExchange>()
     private val release = CompletableDeferred<Unit>()
     private val server =
         HttpServer(group, scope, "127.0.0.1", 0, { HttpLimits(maxBodyBytes = 2 shl 20) }, bodies = bodies) { exchange ->
+            exchanges += exchange
             if (exchange.path == "/slow") release.await()
             exchange.respond(200, body = "${exchange.body.size}".toByteArray())
         }.start()
@@ -142,6 +145,16 @@
         awaitRoomFree()
     }
 
+    @Test
+    fun `a body that was dropped can't be taken for an empty one`() {
+        expectThat(
+            connect().apply { startUpload(bytes = 1) }.apply { write("x") }.readResponse(),
+        ).startsWith("HTTP/1.1 200")
+        runBlocking { eventually("the handler has ended") { server.requestsInFlight == 0 } }
+        val exchange = exchanges.single()
+        runBlocking { eventually("the body is dropped") { runCatching { exchange.body }.isFailure } }
+    }
+
     private companion object {
         const val UPLOAD_BYTES = 800_000
     }
