Count answers that a server forges on the connection of their request

No router can tell such a response from the answer, and the play counts answers of that kind as untellable elsewhere.

Any other body of another request is a fault as before.

--- a/src/test/kotlin/lacewingweir/platform/StutterPlay.kt
+++ b/src/test/kotlin/lacewingweir/platform/StutterPlay.kt
@@ -131,6 +131,7 @@
         when {
             seen.violation != null -> fault(id, seen, seen.violation)
             named != null && named != id -> fault(id, seen, "the answer names another request")
+            seen.body in record.foreignBodies(id) -> untellable.incrementAndGet()
             ownBody.findAll(seen.body).any { it.groupValues[1] != id } -> fault(id, seen, "the body of another request")
             seen.complete && seen.status in 200..299 -> checkSuccess(id, seen)
             seen.complete && "server-stamp" in seen.headers -> checkFailure(id, seen)
