Take the time of a request's head before its write in the stop soak

Trace: the log of the router says "stream cut reason=TIMED_OUT totalMs=3001"; it was the second of two pipelined requests and was sent on 2.2 s after its arrival, behind the first. The judge took the time of the head after the write had returned, so the router had it before.

Change: the time is taken before the write that completes the head. The limits of the judge stay as they are.

--- a/src/test/kotlin/lacewingweir/platform/StopPlay.kt
+++ b/src/test/kotlin/lacewingweir/platform/StopPlay.kt
@@ -50,7 +50,8 @@
     /**
      * A request whose connection ended without a complete answer.
      *
-     * @property times when its head and its last byte had been sent, and when its connection ended, in milliseconds
+     * @property times when the last part of its head was sent, its last byte had been sent, and its connection ended,
+     *   in milliseconds
      */
     private class Unanswered(
         val id: String,
@@ -195,7 +196,7 @@
         if (seen.status == STATUS_NOT_RUN) refused += seen.id
     }
 
-    /** Sends [text] cut at up to [maxCuts] places, and returns when its first head had been sent. */
+    /** Sends [text] cut at up to [maxCuts] places, and returns when the last part of its first head was sent. */
     private fun sendInPieces(
         text: String,
         maxCuts: Int,
@@ -207,8 +208,9 @@
         var headAtMillis = 0L
         for ((from, to) in (listOf(0) + ends).zip(ends)) {
             if (from > 0) Thread.sleep(random.nextLong(150))
+            val beforeMillis = nowMillis()
             caller.send(text.substring(from, to))
-            if (headAtMillis == 0L && to >= text.indexOf(HEAD_END) + HEAD_END.length) headAtMillis = nowMillis()
+            if (headAtMillis == 0L && to >= text.indexOf(HEAD_END) + HEAD_END.length) headAtMillis = beforeMillis
         }
         return headAtMillis
     }
