Use BufferBudget for the bodies of requests too

RequestBodies had its own copy of the accounting in BufferBudget: add, and take back what doesn't fit. It differed only in that a body may exceed the limit if it is the only one. That is an argument of BufferBudget now, which moves to the package of both. Refusals are counted where they are answered.

No change in behaviour. BufferBudgetTest, LargeUploadsTest, PlatformRelayTest, SlowReaderTest and SlowCallerTest pass.

--- a/src/main/kotlin/lacewingweir/transport/http/RequestBodies.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/RequestBodies.kt
@@ -8,7 +8,6 @@
 package lacewingweir.transport.http
 
 import io.netty.buffer.ByteBuf
-import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 
 /**
@@ -34,28 +33,22 @@
  * @param maxBytes the largest number of bytes of all bodies; a body may exceed it if it is the only one
  */
 public class RequestBodies(
-    private val maxBytes: Long = MAX_BYTES,
+    maxBytes: Long = MAX_BYTES,
 ) {
-    private val reservedBytes = AtomicLong()
+    private val budget = BufferBudget(maxBytes, admitsAnyAlone = true)
     private val refused = AtomicLong()
 
     /** What is held now. */
     public val figures: RequestBodyFigures
-        get() = RequestBodyFigures(reservedBytes.get(), refused.get())
+        get() = RequestBodyFigures(budget.usedBytes, refused.get())
 
     /** Returns an empty body with room for [expectedBytes], or null if there is not enough. */
-    internal fun open(expectedBytes: Int): RequestBody? = RequestBody(this, expectedBytes).takeIf { it.hasRoom }
+    internal fun open(expectedBytes: Int): RequestBody? =
+        RequestBody(budget.reserve(), expectedBytes).takeIf { it.hasRoom }
 
-    internal fun tryReserve(bytes: Int): Boolean {
-        val before = reservedBytes.getAndAdd(bytes.toLong())
-        if (before == 0L || before + bytes <= maxBytes) return true
-        reservedBytes.addAndGet(-bytes.toLong())
+    /** Records that a request was refused because there was no room for its body. */
+    internal fun onRefused() {
         refused.incrementAndGet()
-        return false
-    }
-
-    internal fun release(bytes: Int) {
-        reservedBytes.addAndGet(-bytes.toLong())
     }
 
     public companion object {
@@ -67,12 +60,11 @@
     }
 }
 
-/** A body that is being received on one thread. [close] may be called on any, drops it and gives its room back. */
+/** A body that is being received, in its [room]. [close] drops it and gives the room back. */
 internal class RequestBody(
-    private val bodies: RequestBodies,
+    private val room: BufferBudget.Buffer,
     private val expectedBytes: Int,
 ) : AutoCloseable {
-    private val reservedBytes = AtomicInteger()
     private var bytes = EMPTY
 
     /** The number of bytes that have been received. */
@@ -101,14 +93,13 @@
     }
 
     private fun tryReserve(totalBytes: Int): Boolean {
-        val missing = totalBytes - RequestBodies.GUARANTEED_BYTES - reservedBytes.get()
-        if (missing <= 0) return true
-        return bodies.tryReserve(missing).also { if (it) reservedBytes.addAndGet(missing) }
+        val missing = totalBytes - RequestBodies.GUARANTEED_BYTES - room.bytes
+        return missing <= 0 || room.tryAdd(missing.toInt())
     }
 
     override fun close() {
         bytes = EMPTY
-        bodies.release(reservedBytes.getAndSet(0))
+        room.close()
     }
 
     private companion object {
--- a/src/main/kotlin/lacewingweir/transport/http/ServerConnectionHandler.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/ServerConnectionHandler.kt
@@ -200,6 +200,7 @@
         request: HttpRequest,
         bytes: Long,
     ) {
+        bodies.onRefused()
         logger.info { "http: no room for a body ${request.method()} ${request.uri()} bytes=$bytes ${bodies.figures}" }
         reject(
             ctx,
--- a/src/main/kotlin/lacewingweir/transport/relay/CallPasser.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallPasser.kt
@@ -15,6 +15,7 @@
 import lacewingweir.state.id.EndpointTag
 import lacewingweir.state.id.RequestId
 import lacewingweir.state.id.ServiceName
+import lacewingweir.transport.http.BufferBudget
 import lacewingweir.transport.http.ClientRequest
 import lacewingweir.transport.http.ClientResponse
 import lacewingweir.transport.http.ClientResult
--- a/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
@@ -8,6 +8,7 @@
 import lacewingweir.state.fleet.EndpointStatement
 import lacewingweir.state.id.ServiceName
 import lacewingweir.state.stream.StreamOrigin
+import lacewingweir.transport.http.BufferBudget
 import lacewingweir.transport.http.ClientResponse
 import lacewingweir.transport.http.ClientResult
 import lacewingweir.transport.http.HttpClient
--- a/src/test/kotlin/lacewingweir/transport/relay/BufferBudgetTest.kt
+++ b/src/test/kotlin/lacewingweir/transport/http/BufferBudgetTest.kt
@@ -1,4 +1,4 @@
-package lacewingweir.transport.relay
+package lacewingweir.transport.http
 
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
