End blocks early in one place

withLoopTimeoutOrNull and InstanceStop.beforeEnd each ran a block in a scope, cancelled that scope with an exception of their own and returned null for it. Both call orNullIfEnded now, which tells its own end from that of an enclosing one; beforeEnd told them by type only.

AnswerMissedByTimeoutTest, CallCutByStopTest, RequestCutByStopTest, PlatformRelayTest, HttpClientTest and StalledStreamTest pass.

--- a/src/main/kotlin/lacewingweir/transport/http/LoopTimeout.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/LoopTimeout.kt
@@ -7,10 +7,8 @@
  */
 package lacewingweir.transport.http
 
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineStart
-import kotlinx.coroutines.cancel
-import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.DisposableHandle
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import java.util.concurrent.TimeUnit
@@ -31,25 +29,19 @@
     block: suspend () -> T?,
 ): T? {
     if (timeoutMillis <= 0) return null
-    val owner = Any()
-    return try {
-        coroutineScope {
+    return orNullIfEnded(
+        arm = { end ->
             val limit =
                 launch(start = CoroutineStart.UNDISPATCHED) {
                     delayAndRead(timeoutMillis)
-                    this@coroutineScope.cancel(LoopTimeoutException(owner))
+                    end()
                 }
-            block().also { limit.cancel() }
-        }
-    } catch (e: LoopTimeoutException) {
-        if (e.owner === owner) null else throw e
-    }
+            DisposableHandle { limit.cancel() }
+        },
+        block,
+    )
 }
 
-private class LoopTimeoutException(
-    val owner: Any,
-) : CancellationException("time limit")
-
 private val HELD_UP_NANOS: Long = TimeUnit.MILLISECONDS.toNanos(10)
 
 /** Covers a pass of the loop over its connections and the steps from an input to the end of its call. */
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -436,7 +436,7 @@
     private suspend fun <T : Any> withinTime(
         timeoutMillis: Long,
         block: suspend () -> T,
-    ): T? = stop.beforeEnd { withLoopTimeoutOrNull(timeoutMillis) { block() } }
+    ): T? = stop.beforeEnd { withLoopTimeoutOrNull(timeoutMillis, block) }
 
     /** Finds out whether other endpoints can be reached before the call is sent to one. */
     private suspend fun onUnreachable(endpoint: EndpointEntry) {
--- a/src/main/kotlin/lacewingweir/transport/relay/InstanceStop.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/InstanceStop.kt
@@ -6,11 +6,9 @@
  */
 package lacewingweir.transport.relay
 
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.Job
-import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.job
 import lacewingweir.state.time.MonotonicClock
+import lacewingweir.transport.http.orNullIfEnded
 
 /** Tells calls when this instance ends. Until [begin], it is taken to run forever. */
 internal class InstanceStop(
@@ -49,19 +47,5 @@
 
     /** Runs [block], and returns null if the calls end before it does. */
     suspend fun <T : Any> beforeEnd(block: suspend () -> T?): T? =
-        try {
-            coroutineScope {
-                val job = coroutineContext.job
-                val subscription = ended.invokeOnCompletion { job.cancel(CallsEndedException()) }
-                try {
-                    block()
-                } finally {
-                    subscription.dispose()
-                }
-            }
-        } catch (_: CallsEndedException) {
-            null
-        }
-
-    private class CallsEndedException : CancellationException("the instance ends")
+        orNullIfEnded(arm = { end -> ended.invokeOnCompletion { end() } }, block)
 }
