--- a/src/main/kotlin/lacewingweir/transport/http/EventLoopLag.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/EventLoopLag.kt
@@ -55,12 +55,12 @@
         if (hasLagged()) delay(PASS_MILLIS)
     }
 
-    private companion object {
-        val TICK_NANOS: Long = TimeUnit.MILLISECONDS.toNanos(100)
-        val HIGH_LAG_NANOS: Long = TimeUnit.MILLISECONDS.toNanos(50)
+    internal companion object {
+        private val TICK_NANOS: Long = TimeUnit.MILLISECONDS.toNanos(100)
+        private val HIGH_LAG_NANOS: Long = TimeUnit.MILLISECONDS.toNanos(50)
 
         /** Requests that arrived while the loop lagged are read within this time. */
-        val MEMORY_NANOS: Long = TimeUnit.SECONDS.toNanos(1)
+        private val MEMORY_NANOS: Long = TimeUnit.SECONDS.toNanos(1)
 
         /** The shortest wait after which the loop goes on only with a further pass over its connections. */
         const val PASS_MILLIS: Long = 1
--- a/src/main/kotlin/lacewingweir/transport/http/HttpServer.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/HttpServer.kt
@@ -213,7 +213,7 @@
             channel.close()
             closed.complete(Unit)
         }
-        channel.deregister().addListener { loop.schedule(close, PASS_MILLIS, TimeUnit.MILLISECONDS) }
+        channel.deregister().addListener { loop.schedule(close, EventLoopLag.PASS_MILLIS, TimeUnit.MILLISECONDS) }
         closed.await()
     }
 
@@ -279,9 +279,6 @@
         const val SEND_BUFFER_BYTES: Int = 256 * 1024
         const val DRAIN_POLL_MILLIS: Long = 20
         const val RECENT_USE_MILLIS: Long = 500
-
-        /** The shortest wait after which an event loop goes on only with another pass over its channels. */
-        const val PASS_MILLIS: Long = 1
         const val LISTEN_RETRY_MILLIS: Long = 200
     }
 }
