--- a/src/main/kotlin/lacewingweir/transport/http/NettyServerExchange.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/NettyServerExchange.kt
@@ -39,8 +39,11 @@
 ) : ServerExchange {
     private val decoder = QueryStringDecoder(request.uri())
 
-    /** When the last byte of the request had been read. */
-    internal val completedAtNanos: Long = System.nanoTime()
+    private val completedAtNanos = System.nanoTime()
+
+    /** The time since the last byte of the request had been read. */
+    internal val sinceLastByteMillis: Long
+        get() = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - completedAtNanos)
     private val keepAlive = HttpUtil.isKeepAlive(request)
     private val disconnectAction = AtomicReference<(() -> Unit)?>(null)
     private val handlerDone = AtomicBoolean()
@@ -206,9 +209,7 @@
     internal fun logUnfinished() =
         logger.info {
             "http: request unfinished at the end of the server $method $path started=$responseStarted " +
-                "finished=$finished sinceLastByteMs=${TimeUnit.NANOSECONDS.toMillis(
-                    System.nanoTime() - completedAtNanos,
-                )}"
+                "finished=$finished sinceLastByteMs=$sinceLastByteMillis"
         }
 
     /** Reports that the connection has failed in the middle of the response. */
--- a/src/main/kotlin/lacewingweir/transport/http/UnansweredCloses.kt
+++ b/src/main/kotlin/lacewingweir/transport/http/UnansweredCloses.kt
@@ -39,12 +39,10 @@
     ) {
         counts.increment(reason)
         logger.info {
-            val now = System.nanoTime()
-            val ageMillis = (now - exchange.arrivedAtNanos) / NANOS_PER_MILLI
-            val sinceLastByteMillis = (now - exchange.completedAtNanos) / NANOS_PER_MILLI
+            val ageMillis = (System.nanoTime() - exchange.arrivedAtNanos) / NANOS_PER_MILLI
             "http: connection closed before the end of a response reason=$reason ${exchange.method} ${exchange.path} " +
                 "started=${exchange.responseStarted} requestMs=$ageMillis " +
-                "sinceLastByteMs=$sinceLastByteMillis $use"
+                "sinceLastByteMs=${exchange.sinceLastByteMillis} $use"
         }
     }
 
