Remove an end of calls that has nothing to end from the stop

Since the stop waits for its last answers while requests are in flight, the second call of endCalls only ran behind the first, or with nothing in flight. delayUntil had one caller left. No change in what callers see.

--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -451,7 +451,7 @@
                 rollout.stop()
                 versionRolloutAgent?.stop()
             }
-        delayUntil(signalledAtMillis + ROTATION_EXIT_MILLIS)
+        delay(signalledAtMillis + ROTATION_EXIT_MILLIS - clock.nowMillis())
         stop.onRotationLeft()
         val lastAnswers =
             scope.launch {
@@ -463,9 +463,7 @@
             callerServer.drain(endAtMillis - clock.nowMillis())
         }
         val servers = listOf(callerServer, passedCallServer)
-        if (servers.any { it.requestsInFlight > 0 }) lastAnswers.join()
-        lastAnswers.cancel()
-        stop.endCalls()
+        if (servers.any { it.requestsInFlight > 0 }) lastAnswers.join() else lastAnswers.cancel()
         withTimeoutOrNull(maxOf(endAtMillis - clock.nowMillis(), LEAVE_MILLIS)) {
             launch { registration.stop() }
             leases.join()
@@ -480,8 +478,6 @@
         }
     }
 
-    private suspend fun delayUntil(millis: Long) = delay(millis - clock.nowMillis())
-
     /** Ends the instance immediately, as in a crash. */
     override fun close() {
         scope.cancel()
