Share what tests of stops and uploads repeat

LargeUploadsTest read responses with a reader of its own; it uses that of StutterCaller, and each response has to be complete now. Three plays of RequestLostByIdleCloseTest shared their last lines. StoppableRouter repeated the ports of RouterFleet. All assertions stay.

--- a/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
+++ b/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
@@ -304,7 +304,7 @@
 
     internal companion object {
         const val CALLER_PORT = 8_606
-        private const val READINESS_PORT = 8_605
+        const val READINESS_PORT = 8_605
         const val INTERNAL_PORT = 7_600
 
         /** Prompts that share a part share an engine, so the engines get several parts. */
--- a/src/test/kotlin/lacewingweir/platform/StopPlay.kt
+++ b/src/test/kotlin/lacewingweir/platform/StopPlay.kt
@@ -221,16 +221,8 @@
         pipelined: Boolean,
     ) {
         val kind: String = KINDS[random.nextInt(KINDS.size)]
-        private val body =
-            kind.repeat(
-                if (!pipelined &&
-                    random.nextInt(10) == 0
-                ) {
-                    LARGE_BODY_REPEATS
-                } else {
-                    1 + random.nextInt(20)
-                },
-            )
+        private val isLarge = !pipelined && random.nextInt(10) == 0
+        private val body = kind.repeat(if (isLarge) LARGE_BODY_REPEATS else 1 + random.nextInt(20))
         private val prompt =
             if (kind in STREAMS) "Model: m\r\nToken-Counts: 300,20\r\nPrompt-Prefix: sys:100,last$id:100\r\n" else ""
         val text: String =
--- a/src/test/kotlin/lacewingweir/platform/StoppableRouter.kt
+++ b/src/test/kotlin/lacewingweir/platform/StoppableRouter.kt
@@ -89,8 +89,8 @@
                 failureDomain = "z1",
                 host = host,
                 callerListen = "$host:${RouterFleet.CALLER_PORT}",
-                readinessListen = "$host:$READINESS_PORT",
-                internalPorts = listOf(INTERNAL_PORT),
+                readinessListen = "$host:${RouterFleet.READINESS_PORT}",
+                internalPorts = listOf(RouterFleet.INTERNAL_PORT),
                 storeAddress = storeAddress,
                 bounds = PlatformBounds(repeatRatio = 0.2, repeatExtra = 56.0),
             )
@@ -100,7 +100,7 @@
 
     fun isReady(): Boolean =
         try {
-            StutterCaller(host, READINESS_PORT).use { caller ->
+            StutterCaller(host, RouterFleet.READINESS_PORT).use { caller ->
                 caller.send("GET /lacewingweir/ready HTTP/1.1\r\nHost: h\r\n\r\n")
                 caller.read("ready").status == STATUS_OK
             }
@@ -149,8 +149,6 @@
         /** The time that the platform gives a process to end. */
         const val GRACE_SECONDS = 8L
         private const val PAUSE_SLACK_MILLIS = 500L
-        private const val READINESS_PORT = 8_605
-        private const val INTERNAL_PORT = 7_600
         private const val STATUS_OK = 200
     }
 }
--- a/src/test/kotlin/lacewingweir/transport/http/LargeUploadsTest.kt
+++ b/src/test/kotlin/lacewingweir/transport/http/LargeUploadsTest.kt
@@ -8,16 +8,15 @@
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.runBlocking
+import lacewingweir.platform.StutterCaller
 import lacewingweir.testing.eventually
-import lacewingweir.testing.write
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
 import strikt.api.expectThat
-import strikt.assertions.contains
 import strikt.assertions.isEqualTo
-import strikt.assertions.startsWith
-import java.net.Socket
+import strikt.assertions.isNotNull
+import strikt.assertions.isTrue
 import java.util.concurrent.CopyOnWriteArrayList
 
 /** Guards against an instance that runs out of memory and answers nobody while callers upload large bodies. */
@@ -34,44 +33,25 @@
             if (exchange.path == "/slow") release.await()
             exchange.respond(200, body = "${exchange.body.size}".toByteArray())
         }.start()
-    private val sockets = ArrayList<Socket>()
+    private val callers = ArrayList<StutterCaller>()
 
     @AfterEach
     fun close() {
-        sockets.forEach { it.close() }
+        callers.forEach { it.close() }
         server.close()
         scope.cancel()
         group.shutdownGracefully()
     }
 
-    private fun connect() = Socket("127.0.0.1", server.port).also { sockets += it }
+    private fun connect() = StutterCaller("127.0.0.1", server.port).also { callers += it }
 
-    private fun Socket.startUpload(
+    private fun StutterCaller.startUpload(
         bytes: Int = UPLOAD_BYTES,
         path: String = "/",
-    ) = write("POST $path HTTP/1.1\r\nHost: a\r\nContent-Length: $bytes\r\n\r\n")
-
-    /** Reads one response of less than 8 KB. */
-    private fun Socket.readResponse(): String {
-        val text = StringBuilder()
-        val part = ByteArray(8_192)
-        do {
-            val count = getInputStream().read(part)
-            if (count > 0) text.append(String(part, 0, count))
-        } while (count > 0 && !text.isCompleteResponse())
-        return text.toString()
-    }
+    ) = send("POST $path HTTP/1.1\r\nHost: a\r\nContent-Length: $bytes\r\n\r\n")
 
-    private fun CharSequence.isCompleteResponse(): Boolean {
-        val headEnd = indexOf("\r\n\r\n")
-        val length =
-            Regex("content-length: (\\d+)", RegexOption.IGNORE_CASE)
-                .find(this)
-                ?.groupValues
-                ?.get(1)
-                ?.toInt() ?: 0
-        return headEnd >= 0 && this.length >= headEnd + 4 + length
-    }
+    /** Reads a response, which has to be complete. */
+    private fun StutterCaller.readResponse() = read("upload").also { expectThat(it.complete).isTrue() }
 
     private fun awaitRoomTaken(bytes: Int = 1) =
         runBlocking { eventually("$bytes bytes are taken") { bodies.figures.bytes >= bytes } }
@@ -85,15 +65,22 @@
         val first = connect().apply { startUpload() }
         awaitRoomTaken()
         val refused = connect().apply { startUpload() }.readResponse()
-        expectThat(refused).startsWith("HTTP/1.1 503").contains("X-Lacewingweir-Run: not-run").contains("retry-after: ")
-        val small = connect().apply { write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}") }
-        expectThat(small.readResponse()).startsWith("HTTP/1.1 200")
-        first.write("x".repeat(UPLOAD_BYTES))
-        expectThat(first.readResponse()).startsWith("HTTP/1.1 200").contains("\r\n\r\n$UPLOAD_BYTES")
+        expectThat(refused) {
+            get { status }.isEqualTo(503)
+            get { headers["x-lacewingweir-run"] }.isEqualTo("not-run")
+            get { headers["retry-after"] }.isNotNull()
+        }
+        val small = connect().apply { send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}") }
+        expectThat(small.readResponse().status).isEqualTo(200)
+        first.send("x".repeat(UPLOAD_BYTES))
+        expectThat(first.readResponse()) {
+            get { status }.isEqualTo(200)
+            get { body }.isEqualTo("$UPLOAD_BYTES")
+        }
         // The first connection is kept open, and its upload holds nothing any more.
         awaitRoomFree()
-        val again = connect().apply { startUpload() }.apply { write("x".repeat(UPLOAD_BYTES)) }
-        expectThat(again.readResponse()).startsWith("HTTP/1.1 200")
+        val again = connect().apply { startUpload() }.apply { send("x".repeat(UPLOAD_BYTES)) }
+        expectThat(again.readResponse().status).isEqualTo(200)
         expectThat(bodies.figures.refused).isEqualTo(1)
     }
 
@@ -104,18 +91,18 @@
         val refused = connect().apply { startUpload() }
         repeat(20) {
             Thread.sleep(100)
-            refused.write("x".repeat(UPLOAD_BYTES / 20))
+            refused.send("x".repeat(UPLOAD_BYTES / 20))
         }
-        expectThat(refused.readResponse()).startsWith("HTTP/1.1 503")
+        expectThat(refused.readResponse().status).isEqualTo(503)
     }
 
     @Test
     fun `an upload holds its room until it is answered`() {
-        val first = connect().apply { startUpload(path = "/slow") }.apply { write("x".repeat(UPLOAD_BYTES)) }
+        val first = connect().apply { startUpload(path = "/slow") }.apply { send("x".repeat(UPLOAD_BYTES)) }
         awaitRequest()
-        expectThat(connect().apply { startUpload() }.readResponse()).startsWith("HTTP/1.1 503")
+        expectThat(connect().apply { startUpload() }.readResponse().status).isEqualTo(503)
         release.complete(Unit)
-        expectThat(first.readResponse()).startsWith("HTTP/1.1 200")
+        expectThat(first.readResponse().status).isEqualTo(200)
         awaitRoomFree()
     }
 
@@ -123,10 +110,10 @@
     fun `an upload without a length is refused where its room ends`() {
         connect().startUpload()
         awaitRoomTaken()
-        val chunked = connect().apply { write("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n") }
+        val chunked = connect().apply { send("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n") }
         val chunk = "x".repeat(0x10000)
-        repeat(UPLOAD_BYTES / chunk.length) { chunked.write("10000\r\n$chunk\r\n") }
-        expectThat(chunked.readResponse()).startsWith("HTTP/1.1 503")
+        repeat(UPLOAD_BYTES / chunk.length) { chunked.send("10000\r\n$chunk\r\n") }
+        expectThat(chunked.readResponse().status).isEqualTo(503)
     }
 
     @Test
@@ -135,10 +122,10 @@
         awaitRoomTaken()
         leaving.close()
         awaitRoomFree()
-        val slow = connect().apply { startUpload(path = "/slow") }.apply { write("x".repeat(UPLOAD_BYTES)) }
+        val slow = connect().apply { startUpload(path = "/slow") }.apply { send("x".repeat(UPLOAD_BYTES)) }
         awaitRequest()
         slow.startUpload(bytes = UPLOAD_BYTES / 4)
-        slow.write("x".repeat(UPLOAD_BYTES / 4))
+        slow.send("x".repeat(UPLOAD_BYTES / 4))
         awaitRoomTaken(bytes = UPLOAD_BYTES - RequestBodies.GUARANTEED_BYTES + 1)
         slow.close()
         release.complete(Unit)
@@ -148,8 +135,12 @@
     @Test
     fun `a body that was dropped can't be taken for an empty one`() {
         expectThat(
-            connect().apply { startUpload(bytes = 1) }.apply { write("x") }.readResponse(),
-        ).startsWith("HTTP/1.1 200")
+            connect()
+                .apply { startUpload(bytes = 1) }
+                .apply { send("x") }
+                .readResponse()
+                .status,
+        ).isEqualTo(200)
         runBlocking { eventually("the handler has ended") { server.requestsInFlight == 0 } }
         val exchange = exchanges.single()
         runBlocking { eventually("the body is dropped") { runCatching { exchange.body }.isFailure } }
--- a/src/test/kotlin/lacewingweir/transport/http/RequestLostByIdleCloseTest.kt
+++ b/src/test/kotlin/lacewingweir/transport/http/RequestLostByIdleCloseTest.kt
@@ -99,6 +99,17 @@
         while (holdAtAcceptMillis.get() > 0) Thread.sleep(1)
     }
 
+    /** Expects an answer on each of the [sockets], and closes them. */
+    private fun expectAnswers(
+        play: String,
+        sockets: List<Socket>,
+    ) {
+        val answers = sockets.map { it.readHead().substringBefore("\r\n") }
+        println("$play: answers=${answers.groupingBy { it }.eachCount()} figures=${server.idleCloses}")
+        expectThat(answers.filter { it == OK }.size).isEqualTo(CONNECTIONS)
+        sockets.forEach { it.close() }
+    }
+
     private fun drain() = scope.async { server.drain(DRAIN_MILLIS) }
 
     @Test
@@ -109,10 +120,7 @@
         holdUpBehindSelect(HOLD_MILLIS)
         sockets.forEach { it.send(REQUEST) }
         server.closeIdleConnections()
-        val answers = sockets.map { it.readHead().substringBefore("\r\n") }
-        println("idle close: answers=${answers.groupingBy { it }.eachCount()} figures=${server.idleCloses}")
-        expectThat(answers.filter { it == OK }.size).isEqualTo(CONNECTIONS)
-        sockets.forEach { it.close() }
+        expectAnswers("idle close", sockets)
     }
 
     /** The clock of the idle time-out goes on while the loop is held up. */
@@ -149,10 +157,7 @@
         holdUpLoop(HOLD_MILLIS)
         val sockets = List(CONNECTIONS) { connect().apply { send(REQUEST) } }
         val drained = drain()
-        val answers = sockets.map { it.readHead().substringBefore("\r\n") }
-        println("backlog: answers=${answers.groupingBy { it }.eachCount()}")
-        expectThat(answers.filter { it == OK }.size).isEqualTo(CONNECTIONS)
-        sockets.forEach { it.close() }
+        expectAnswers("backlog", sockets)
         runBlocking { expectThat(drained.await()).isEqualTo(true) }
     }
 
@@ -165,10 +170,7 @@
         holdUpLoop(HOLD_MILLIS)
         Thread.sleep(HOLD_MILLIS + PAUSE_MILLIS)
         val sockets = List(CONNECTIONS) { connect().apply { send(REQUEST) } }
-        val answers = sockets.map { it.readHead().substringBefore("\r\n") }
-        println("closing listener: answers=${answers.groupingBy { it }.eachCount()}")
-        expectThat(answers.filter { it == OK }.size).isEqualTo(CONNECTIONS)
-        sockets.forEach { it.close() }
+        expectAnswers("closing listener", sockets)
         runBlocking { expectThat(drained.await()).isEqualTo(true) }
     }
 
