--- a/src/main/kotlin/lacewingweir/coordination/weights/WeightsControl.kt
+++ b/src/main/kotlin/lacewingweir/coordination/weights/WeightsControl.kt
@@ -7,13 +7,15 @@
 
 /**
  * The weights that an engine reports for its models. [commandCount] is the number of load commands that it has accepted
- * since it started, and [busy] is true while it executes one. An engine that is [leaving] shuts down soon.
+ * since it started, and [busy] is true while it executes one. An engine that is [leaving] shuts down soon. [copies] is
+ * the number of copies of KV caches that it holds, or null if it doesn't say.
  */
 internal data class WeightsStatus(
     val commandCount: Long,
     val busy: Boolean,
     val weights: Map<ModelName, WeightsNumber>,
     val leaving: Boolean = false,
+    val copies: Long? = null,
 )
 
 /**
--- a/src/main/kotlin/lacewingweir/coordination/weights/WeightsRollout.kt
+++ b/src/main/kotlin/lacewingweir/coordination/weights/WeightsRollout.kt
@@ -159,7 +159,8 @@
             val token = lease.fencingToken() ?: return
             val result = control.load(engine, LoadWeightsCommand(model, target, holder, token, status.commandCount))
             logger.info {
-                "rollout: engine=${engine.id} weights=$target fence=$token orders=${status.commandCount} answer=$result"
+                "rollout: engine=${engine.id} weights=$target fence=$token orders=${status.commandCount} " +
+                    "copies=${status.copies} answer=$result"
             }
             if (result == LoadWeightsResult.FENCED) lease.release("engine ${engine.id} has seen a higher fencing token")
             if (result == LoadWeightsResult.FENCED || result == LoadWeightsResult.REJECTED) return
--- a/src/main/kotlin/lacewingweir/platform/PlatformWeightsControl.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformWeightsControl.kt
@@ -3,6 +3,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.longOrNull
 import kotlinx.serialization.json.put
 import lacewingweir.coordination.weights.LoadWeightsCommand
 import lacewingweir.coordination.weights.LoadWeightsResult
@@ -32,6 +33,7 @@
                 busy = fields.boolean("busy"),
                 weights = PlatformItemCodec.weights(fields),
                 leaving = (fields["state"] as? JsonPrimitive)?.content == STATE_LEAVING,
+                copies = (fields["handles"] as? JsonPrimitive)?.longOrNull,
             )
         } catch (e: IllegalArgumentException) {
             logger.warn { "platform: malformed status of ${engine.id}: ${e.message}" }
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -241,6 +241,7 @@
         var outcome = sendOnce(state, admitted, service, reservation)
         while (outcome is SendOutcome.HandedOver) {
             val run = outcome.run
+            val lastEvent = state.progress.lastNumber
             state.possibleRuns++
             state.beginRepeat(run.repeat, RepeatCause.HANDOVER)
             reservation = run.reservation
@@ -254,7 +255,7 @@
                 reservation = back.reservation
                 outcome = sendOnce(state, admitted, service, reservation, back.copy)
             }
-            handovers.recordContinuation(back ?: run, outcome)
+            handovers.recordContinuation(back ?: run, outcome, hasGoneOn = state.progress.lastNumber != lastEvent)
             state.lostRun = (back ?: run).takeIf { outcome is SendOutcome.NotRun }
         }
         return recordOutcome(state, admitted, outcome, reservation.endpoint)
--- a/src/main/kotlin/lacewingweir/transport/relay/HandoverStep.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/HandoverStep.kt
@@ -18,4 +18,10 @@
 
     /** No engine has taken the run, which ends its stream unless it may be resumed. */
     LOST,
+
+    /** The engine that was to continue the run broke off before its first event. */
+    BROKEN,
+
+    /** The call ended, for want of time or with its instance, before the run went on. */
+    EXPIRED,
 }
--- a/src/main/kotlin/lacewingweir/transport/relay/RunHandovers.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/RunHandovers.kt
@@ -132,24 +132,40 @@
      */
     fun goBack(run: HandedOverRun): HandedOverRun? {
         val source = run.source.endpoint
-        val stoppedElsewhere = run.stopConfirmed && run.reservation.endpoint.id != source.id
-        if (!stoppedElsewhere || tracker.drainingMillis(source.id) > MAX_DRAINING_MILLIS) return null
-        val reservation = tracker.placeOnSameEngine(run.source) ?: return null
-        val repeat = repeatBudgets.tryRepeat(source.service, RepeatCause.HANDOVER)
-        if (repeat == null) reservation.end(ReservationOutcome.NOT_SENT)
-        return repeat?.let {
-            HandedOverRun(run.source, reservation, run.copy, it, stopConfirmed = true, run.stoppedAtMillis)
+        val blocked = reasonAgainstReturn(run)
+        val reservation = if (blocked == null) tracker.placeOnSameEngine(run.source) else null
+        val repeat = reservation?.let { repeatBudgets.tryRepeat(source.service, RepeatCause.HANDOVER) }
+        if (reservation != null && repeat != null) {
+            return HandedOverRun(run.source, reservation, run.copy, repeat, stopConfirmed = true, run.stoppedAtMillis)
         }
+        reservation?.end(ReservationOutcome.NOT_SENT)
+        logger.info {
+            "handover: lost ${run.describe(clock.nowMillis())} " +
+                "drainingMs=${tracker.drainingMillis(source.id)}: " +
+                (blocked ?: if (reservation == null) "other weights" else "repeat budget exhausted")
+        }
+        return null
     }
 
-    /** Records the outcome of sending [run], which was stopped, to where it goes on. */
+    /** Returns why a run that was stopped should not be sent to its own engine, or null if it may be. */
+    private fun reasonAgainstReturn(run: HandedOverRun): String? =
+        when {
+            run.reservation.endpoint.id == run.source.endpoint.id -> "refused by its own engine"
+            !run.stopConfirmed -> "the stop is not confirmed"
+            tracker.drainingMillis(run.source.endpoint.id) > MAX_DRAINING_MILLIS -> "its own engine drains for too long"
+            else -> null
+        }
+
+    /** Records the outcome of sending [run], which was stopped, to where it goes on, and whether it [hasGoneOn]. */
     fun recordContinuation(
         run: HandedOverRun,
         outcome: SendOutcome,
+        hasGoneOn: Boolean,
     ) = steps.increment(
         when {
             outcome is SendOutcome.NotRun -> HandoverStep.LOST
-            outcome is SendOutcome.Broken && outcome.received == ReceivedPart.NOTHING -> HandoverStep.LOST
+            !hasGoneOn && outcome is SendOutcome.Broken ->
+                if (outcome.outOfTime) HandoverStep.EXPIRED else HandoverStep.BROKEN
             run.reservation.endpoint.id == run.source.endpoint.id -> HandoverStep.RETURNED
             else -> HandoverStep.TAKEN
         },
@@ -272,7 +288,12 @@
             at: EndpointReservation,
             stopConfirmed: Boolean = true,
         ) = HandedOverRun(reservation, at, copy, stream.repeat, stopConfirmed, beganAtMillis)
-        logger.info { "handover: id=${stream.id} from=${source.id} to=${target.endpoint.id} answer=$result" }
+        logger.info {
+            "handover: id=${stream.id} from=${source.id} to=${target.endpoint.id} " +
+                "copyMs=${clock.nowMillis() - beganAtMillis} drainingMs=${tracker.drainingMillis(
+                    source.id,
+                )} answer=$result"
+        }
         return when (result) {
             is CopyResult.Copied -> continuedFrom(result.copy, target)
             // The run may have been stopped, so the other engine continues it from the copy made while it was running.
