--- a/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
+++ b/src/test/kotlin/lacewingweir/platform/RouterFleet.kt
@@ -59,7 +59,10 @@
         List(if (serversMayFallSilent) engines + desks else 0) {
             MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
         }
-    val engines = List(engines) { StandinPromptEngine("e$it", serverGroup(it), scope, store) }
+
+    /** The copies of runs at all engines. */
+    val copies = StandinCopies()
+    val engines = List(engines) { StandinPromptEngine("e$it", serverGroup(it), scope, store, copies = copies) }
 
     /** The endpoints of the plain service. */
     val desks = List(desks) { StandinPromptEngine("d$it", serverGroup(engines + it), scope, store, service = "desk") }
@@ -186,7 +189,10 @@
         return send(index, number, "/tag/x", body, prompt, timeoutMillis = timeoutMillis)
     }
 
-    private fun prompt(parts: String) = listOf("Model" to "m", "Token-Counts" to "300,20", "Prompt-Prefix" to parts)
+    private fun prompt(
+        parts: String,
+        outputTokens: Int = SHORT_ANSWER_TOKENS,
+    ) = listOf("Model" to "m", "Token-Counts" to "300,$outputTokens", "Prompt-Prefix" to parts)
 
     /** A stream as its caller sees it: the id of the call that brought its first event, and all events so far. */
     class CallerStream(
@@ -200,6 +206,7 @@
     suspend fun stream(
         index: Int,
         from: CallerStream? = null,
+        outputTokens: Int = SHORT_ANSWER_TOKENS,
     ): CallerStream {
         val number = requestNumbers.incrementAndGet()
         val resuming =
@@ -208,8 +215,9 @@
             } else {
                 listOf("Last-Event-Id" to "${from.events.size}", "Resumes" to callId(from.firstCall))
             }
-        val headers = prompt("sys:100,doc${number % SHARED_DOCUMENTS}:100,stream$number:100") + resuming
-        val result = open(index, number, "/tag/x", "stream", headers, "k1")
+        val parts = "sys:100,doc${number % SHARED_DOCUMENTS}:100,stream$number:100"
+        val headers = prompt(parts, outputTokens) + resuming
+        val result = open(index, number, "/tag/x", "stream", headers, "k1", STREAM_TIMEOUT_MILLIS)
         val response = (result as? ClientResult.Answered)?.response
         val text = StringBuilder()
         var complete = false
@@ -308,11 +316,13 @@
         const val CALLER_PORT = 8_606
         const val READINESS_PORT = 8_605
         const val INTERNAL_PORT = 7_600
+        private const val SHORT_ANSWER_TOKENS = 20
 
         /** Prompts that share a part share an engine, so the engines get several parts. */
         private const val SHARED_DOCUMENTS = 12
         private val ADDRESS_FIELD = Regex("\"address\":\"([^\"]*)\"")
         private const val STREAM_IDLE_MILLIS = 5_000L
+        private const val STREAM_TIMEOUT_MILLIS = 6_000L
         private const val CALLER_TIMEOUT_MILLIS = 3_000L
 
         /** Twice the interval between the watches of the store. */
--- a/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
+++ b/src/test/kotlin/lacewingweir/platform/StandinPromptEngine.kt
@@ -24,6 +24,7 @@
     private val scope: CoroutineScope,
     private val store: StandinKeyValueStore,
     private val service: String = ENGINE_SERVICE,
+    copies: StandinCopies = StandinCopies(),
     @Volatile var software: String = "v1",
 ) : AutoCloseable {
     /** Room for [running] requests at once and [waiting] behind them. */
@@ -41,12 +42,15 @@
         val leftMillis: Long,
     )
 
+    /** The runs of an engine. */
+    val runs = StandinRuns(copies)
+
     /** The weights of an engine. */
     val weights = StandinWeights(scope) { publish() }
 
     private var server: HttpServer? = null
     private var port = 0
-    private var runs = 0
+    private var starts = 0
 
     @Volatile
     private var closed = false
@@ -127,10 +131,10 @@
     val crashes = CopyOnWriteArrayList<Long>()
 
     val id: String
-        get() = "$name-$runs"
+        get() = "$name-$starts"
 
     fun start() {
-        runs++
+        starts++
         val ended = AtomicBoolean()
         val listener = HttpServer(group, scope, "127.0.0.1", port) { handle(it, ended) }.start()
         server = listener
@@ -153,7 +157,7 @@
         store.write(
             "servers/$id",
             """{"service":"$service","address":"127.0.0.1:$port","zone":"z1","version":"$software","slots":${room?.running ?: SLOTS},"state":"ready",
-            "coldLeftMs":0,"sequence":1,"born":${1_000 + runs}$models}""",
+            "coldLeftMs":0,"sequence":1,"born":${1_000 + starts}$models}""",
         )
     }
 
@@ -161,7 +165,11 @@
         exchange: ServerExchange,
         ended: AtomicBoolean,
     ) {
-        if (exchange.path.startsWith("/lacewingweir/")) {
+        if (exchange.path == PlatformPaths.KV_CACHE_COPY) {
+            runs.copy(exchange)
+        } else if (exchange.path.startsWith(PlatformPaths.KV_CACHE_COPY_PREFIX)) {
+            exchange.respond(200)
+        } else if (exchange.path.startsWith("/lacewingweir/")) {
             weights.control(exchange, id)
         } else if (exchange.headers.get("Expect-Instance") == id) {
             handleCall(exchange, ended)
@@ -219,10 +227,15 @@
         val exchange = run.exchange
         val body = run.body
         if (run.reachesFirstEvent) {
-            if (!weights.begin(exchange, prefillMillis)) return
+            if (!weights.begin(exchange, prefillMillis)) {
+                if (exchange.headers.contains("Kv-From")) runs.onRefused()
+                return
+            }
+            runs.begin(run.id)
             try {
-                answerPrompt(run)
+                if (runs.admits(exchange)) answerPrompt(run)
             } finally {
+                runs.end(run.id)
                 weights.end()
             }
             return
@@ -253,6 +266,10 @@
             else -> {
                 val first = (exchange.headers.get("Last-Event-Id")?.toInt() ?: 0) + 1
                 for (n in first..eventsFor(run.body)) {
+                    if (runs.isStopped(run.id)) {
+                        exchange.abort()
+                        return
+                    }
                     exchange.write("id: $n\ndata: ${piece(n)}\n\n".encodeToByteArray())
                     delay(eventMillis)
                 }
@@ -269,6 +286,7 @@
         val body: String,
         private val ended: AtomicBoolean,
     ) {
+        val id: String = exchange.headers.get("Attempt-Id")
         val crashes = body in crashingBodies || parts.dropLast(1).any { it in crashingParts }
         val reachesFirstEvent = service == ENGINE_SERVICE && !crashes && parts.none { it in brokenOffParts }
         val responseHeaders =
