--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -30,6 +30,7 @@
 import lacewingweir.coordination.lease.RolloutLease
 import lacewingweir.coordination.placement.EndpointStatements
 import lacewingweir.coordination.placement.EndpointTracker
+import lacewingweir.coordination.placement.RunTransfers
 import lacewingweir.coordination.placement.VersionRules
 import lacewingweir.coordination.placement.WeightsAgePolicy
 import lacewingweir.coordination.reach.PassTargets
@@ -186,6 +187,10 @@
     private val engineCalls = PlatformEngineClient(endpointClient, statements::isPaused, statements::record)
     private val stop = InstanceStop(clock)
     private val weightsControl = PlatformWeightsControl(engineCalls)
+    private val transfers =
+        RunTransfers(settings.name, clock, firstNumber = startedAtUnixMillis) {
+            scope.launch { digestSender.reportTransfers() }
+        }
     private val handovers =
         RunHandovers(
             tracker,
@@ -193,6 +198,7 @@
             repeatBudgets,
             scope,
             clock,
+            transfers,
             stop,
             takesRun = { weightsControl.takesRun(it.endpoint, it.model, it.weights) },
         )
@@ -307,7 +313,8 @@
             settings.name,
             ageClock,
             weightsAgePolicy,
-            { digestSender.reportEngines(it) },
+            isInTransfer = transfers::includes,
+            onLoadingChanged = { digestSender.reportEngines(it) },
         )
     private val targetMomentsWriter =
         TargetMomentsWriter(
@@ -333,6 +340,7 @@
                     validityMillis = InstanceDigest.MIN_VALIDITY_MILLIS,
                 )
             },
+            createTransferReport = transfers::report,
             createCrashNews = quarantine::news,
         )
     private val registration =
@@ -603,6 +611,7 @@
         unreachable = servicesWithoutPassedCalls().map { it.value }.sorted(),
         speeds = tracker.takeSpeeds(),
         versions = versionRollouts?.tallies().orEmpty(),
+        transfers = transfers.report(),
         demands = rateLimiter.demands(),
     )
 
@@ -620,6 +629,7 @@
         datagram.digest?.let(::onDigest)
         datagram.engineReport?.let(tracker::onEngineReport)
         datagram.crashNews?.let(quarantine::onNews)
+        datagram.transferReport?.let(transfers::onReport)
         datagram.streamMessage?.let(streamVersions::onMessage)
     }
 
@@ -631,6 +641,7 @@
         versionRollouts?.onDigest(digest)
         directory.onTargetAges(digest.instance, digest.targets)
         directory.onLeaving(digest.leaving, source = digest.instance)
+        digest.transfers?.let(transfers::onReport)
         digest.crashNews?.let(quarantine::onNews)
     }
 
--- a/src/main/kotlin/lacewingweir/coordination/gossip/DigestSender.kt
+++ b/src/main/kotlin/lacewingweir/coordination/gossip/DigestSender.kt
@@ -18,8 +18,8 @@
  *
  * [self] is the name of this instance. [createDigest] returns the current digest for the given interval, with the
  * totals of the rate windows if asked for. The sender assigns its number. [createReport] returns the report of the
- * given engines, and [createCrashNews] the news of crashes, or null if there are none. All functions must be
- * called on the thread of [timers].
+ * given engines, [createTransferReport] that of the runs being handed over, and [createCrashNews] the news of crashes,
+ * or null if there are none. All functions must be called on the thread of [timers].
  */
 internal class DigestSender(
     private val self: String,
@@ -29,6 +29,7 @@
     private val random: Random = Random.Default,
     private val createDigest: (intervalMillis: Long, withWindowTotals: Boolean) -> InstanceDigest,
     private val createReport: (engines: Set<EndpointId>) -> EngineReport,
+    private val createTransferReport: () -> TransferReport,
     private val createCrashNews: () -> CrashNews?,
 ) {
     private var number = 0L
@@ -40,6 +41,8 @@
         PacedReports("engine report") {
             PeerDatagram(engineReport = createReport(pendingEngines.toSet())).also { pendingEngines.clear() }
         }
+    private val transferReports =
+        PacedReports("transfer report") { PeerDatagram(transferReport = createTransferReport()) }
     private val crashReports =
         PacedReports("crash news") { createCrashNews()?.let { PeerDatagram(crashNews = it) } }
 
@@ -51,6 +54,9 @@
         engineReports.request()
     }
 
+    /** Reports to all peers that the engines between which runs are handed over have changed. */
+    suspend fun reportTransfers() = transferReports.request()
+
     /** Sends the current news of crashes to all peers. */
     suspend fun reportCrashNews() = crashReports.request()
 
--- a/src/main/kotlin/lacewingweir/coordination/gossip/InstanceDigest.kt
+++ b/src/main/kotlin/lacewingweir/coordination/gossip/InstanceDigest.kt
@@ -88,6 +88,7 @@
  * @property versions answers since the orders of the rollouts of software versions that run
  * @property unreachable services whose endpoints the instance doesn't reach, or doesn't send calls of others to
  * @property speeds samples of the speeds of endpoints since the previous digest
+ * @property transfers the runs that the instance is handing over, in case the datagram that reported them was lost
  * @property demands recent demand for each customer in tokens per second, including refused requests
  */
 @Serializable
@@ -109,6 +110,7 @@
     @CborLabel(16) val versions: List<VersionTally> = emptyList(),
     @CborLabel(17) val speeds: List<SpeedSample> = emptyList(),
     @CborLabel(15) val demands: Map<String, Long> = emptyMap(),
+    @CborLabel(18) val transfers: TransferReport? = null,
 ) {
     /** How long the digest describes its instance if no later one arrives. */
     val validityMillis: Long
@@ -148,6 +150,17 @@
     @CborLabel(5) val claimsTrial: Boolean = false,
 )
 
+/**
+ * The [engines] from and to which [instance] is handing runs over. Of two reports of an instance, the one with the
+ * higher [number] is later.
+ */
+@Serializable
+internal data class TransferReport(
+    @CborLabel(1) val instance: String,
+    @CborLabel(2) val number: Long,
+    @CborLabel(3) val engines: List<EndpointTag>,
+)
+
 /** A datagram between instances. It contains one of its properties. */
 @Serializable
 internal data class PeerDatagram(
@@ -155,6 +168,7 @@
     @CborLabel(2) val engineReport: EngineReport? = null,
     @CborLabel(3) val crashNews: CrashNews? = null,
     @CborLabel(4) val streamMessage: StreamMessage? = null,
+    @CborLabel(5) val transferReport: TransferReport? = null,
 )
 
 /** Sends datagrams to peers without guarantee of delivery. */
--- a/src/main/kotlin/lacewingweir/coordination/weights/WeightsRollout.kt
+++ b/src/main/kotlin/lacewingweir/coordination/weights/WeightsRollout.kt
@@ -4,7 +4,7 @@
  * The holder of the rollout lease compares the weights of each engine with the announced ones and sends load commands
  * to a few engines at a time, or to all that calls may soon no longer be sent to. It always loads the newest weights,
  * even if an older version has not reached every engine. Peers learn from its digest which engines are loading and
- * which have finished.
+ * which have finished. No command is sent to an engine from or to which a run is being handed over.
  */
 package lacewingweir.coordination.weights
 
@@ -16,10 +16,12 @@
 import lacewingweir.coordination.fleet.FleetSnapshot
 import lacewingweir.coordination.lease.RolloutLease
 import lacewingweir.coordination.placement.EndpointTracker
+import lacewingweir.coordination.placement.RunTransfers
 import lacewingweir.coordination.placement.WeightsAgePolicy
 import lacewingweir.coordination.time.TimerService
 import lacewingweir.state.fleet.EndpointEntry
 import lacewingweir.state.id.EndpointId
+import lacewingweir.state.id.EndpointTag
 import lacewingweir.state.id.ModelName
 import lacewingweir.state.id.WeightsNumber
 import lacewingweir.state.time.ClockReading
@@ -39,6 +41,7 @@
     private val holder: String,
     private val clock: SuspendAwareClock,
     private val agePolicy: WeightsAgePolicy,
+    private val isInTransfer: (EndpointTag) -> Boolean,
     private val onLoadingChanged: suspend (Collection<EndpointId>) -> Unit,
     private val random: Random = Random.Default,
 ) {
@@ -135,6 +138,7 @@
         scope.launch {
             try {
                 awaitDrain(engine, outdated.remainingMillis)
+                awaitTransfers(engine)
                 load(engine, outdated.model, outdated.target)
             } finally {
                 loadingEngines.remove(engine.id)
@@ -185,6 +189,17 @@
         }
     }
 
+    /** Waits until no run is on its way from or to [engine], which has been announced to load. */
+    private suspend fun awaitTransfers(engine: EndpointEntry) {
+        val checks = (MAX_TRANSFER_WAIT_MILLIS / DRAIN_CHECK_PERIOD_MILLIS).toInt()
+        repeat(checks) {
+            if (!isInTransfer(engine.tag)) return
+            tracker.setLoading(engine.id, loading = true, weights = null)
+            delay(DRAIN_CHECK_PERIOD_MILLIS)
+        }
+        logger.warn { "rollout: engine=${engine.id} still has runs that are handed over" }
+    }
+
     private suspend fun awaitLoaded(
         engine: EndpointEntry,
         model: ModelName,
@@ -237,5 +252,8 @@
         const val REPORT_PROPAGATION_MILLIS: Long = 260
         const val DRAIN_CHECK_PERIOD_MILLIS: Long = 60
         const val MAX_DRAIN_CHECKS: Int = 8
+
+        /** Longer than a transfer that began before the instance knew of the load, and its report, are valid. */
+        const val MAX_TRANSFER_WAIT_MILLIS: Long = RunTransfers.VALIDITY_MILLIS + REPORT_PROPAGATION_MILLIS
     }
 }
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -237,28 +237,42 @@
         firstReservation: EndpointReservation,
     ): Boolean {
         state.lostRun = null
-        var reservation = firstReservation
-        var outcome = sendOnce(state, admitted, service, reservation)
+        var endpoint = firstReservation.endpoint
+        var outcome = sendOnce(state, admitted, service, firstReservation)
         while (outcome is SendOutcome.HandedOver) {
-            val run = outcome.run
+            val stopped = outcome.run
             val lastEvent = state.progress.lastNumber
             state.possibleRuns++
-            state.beginRepeat(run.repeat, RepeatCause.HANDOVER)
-            reservation = run.reservation
-            outcome = sendOnce(state, admitted, service, reservation, run.copy)
-            val back = if (outcome is SendOutcome.NotRun) handovers.goBack(run) else null
-            if (back != null) {
-                logger.info {
-                    "relay: id=${state.call.id} goes back to=${run.source.endpoint.id} ${state.sendFacts}: $outcome"
+            var run = stopped
+            try {
+                outcome = continueRun(state, admitted, service, run)
+                val back = if (outcome is SendOutcome.NotRun) handovers.goBack(stopped) else null
+                if (back != null) {
+                    logger.info {
+                        "relay: id=${state.call.id} goes back to=${back.source.endpoint.id} " +
+                            "${state.sendFacts}: $outcome"
+                    }
+                    run = back
+                    outcome = continueRun(state, admitted, service, run)
                 }
-                state.beginRepeat(back.repeat, RepeatCause.HANDOVER)
-                reservation = back.reservation
-                outcome = sendOnce(state, admitted, service, reservation, back.copy)
+            } finally {
+                stopped.transfer.end()
             }
-            handovers.recordContinuation(back ?: run, outcome, hasGoneOn = state.progress.lastNumber != lastEvent)
-            state.lostRun = (back ?: run).takeIf { outcome is SendOutcome.NotRun }
+            endpoint = run.reservation.endpoint
+            handovers.recordContinuation(run, outcome, hasGoneOn = state.progress.lastNumber != lastEvent)
+            state.lostRun = run.takeIf { outcome is SendOutcome.NotRun }
         }
-        return recordOutcome(state, admitted, outcome, reservation.endpoint)
+        return recordOutcome(state, admitted, outcome, endpoint)
+    }
+
+    private suspend fun continueRun(
+        state: CallState,
+        admitted: Admitted,
+        service: ServiceName,
+        run: HandedOverRun,
+    ): SendOutcome {
+        state.beginRepeat(run.repeat, RepeatCause.HANDOVER)
+        return sendOnce(state, admitted, service, run.reservation, run)
     }
 
     /** Returns whether the call may be sent. Responds to the caller if not. */
@@ -408,7 +422,7 @@
         admitted: Admitted,
         service: ServiceName,
         reservation: EndpointReservation,
-        cacheCopy: KvCacheCopy? = null,
+        continued: HandedOverRun? = null,
     ): SendOutcome {
         val timeoutMillis = state.remainingMillis
         state.sends++
@@ -416,7 +430,7 @@
         state.sentAgain = reservation.endpoint.id in state.triedEndpoints
         state.triedEndpoints += reservation.endpoint.id
         state.lastEndpoint = reservation.endpoint.id
-        val outbound = outboundCall(state, admitted, reservation, cacheCopy)
+        val outbound = outboundCall(state, admitted, reservation, continued)
         logSend(state, outbound, reservation)
         reach?.onSend(service)
         try {
@@ -464,7 +478,7 @@
         state: CallState,
         admitted: Admitted,
         reservation: EndpointReservation,
-        cacheCopy: KvCacheCopy?,
+        continued: HandedOverRun?,
     ): OutboundCall {
         val service = reservation.endpoint.service
         val toEngine = state.call.prompt != null
@@ -485,7 +499,7 @@
             priority = if (toEngine) rankOf(admitted, service) else null,
             resumeAfter = state.progress.lastId ?: state.call.resumeAfter,
             cacheSource = reservation.cacheSource,
-            cacheCopy = cacheCopy,
+            cacheCopy = continued?.copy,
             // An extra response may wait on a pooled connection as well.
             freshConnection = state.repeatCause == RepeatCause.BROKEN,
             onSend = { connection ->
@@ -494,6 +508,7 @@
             },
             onResponse = state::onRead,
             onSkipped = { state.skipped++ },
+            onFirstEvent = { continued?.transfer?.end() },
         )
     }
 
--- a/src/main/kotlin/lacewingweir/transport/relay/EndpointProtocol.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/EndpointProtocol.kt
@@ -18,8 +18,8 @@
  * KV cache is in [cacheCopy]. The response must begin after the event [resumeAfter]. [freshConnection] asks for a
  * connection that carries nothing else. [mayGiveUp] is called if no response has begun after [headTimeoutMillis], and
  * returns whether to stop waiting for it. [onSend] is called just before the call is written to a connection,
- * [onResponse] when a response to it has begun, and [onSkipped] for each response to another call that is skipped
- * before.
+ * [onResponse] when a response to it has begun, [onSkipped] for each response to another call that is skipped before,
+ * and [onFirstEvent] when the answer has begun.
  */
 internal class OutboundCall(
     val call: InboundCall,
@@ -38,6 +38,7 @@
     val onSend: (ConnectionUse) -> Unit = {},
     val onResponse: () -> Unit = {},
     val onSkipped: () -> Unit = {},
+    val onFirstEvent: () -> Unit = {},
 )
 
 /**
--- a/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/EndpointSender.kt
@@ -129,7 +129,10 @@
         reservation: EndpointReservation,
         complete: Boolean = false,
     ): Boolean {
-        if (reservation.onFirstEvent(complete)) logBegin(outbound, reservation)
+        if (reservation.onFirstEvent(complete)) {
+            outbound.onFirstEvent()
+            logBegin(outbound, reservation)
+        }
         return !reservation.isWithdrawn
     }
 
--- a/src/main/kotlin/lacewingweir/transport/relay/RunHandovers.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/RunHandovers.kt
@@ -8,6 +8,8 @@
 import lacewingweir.coordination.placement.EndpointReservation
 import lacewingweir.coordination.placement.EndpointTracker
 import lacewingweir.coordination.placement.ReservationOutcome
+import lacewingweir.coordination.placement.RunTransfer
+import lacewingweir.coordination.placement.RunTransfers
 import lacewingweir.state.id.EndpointId
 import lacewingweir.state.id.RequestId
 import lacewingweir.state.retry.RepeatCause
@@ -23,6 +25,7 @@
  *
  * @property source the reservation at the engine that stopped the run, which keeps its KV cache
  * @property stopConfirmed whether the source has said that it stopped the run; otherwise the run may have ended instead
+ * @property transfer keeps both engines from being told to load until the run has gone on
  * @property stoppedAtMillis when the source was told to stop the run, by the monotonic clock
  */
 internal class HandedOverRun(
@@ -32,6 +35,7 @@
     val repeat: RepeatGrant?,
     val stopConfirmed: Boolean,
     val stoppedAtMillis: Long,
+    val transfer: RunTransfer,
 ) {
     /** Describes the run in a log line written at [nowMillis]. */
     fun describe(nowMillis: Long): String =
@@ -77,7 +81,8 @@
  *
  * A run that is stopped is lost unless the other engine takes it, since its own engine often takes nothing any more. So
  * it is stopped only if the other engine says just before that it [takesRun], and if the instance goes on for long
- * enough. Otherwise it stays where it is.
+ * enough. Otherwise it stays where it is. From the beginning of a handover until the run has gone on, neither engine is
+ * told to load, as far as [transfers] can tell the instance that would do so.
  */
 internal class RunHandovers(
     private val tracker: EndpointTracker,
@@ -85,6 +90,7 @@
     private val repeatBudgets: RepeatBudgets,
     private val scope: CoroutineScope,
     private val clock: MonotonicClock,
+    private val transfers: RunTransfers,
     private val stop: InstanceStop = InstanceStop(clock),
     private val takesRun: suspend (target: EndpointReservation) -> Boolean,
 ) {
@@ -136,7 +142,15 @@
         val reservation = if (blocked == null) tracker.placeOnSameEngine(run.source) else null
         val repeat = reservation?.let { repeatBudgets.tryRepeat(source.service, RepeatCause.HANDOVER) }
         if (reservation != null && repeat != null) {
-            return HandedOverRun(run.source, reservation, run.copy, repeat, stopConfirmed = true, run.stoppedAtMillis)
+            return HandedOverRun(
+                run.source,
+                reservation,
+                run.copy,
+                repeat,
+                stopConfirmed = true,
+                run.stoppedAtMillis,
+                run.transfer,
+            )
         }
         reservation?.end(ReservationOutcome.NOT_SENT)
         logger.info {
@@ -184,6 +198,7 @@
         scope.launch {
             handover.await()?.let { run ->
                 run.reservation.end(ReservationOutcome.NOT_SENT)
+                run.transfer.end()
                 copier.release(run.copy)
             }
         }
@@ -219,11 +234,17 @@
         excluded: Set<EndpointId> = emptySet(),
     ): HandedOverRun? {
         val source = stream.reservation.endpoint
+        val transfer = transfers.begin(source.tag, target.endpoint.tag)
         val result = copyWhileRunning(stream, target)
         val isAccepted = result is CopyResult.Copied && takesRun(target)
+        // A load of the target that this instance doesn't know of yet is commanded only after its transfers are known.
+        transfer.renew()
         val isExpected = tracker.mayContinueAt(target)
         val mayStop = isAccepted && isExpected && hasTime()
-        if (result is CopyResult.Copied && mayStop && stream.beginStop()) return stopRun(stream, target, result.copy)
+        if (result is CopyResult.Copied && mayStop && stream.beginStop()) {
+            return stopRun(stream, target, result.copy, transfer)
+        }
+        transfer.end()
         logger.info {
             "handover: id=${stream.id} stays at ${source.id} target=${target.endpoint.id} accepted=$isAccepted " +
                 "expected=$isExpected answer=$result"
@@ -276,6 +297,7 @@
         stream: RunningStream,
         target: EndpointReservation,
         lastCopy: KvCacheCopy,
+        transfer: RunTransfer,
     ): HandedOverRun? {
         val reservation = stream.reservation
         val source = reservation.endpoint
@@ -287,25 +309,27 @@
             copy: KvCacheCopy,
             at: EndpointReservation,
             stopConfirmed: Boolean = true,
-        ) = HandedOverRun(reservation, at, copy, stream.repeat, stopConfirmed, beganAtMillis)
+        ) = HandedOverRun(reservation, at, copy, stream.repeat, stopConfirmed, beganAtMillis, transfer)
         logger.info {
             "handover: id=${stream.id} from=${source.id} to=${target.endpoint.id} " +
-                "copyMs=${clock.nowMillis() - beganAtMillis} drainingMs=${tracker.drainingMillis(
-                    source.id,
-                )} answer=$result"
+                "copyMs=${clock.nowMillis() - beganAtMillis} " +
+                "drainingMs=${tracker.drainingMillis(source.id)} answer=$result"
         }
-        return when (result) {
-            is CopyResult.Copied -> continuedFrom(result.copy, target)
-            // The run may have been stopped, so the other engine continues it from the copy made while it was running.
-            is CopyResult.Unknown -> continuedFrom(lastCopy, target, stopConfirmed = false)
-            is CopyResult.RunNotFound -> null.also { target.end(ReservationOutcome.NOT_SENT) }
-            is CopyResult.Refused -> {
-                target.end(ReservationOutcome.NOT_SENT)
-                val ownEngine = result.remainingCopy?.let { tracker.placeOnSameEngine(reservation) }
-                if (ownEngine == null) steps.increment(HandoverStep.LOST)
-                ownEngine?.let { continuedFrom(checkNotNull(result.remainingCopy), it) }
+        val run =
+            when (result) {
+                is CopyResult.Copied -> continuedFrom(result.copy, target)
+                // The run may have been stopped, so the other engine continues it from the copy that was made before.
+                is CopyResult.Unknown -> continuedFrom(lastCopy, target, stopConfirmed = false)
+                is CopyResult.RunNotFound -> null.also { target.end(ReservationOutcome.NOT_SENT) }
+                is CopyResult.Refused -> {
+                    target.end(ReservationOutcome.NOT_SENT)
+                    val ownEngine = result.remainingCopy?.let { tracker.placeOnSameEngine(reservation) }
+                    if (ownEngine == null) steps.increment(HandoverStep.LOST)
+                    ownEngine?.let { continuedFrom(checkNotNull(result.remainingCopy), it) }
+                }
             }
-        }
+        if (run == null) transfer.end()
+        return run
     }
 
     private companion object {
--- a/src/test/kotlin/lacewingweir/platform/RelayFixture.kt
+++ b/src/test/kotlin/lacewingweir/platform/RelayFixture.kt
@@ -12,6 +12,7 @@
 import lacewingweir.coordination.gossip.FleetRateLimiter
 import lacewingweir.coordination.placement.EndpointStatements
 import lacewingweir.coordination.placement.EndpointTracker
+import lacewingweir.coordination.placement.RunTransfers
 import lacewingweir.coordination.placement.WeightsAgePolicy
 import lacewingweir.coordination.store.StoreChange
 import lacewingweir.coordination.time.CoroutineTimerService
@@ -82,6 +83,7 @@
             repeatBudgets,
             scope,
             clock,
+            RunTransfers("a", clock, firstNumber = 1),
             takesRun = { weightsControl.takesRun(it.endpoint, it.model, it.weights) },
         )
     private val streamVersions = localStreamVersions(clock, scope) { directory.snapshot }
--- a/src/test/kotlin/lacewingweir/transport/digest/DigestTrafficTest.kt
+++ b/src/test/kotlin/lacewingweir/transport/digest/DigestTrafficTest.kt
@@ -10,6 +10,7 @@
 import lacewingweir.coordination.gossip.FleetRateLimiter
 import lacewingweir.coordination.gossip.InstanceDigest
 import lacewingweir.coordination.gossip.PeerDatagram
+import lacewingweir.coordination.gossip.TransferReport
 import lacewingweir.coordination.placement.EndpointReservation
 import lacewingweir.coordination.placement.EndpointTracker
 import lacewingweir.coordination.placement.PlacementRequest
@@ -107,6 +108,7 @@
                 )
             },
             createReport = { EngineReport(SELF, tracker.engineWeights(it, loading), validityMillis = 1_000) },
+            createTransferReport = { TransferReport(SELF, number = 1, engines = emptyList()) },
             createCrashNews = { null },
         )
 
