--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
@@ -113,6 +113,10 @@
     @Synchronized
     fun isDraining(id: EndpointId): Boolean = states[id]?.isDraining(clock.nowMillis()) ?: false
 
+    /** Returns whether the engine is about to leave or has left. */
+    @Synchronized
+    fun isLeaving(id: EndpointId): Boolean = states[id]?.entry?.leaving ?: true
+
     /** Returns for how long it has been known that the engine is about to load weights or to leave, in milliseconds. */
     @Synchronized
     fun drainingMillis(id: EndpointId): Long = drainingSinceMillis[id]?.let { clock.nowMillis() - it } ?: 0
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -256,7 +256,7 @@
                     outcome = continueRun(state, admitted, service, run)
                 }
             } finally {
-                stopped.transfer.end()
+                stopped.settle()
             }
             endpoint = run.reservation.endpoint
             handovers.recordContinuation(run, outcome, hasGoneOn = state.progress.lastNumber != lastEvent)
@@ -508,7 +508,7 @@
             },
             onResponse = state::onRead,
             onSkipped = { state.skipped++ },
-            onFirstEvent = { continued?.transfer?.end() },
+            onFirstEvent = { continued?.settle() },
         )
     }
 
--- a/src/main/kotlin/lacewingweir/transport/relay/RunHandovers.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/RunHandovers.kt
@@ -25,6 +25,7 @@
  *
  * @property source the reservation at the engine that stopped the run, which keeps its KV cache
  * @property stopConfirmed whether the source has said that it stopped the run; otherwise the run may have ended instead
+ * @property returnRepeat the grant for the request to the source if the other engine refuses the run
  * @property transfer keeps both engines from being told to load until the run has gone on
  * @property stoppedAtMillis when the source was told to stop the run, by the monotonic clock
  */
@@ -36,7 +37,29 @@
     val stopConfirmed: Boolean,
     val stoppedAtMillis: Long,
     val transfer: RunTransfer,
+    val returnRepeat: RepeatGrant?,
 ) {
+    /** Records that the run has gone on or is given up. */
+    fun settle() {
+        transfer.end()
+        returnRepeat?.release()
+    }
+
+    /** Returns the run as it goes back to [reservation] at its own engine. */
+    fun at(
+        reservation: EndpointReservation,
+        repeat: RepeatGrant,
+    ) = HandedOverRun(
+        source,
+        reservation,
+        copy,
+        repeat,
+        stopConfirmed = true,
+        stoppedAtMillis,
+        transfer,
+        returnRepeat = null,
+    )
+
     /** Describes the run in a log line written at [nowMillis]. */
     fun describe(nowMillis: Long): String =
         "from=${source.endpoint.id} to=${reservation.endpoint.id} stoppedMs=${nowMillis - stoppedAtMillis} " +
@@ -79,10 +102,10 @@
  * The KV cache is copied while the run continues. Then the run is stopped, the rest is copied, and the other engine
  * continues the stream after the last event that the caller has received.
  *
- * A run that is stopped is lost unless the other engine takes it, since its own engine often takes nothing any more. So
- * it is stopped only if the other engine says just before that it [takesRun], and if the instance goes on for long
- * enough. Otherwise it stays where it is. From the beginning of a handover until the run has gone on, neither engine is
- * told to load, as far as [transfers] can tell the instance that would do so.
+ * A run that is stopped is lost unless the other engine or its own one takes it. So it is stopped only if the other
+ * engine says just before that it [takesRun], and if the instance goes on for long enough. A run that could also stay
+ * is stopped only if the repeat budget allows its return, too. From the beginning of a handover until the run has gone
+ * on, neither engine is told to load, as far as [transfers] can tell the instance that would do so.
  */
 internal class RunHandovers(
     private val tracker: EndpointTracker,
@@ -140,18 +163,11 @@
         val source = run.source.endpoint
         val blocked = reasonAgainstReturn(run)
         val reservation = if (blocked == null) tracker.placeOnSameEngine(run.source) else null
-        val repeat = reservation?.let { repeatBudgets.tryRepeat(source.service, RepeatCause.HANDOVER) }
-        if (reservation != null && repeat != null) {
-            return HandedOverRun(
-                run.source,
-                reservation,
-                run.copy,
-                repeat,
-                stopConfirmed = true,
-                run.stoppedAtMillis,
-                run.transfer,
-            )
-        }
+        val repeat =
+            reservation?.let {
+                run.returnRepeat ?: repeatBudgets.tryRepeat(source.service, RepeatCause.HANDOVER)
+            }
+        if (reservation != null && repeat != null) return run.at(reservation, repeat)
         reservation?.end(ReservationOutcome.NOT_SENT)
         logger.info {
             "handover: lost ${run.describe(clock.nowMillis())} " +
@@ -162,13 +178,16 @@
     }
 
     /** Returns why a run that was stopped should not be sent to its own engine, or null if it may be. */
-    private fun reasonAgainstReturn(run: HandedOverRun): String? =
-        when {
-            run.reservation.endpoint.id == run.source.endpoint.id -> "refused by its own engine"
+    private fun reasonAgainstReturn(run: HandedOverRun): String? {
+        val source = run.source.endpoint.id
+        return when {
+            run.reservation.endpoint.id == source -> "refused by its own engine"
             !run.stopConfirmed -> "the stop is not confirmed"
-            tracker.drainingMillis(run.source.endpoint.id) > MAX_DRAINING_MILLIS -> "its own engine drains for too long"
+            tracker.isLeaving(source) && tracker.drainingMillis(source) > MAX_LEAVING_MILLIS ->
+                "its own engine leaves too soon"
             else -> null
         }
+    }
 
     /** Records the outcome of sending [run], which was stopped, to where it goes on, and whether it [hasGoneOn]. */
     fun recordContinuation(
@@ -198,7 +217,7 @@
         scope.launch {
             handover.await()?.let { run ->
                 run.reservation.end(ReservationOutcome.NOT_SENT)
-                run.transfer.end()
+                run.settle()
                 copier.release(run.copy)
             }
         }
@@ -240,14 +259,15 @@
         // A load of the target that this instance doesn't know of yet is commanded only after its transfers are known.
         transfer.renew()
         val isExpected = tracker.mayContinueAt(target)
-        val mayStop = isAccepted && isExpected && hasTime()
-        if (result is CopyResult.Copied && mayStop && stream.beginStop()) {
-            return stopRun(stream, target, result.copy, transfer)
+        val isReady = isAccepted && isExpected && hasTime()
+        val permission = if (isReady) beginStop(stream) else null
+        if (result is CopyResult.Copied && permission != null) {
+            return stopRun(stream, target, result.copy, transfer, permission.returnRepeat)
         }
         transfer.end()
         logger.info {
             "handover: id=${stream.id} stays at ${source.id} target=${target.endpoint.id} accepted=$isAccepted " +
-                "expected=$isExpected answer=$result"
+                "expected=$isExpected ready=$isReady answer=$result"
         }
         target.end(ReservationOutcome.NOT_SENT)
         if (result is CopyResult.Copied) copier.release(result.copy)
@@ -256,6 +276,21 @@
         return next?.let { handOver(stream, it, excluded = setOf(target.endpoint.id)) }
     }
 
+    private class StopPermission(
+        val returnRepeat: RepeatGrant?,
+    )
+
+    /** Returns null if the run must not be stopped, or if its stream has ended. */
+    private fun beginStop(stream: RunningStream): StopPermission? {
+        val source = stream.reservation.endpoint
+        val returnRepeat = repeatBudgets.tryRepeat(source.service, RepeatCause.HANDOVER)
+        // A run can stay at an engine that loads, but is cut off by one that leaves.
+        val mayStop = returnRepeat != null || tracker.isLeaving(source.id)
+        if (mayStop && stream.beginStop()) return StopPermission(returnRepeat)
+        returnRepeat?.release()
+        return null
+    }
+
     /** Returns another engine for a run if it was [target] that could not take it. */
     private fun nextTarget(
         stream: RunningStream,
@@ -298,6 +333,7 @@
         target: EndpointReservation,
         lastCopy: KvCacheCopy,
         transfer: RunTransfer,
+        returnRepeat: RepeatGrant?,
     ): HandedOverRun? {
         val reservation = stream.reservation
         val source = reservation.endpoint
@@ -309,7 +345,7 @@
             copy: KvCacheCopy,
             at: EndpointReservation,
             stopConfirmed: Boolean = true,
-        ) = HandedOverRun(reservation, at, copy, stream.repeat, stopConfirmed, beganAtMillis, transfer)
+        ) = HandedOverRun(reservation, at, copy, stream.repeat, stopConfirmed, beganAtMillis, transfer, returnRepeat)
         logger.info {
             "handover: id=${stream.id} from=${source.id} to=${target.endpoint.id} " +
                 "copyMs=${clock.nowMillis() - beganAtMillis} " +
@@ -328,7 +364,10 @@
                     ownEngine?.let { continuedFrom(checkNotNull(result.remainingCopy), it) }
                 }
             }
-        if (run == null) transfer.end()
+        if (run == null) {
+            transfer.end()
+            returnRepeat?.release()
+        }
         return run
     }
 
@@ -341,6 +380,6 @@
         const val MIN_REMAINING_MILLIS: Long = 3_000
 
         /** Engines that leave accept requests for two seconds. */
-        const val MAX_DRAINING_MILLIS: Long = 1_500
+        const val MAX_LEAVING_MILLIS: Long = 1_500
     }
 }
--- a/src/test/kotlin/lacewingweir/platform/FailedHandoverTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/FailedHandoverTest.kt
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
 import strikt.api.expectThat
+import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isTrue
@@ -36,9 +37,11 @@
         private val log: MutableList<String>,
         private val stop: Stop,
         private val busy: Boolean,
+        private val firstCopiesMillis: Long,
     ) {
         val started = CompletableDeferred<Unit>()
         private val stopped = CompletableDeferred<Unit>()
+        private var copies = 0
 
         suspend fun serve(exchange: ServerExchange) {
             val path = exchange.rawPath
@@ -58,6 +61,7 @@
 
         private suspend fun copy(exchange: ServerExchange) {
             val last = "\"last\":true" in exchange.body.decodeToString()
+            if (copies++ < 2) delay(firstCopiesMillis)
             if (last) stopped.complete(Unit)
             if (last && stop == Stop.ENDED_WITHOUT_RESPONSE) {
                 delay(100)
@@ -71,7 +75,8 @@
             exchange.startStream(200, responseHeaders + EVENT_STREAM)
             exchange.write(event(1) + event(2) + event(3))
             started.complete(Unit)
-            val toldToStop = withTimeoutOrNull(LONGER_THAN_HANDOVER_MILLIS) { stopped.await() } != null
+            val toldToStop =
+                withTimeoutOrNull(LONGER_THAN_HANDOVER_MILLIS + 2 * firstCopiesMillis) { stopped.await() } != null
             if (toldToStop && stop == Stop.STOPPED) {
                 exchange.abort()
             } else {
@@ -93,22 +98,33 @@
         stop: Stop = Stop.STOPPED,
         busy: Boolean = false,
         weightsOfDraining: Int = 1,
+        loads: Boolean = false,
+        firstCopiesMillis: Long = 0,
+        repeatExtra: Double = 50.0,
         log: MutableList<String> = CopyOnWriteArrayList(),
     ): RelayFixture.CallerResponse =
         runBlocking {
-            RelayFixture(resumable = resumable).use { relay ->
+            RelayFixture(repeatExtra, routeTimeoutMillis = CALL_TIMEOUT_MILLIS, resumable = resumable).use { relay ->
                 relay.configure("k1")
                 // As in production: an endpoint that refuses gets no calls for a quarter of a second.
                 relay.limits = relay.limits.copy(placementWaitMillis = 1_000)
-                val engines = listOf("i-1", "i-2").map { Engine(it, log, stop, busy) }
+                val engines = listOf("i-1", "i-2").map { Engine(it, log, stop, busy, firstCopiesMillis) }
                 val endpoints =
                     engines.mapIndexed { i, engine -> relay.endpoint("i-${i + 1}", "engine", handler = engine::serve) }
                 coroutineScope {
                     val headers = listOf("Model" to "m", "Token-Counts" to "100,400")
-                    val response = async { relay.call("stream", headers = headers) }
+                    val response =
+                        async { relay.call("stream", headers = headers, callerTimeoutMillis = CALL_TIMEOUT_MILLIS) }
                     while (engines.none { it.started.isCompleted }) delay(5)
                     val began = endpoints[engines.indexOfFirst { it.started.isCompleted }]
-                    relay.register(began, "engine", "draining", weights = weightsOfDraining)
+                    if (loads) {
+                        while (response.isActive) {
+                            relay.announceLoad(began)
+                            delay(ANNOUNCEMENT_PERIOD_MILLIS)
+                        }
+                    } else {
+                        relay.register(began, "engine", "draining", weights = weightsOfDraining)
+                    }
                     response.await().also { println("handover: resumable=$resumable stop=$stop busy=$busy $log") }
                 }
             }
@@ -146,7 +162,29 @@
     fun `a run is not stopped for an engine that refuses it because it loads weights`() =
         expectComplete(play(resumable = false, busy = true))
 
+    @Test
+    fun `a run that could stay is not stopped if the repeat budget has no room for its return`() =
+        expectComplete(play(resumable = false, loads = true, repeatExtra = EXTRA_FOR_ONE_REPEAT))
+
+    /** An engine that is about to load isn't told to before its runs have gone on. */
+    @Test
+    fun `a run goes back to an engine that has drained for long before a load`() =
+        expectComplete(play(resumable = false, loads = true, firstCopiesMillis = 800))
+
+    /** The run would be cut off when its engine leaves. */
+    @Test
+    fun `a run leaves an engine that leaves if the repeat budget has no room for its return`() {
+        val log = CopyOnWriteArrayList<String>()
+        play(resumable = false, repeatExtra = EXTRA_FOR_ONE_REPEAT, log = log)
+        expectThat(log.filter { "from=127" in it }).hasSize(1)
+    }
+
     private companion object {
+        const val CALL_TIMEOUT_MILLIS = 6_000L
+        const val ANNOUNCEMENT_PERIOD_MILLIS = 200L
+
+        /** An instance uses seven tenths of its budget. */
+        const val EXTRA_FOR_ONE_REPEAT = 2.0
         const val LONGER_THAN_HANDOVER_MILLIS = 600L
         val EVENT_STREAM = listOf("Content-Type" to "text/event-stream")
         val JSON = listOf("Content-Type" to "application/json")
--- a/src/test/kotlin/lacewingweir/platform/RelayFixture.kt
+++ b/src/test/kotlin/lacewingweir/platform/RelayFixture.kt
@@ -17,6 +17,7 @@
 import lacewingweir.coordination.store.StoreChange
 import lacewingweir.coordination.time.CoroutineTimerService
 import lacewingweir.coordination.weights.takesRun
+import lacewingweir.state.id.EndpointId
 import lacewingweir.state.id.FailureDomain
 import lacewingweir.state.time.MonotonicClock
 import lacewingweir.state.time.SuspendAwareClock
@@ -199,6 +200,9 @@
         )
     }
 
+    /** Marks [endpoint] as about to load weights, as the holder of the rollout lease does for about a second. */
+    fun announceLoad(endpoint: Endpoint) = tracker.markLoading(listOf(EndpointId(endpoint.id)))
+
     fun setTargetWeights(weights: Int) = write("op/version/m", """{"model":"m","version":$weights}""")
 
     /** Writes the item of an engine that listens at [port] to the store. */
