--- a/src/main/kotlin/lacewingweir/coordination/placement/RunTransfers.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/RunTransfers.kt
@@ -100,6 +100,6 @@
          * Longest time from the stop of a run to its first event at the next engine: the last copy, the way to an
          * engine that refuses the run, and the way back. A report counts as long without a later one.
          */
-        const val VALIDITY_MILLIS: Long = 2_500
+        const val VALIDITY_MILLIS: Long = 3_000
     }
 }
--- a/src/main/kotlin/lacewingweir/platform/PlatformKvCacheCopier.kt
+++ b/src/main/kotlin/lacewingweir/platform/PlatformKvCacheCopier.kt
@@ -32,8 +32,9 @@
                 // `last` marks the final copy of a run: the engine stops the run before it takes the copy.
                 put("last", stop)
             }
+        val timeoutMillis = if (stop) LAST_COPY_TIMEOUT_MILLIS else COPY_TIMEOUT_MILLIS
         return when (
-            val result = engines.call(source, "POST", PlatformPaths.KV_CACHE_COPY, command, COPY_TIMEOUT_MILLIS)
+            val result = engines.call(source, "POST", PlatformPaths.KV_CACHE_COPY, command, timeoutMillis)
         ) {
             is ClientResult.Answered -> parseResult(result.response, source)
             is ClientResult.NotSent -> CopyResult.Refused(result.reason, remainingCopy = null)
@@ -85,5 +86,8 @@
 
         /** Copying the KV cache of a long run takes about 100 ms, but the copy may be queued behind others. */
         const val COPY_TIMEOUT_MILLIS: Long = 1_500
+
+        /** A stopped run waits for its last copy, and callers give up a stream after a pause of two seconds or more. */
+        const val LAST_COPY_TIMEOUT_MILLIS: Long = 2_000
     }
 }
--- a/src/main/kotlin/lacewingweir/transport/relay/RunHandovers.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/RunHandovers.kt
@@ -54,7 +54,7 @@
         reservation,
         copy,
         repeat,
-        stopConfirmed = true,
+        stopConfirmed,
         stoppedAtMillis,
         transfer,
         returnRepeat = null,
@@ -182,7 +182,6 @@
         val source = run.source.endpoint.id
         return when {
             run.reservation.endpoint.id == source -> "refused by its own engine"
-            !run.stopConfirmed -> "the stop is not confirmed"
             tracker.isLeaving(source) && tracker.drainingMillis(source) > MAX_LEAVING_MILLIS ->
                 "its own engine leaves too soon"
             else -> null
--- a/src/test/kotlin/lacewingweir/platform/FailedHandoverTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/FailedHandoverTest.kt
@@ -25,6 +25,8 @@
     private enum class Stop {
         STOPPED,
         ENDED_WITHOUT_RESPONSE,
+        STOPPED_WITHOUT_RESPONSE,
+        STOPPED_WITH_LATE_RESPONSE,
     }
 
     /**
@@ -43,6 +45,9 @@
         private val stopped = CompletableDeferred<Unit>()
         private var copies = 0
 
+        /** The newest copy, which is the only one that the engine still takes. */
+        private var handle = ""
+
         suspend fun serve(exchange: ServerExchange) {
             val path = exchange.rawPath
             val from = exchange.headers.get("Kv-From")
@@ -52,7 +57,7 @@
                 path == "/lacewingweir/kv-move" -> copy(exchange)
                 path == "/lacewingweir/report" -> exchange.respond(200, JSON, engineReport(busy))
                 path.startsWith("/lacewingweir/") -> exchange.respond(200)
-                from != null && (busy || !started.isCompleted) ->
+                from != null && (busy || !started.isCompleted || from.substringAfter('/') != handle) ->
                     exchange.respond(503, responseHeaders + listOf("Not-Executed" to "1"))
                 after != null -> continueStream(exchange)
                 else -> stream(exchange)
@@ -63,11 +68,13 @@
             val last = "\"last\":true" in exchange.body.decodeToString()
             if (copies++ < 2) delay(firstCopiesMillis)
             if (last) stopped.complete(Unit)
-            if (last && stop == Stop.ENDED_WITHOUT_RESPONSE) {
+            if (last && stop == Stop.STOPPED_WITH_LATE_RESPONSE) delay(LATE_RESPONSE_MILLIS)
+            if (last && stop in STOPS_WITHOUT_RESPONSE) {
                 delay(100)
                 exchange.abort()
             } else {
-                exchange.respond(200, JSON, """{"handle":"c7","createRev":3}""".encodeToByteArray())
+                handle = "c$copies"
+                exchange.respond(200, JSON, """{"handle":"$handle","createRev":3}""".encodeToByteArray())
             }
         }
 
@@ -77,7 +84,7 @@
             started.complete(Unit)
             val toldToStop =
                 withTimeoutOrNull(LONGER_THAN_HANDOVER_MILLIS + 2 * firstCopiesMillis) { stopped.await() } != null
-            if (toldToStop && stop == Stop.STOPPED) {
+            if (toldToStop && stop != Stop.ENDED_WITHOUT_RESPONSE) {
                 exchange.abort()
             } else {
                 exchange.write(event(4) + event(5))
@@ -101,10 +108,11 @@
         loads: Boolean = false,
         firstCopiesMillis: Long = 0,
         repeatExtra: Double = 50.0,
+        callTimeoutMillis: Long = 2_000,
         log: MutableList<String> = CopyOnWriteArrayList(),
     ): RelayFixture.CallerResponse =
         runBlocking {
-            RelayFixture(repeatExtra, routeTimeoutMillis = CALL_TIMEOUT_MILLIS, resumable = resumable).use { relay ->
+            RelayFixture(repeatExtra, routeTimeoutMillis = callTimeoutMillis, resumable = resumable).use { relay ->
                 relay.configure("k1")
                 // As in production: an endpoint that refuses gets no calls for a quarter of a second.
                 relay.limits = relay.limits.copy(placementWaitMillis = 1_000)
@@ -114,7 +122,7 @@
                 coroutineScope {
                     val headers = listOf("Model" to "m", "Token-Counts" to "100,400")
                     val response =
-                        async { relay.call("stream", headers = headers, callerTimeoutMillis = CALL_TIMEOUT_MILLIS) }
+                        async { relay.call("stream", headers = headers, callerTimeoutMillis = callTimeoutMillis) }
                     while (engines.none { it.started.isCompleted }) delay(5)
                     val began = endpoints[engines.indexOfFirst { it.started.isCompleted }]
                     if (loads) {
@@ -157,19 +165,51 @@
     fun `a stream that has ended is complete if its engine doesn't respond to the order to stop it`() =
         expectComplete(play(resumable = false, stop = Stop.ENDED_WITHOUT_RESPONSE))
 
+    /** The stream has ended early, so its run goes on only if an engine takes it. */
+    @Test
+    fun `a run goes back to an engine that has stopped it without a response`() =
+        expectComplete(play(resumable = false, stop = Stop.STOPPED_WITHOUT_RESPONSE))
+
+    /** Only the response names the copy from which the run can go on. */
+    @Test
+    fun `a run is not lost if its engine responds late to the order to stop it`() =
+        expectComplete(
+            play(
+                resumable = false,
+                stop = Stop.STOPPED_WITH_LATE_RESPONSE,
+                loads = true,
+                callTimeoutMillis = LONG_CALL_TIMEOUT_MILLIS,
+            ),
+        )
+
     /** An instance learns that an engine loads weights after the engine knows it. */
     @Test
     fun `a run is not stopped for an engine that refuses it because it loads weights`() =
         expectComplete(play(resumable = false, busy = true))
 
     @Test
-    fun `a run that could stay is not stopped if the repeat budget has no room for its return`() =
-        expectComplete(play(resumable = false, loads = true, repeatExtra = EXTRA_FOR_ONE_REPEAT))
+    fun `a run that could stay is not stopped if the repeat budget has no room for its return`() {
+        val log = CopyOnWriteArrayList<String>()
+        expectComplete(play(resumable = false, loads = true, repeatExtra = EXTRA_FOR_ONE_REPEAT, log = log))
+        expectThat(log.filter { "from=127" in it }).isEmpty()
+    }
 
     /** An engine that is about to load isn't told to before its runs have gone on. */
     @Test
-    fun `a run goes back to an engine that has drained for long before a load`() =
-        expectComplete(play(resumable = false, loads = true, firstCopiesMillis = 800))
+    fun `a run goes back to an engine that has drained for long before a load`() {
+        val log = CopyOnWriteArrayList<String>()
+        val response =
+            play(
+                resumable = false,
+                loads = true,
+                firstCopiesMillis = 800,
+                callTimeoutMillis = LONG_CALL_TIMEOUT_MILLIS,
+                log = log,
+            )
+        expectComplete(response)
+        val began = log.first().substringBefore(' ')
+        expectThat(log.filter { it.startsWith(began) && "from=127" in it }).hasSize(1)
+    }
 
     /** The run would be cut off when its engine leaves. */
     @Test
@@ -180,7 +220,9 @@
     }
 
     private companion object {
-        const val CALL_TIMEOUT_MILLIS = 6_000L
+        const val LONG_CALL_TIMEOUT_MILLIS = 6_000L
+        const val LATE_RESPONSE_MILLIS = 1_800L
+        val STOPS_WITHOUT_RESPONSE = setOf(Stop.ENDED_WITHOUT_RESPONSE, Stop.STOPPED_WITHOUT_RESPONSE)
         const val ANNOUNCEMENT_PERIOD_MILLIS = 200L
 
         /** An instance uses seven tenths of its budget. */
--- a/src/test/kotlin/lacewingweir/platform/HandoverBesideLoadsTest.kt
+++ b/src/test/kotlin/lacewingweir/platform/HandoverBesideLoadsTest.kt
@@ -67,7 +67,7 @@
                         "loads=${fleet.engines.sumOf { it.weights.loads.size }}",
                 )
                 expectThat(broken).isEmpty()
-                expectThat(fleet.copies.used.get()).describedAs("runs handed over").isGreaterThan(0L)
+                expectThat(fleet.copies.used.get()).describedAs("runs handed over").isGreaterThan(MIN_HANDOVERS)
             }
         }
 
@@ -86,14 +86,15 @@
 
     private companion object {
         const val ENGINES = 6
-        const val CALLERS = 24
+        const val CALLERS = 48
         const val EVENTS = 40
         const val EVENT_MILLIS = 40L
         const val LONG_ANSWER_TOKENS = 400
-        const val START_SPREAD_MILLIS = 70L
+        const val START_SPREAD_MILLIS = 35L
         const val PLAY_MILLIS = 12_000L
         const val WEIGHTS_PERIOD_MILLIS = 1_500L
         const val REFUSED_PAUSE_MILLIS = 100L
+        const val MIN_HANDOVERS = 10L
         val FIRST_COPY_MILLIS = 5L..90L
         val LAST_COPY_MILLIS = 20L..800L
 
