--- a/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
+++ b/src/main/kotlin/lacewingweir/cli/router/RouterInstance.kt
@@ -611,7 +611,7 @@
         unreachable = servicesWithoutPassedCalls().map { it.value }.sorted(),
         speeds = tracker.takeSpeeds(),
         versions = versionRollouts?.tallies().orEmpty(),
-        transfers = transfers.report(),
+        transfers = transfers.reportIfAny(),
         demands = rateLimiter.demands(),
     )
 
--- a/src/main/kotlin/lacewingweir/coordination/placement/RunTransfers.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/RunTransfers.kt
@@ -44,32 +44,41 @@
     private val ownUntilMillis = HashMap<RunTransfer, Long>()
     private val peerReports = HashMap<String, ReceivedReport>()
     private var number = firstNumber
+    private var changedAtMillis = clock.nowMillis()
 
     fun begin(
         source: EndpointTag,
         target: EndpointTag,
     ): RunTransfer = RunTransfer(this, source, target).also(::renew)
 
-    fun renew(transfer: RunTransfer) {
-        synchronized(this) {
-            number++
-            ownUntilMillis[transfer] = clock.nowMillis() + VALIDITY_MILLIS
-        }
-        onChanged()
+    fun renew(transfer: RunTransfer) = change { ownUntilMillis[transfer] = clock.nowMillis() + VALIDITY_MILLIS }
+
+    fun end(transfer: RunTransfer) = change { ownUntilMillis.remove(transfer) }
+
+    private fun change(apply: () -> Unit) {
+        val changed =
+            synchronized(this) {
+                val before = ownEngines()
+                apply()
+                (ownEngines() != before).also { if (it) onEnginesChanged() }
+            }
+        if (changed) onChanged()
     }
 
-    fun end(transfer: RunTransfer) {
-        synchronized(this) {
-            if (ownUntilMillis.remove(transfer) == null) return
-            number++
-        }
-        onChanged()
+    private fun onEnginesChanged() {
+        number++
+        changedAtMillis = clock.nowMillis()
     }
 
     /** Returns the engines in the transfers of this instance, for its peers. */
     @Synchronized
     fun report() = TransferReport(self, number, ownEngines().toList())
 
+    /** Returns the [report], or null if peers know that there are no transfers. */
+    @Synchronized
+    fun reportIfAny(): TransferReport? =
+        report().takeIf { it.engines.isNotEmpty() || clock.nowMillis() - changedAtMillis < VALIDITY_MILLIS }
+
     /**
      * Applies the report of a peer, unless a later one is known. The numbers of an instance that has restarted may be
      * lower if its wall clock was set back.
@@ -91,7 +100,7 @@
 
     private fun ownEngines(): Set<EndpointTag> {
         val now = clock.nowMillis()
-        ownUntilMillis.values.removeIf { it <= now }
+        if (ownUntilMillis.values.removeIf { it <= now }) onEnginesChanged()
         return ownUntilMillis.keys.flatMapTo(HashSet()) { listOf(it.source, it.target) }
     }
 
--- a/src/main/kotlin/lacewingweir/coordination/weights/WeightsRollout.kt
+++ b/src/main/kotlin/lacewingweir/coordination/weights/WeightsRollout.kt
@@ -138,8 +138,7 @@
         scope.launch {
             try {
                 awaitDrain(engine, outdated.remainingMillis)
-                awaitTransfers(engine)
-                load(engine, outdated.model, outdated.target)
+                load(engine, outdated)
             } finally {
                 loadingEngines.remove(engine.id)
                 tracker.setLoading(engine.id, loading = false, weights = null)
@@ -150,10 +149,11 @@
 
     private suspend fun load(
         engine: EndpointEntry,
-        model: ModelName,
-        target: WeightsNumber,
+        outdated: OutdatedEngine,
     ) {
-        val status = control.status(engine)
+        val status = statusAfterTransfers(engine, outdated.remainingMillis)
+        val model = outdated.model
+        val target = directory.snapshot.weights[model]?.weights ?: outdated.target
         if (status == null) {
             logger.warn { "rollout: status of engine ${engine.id} could not be read" }
             unreachableSince[engine.id] = clock.now()
@@ -189,15 +189,28 @@
         }
     }
 
-    /** Waits until no run is on its way from or to [engine], which has been announced to load. */
-    private suspend fun awaitTransfers(engine: EndpointEntry) {
-        val checks = (MAX_TRANSFER_WAIT_MILLIS / DRAIN_CHECK_PERIOD_MILLIS).toInt()
-        repeat(checks) {
-            if (!isInTransfer(engine.tag)) return
+    /**
+     * Returns the status of [engine], which has been announced to load, once no run is on its way from or to it, or
+     * null if the status could not be read. The wait is limited.
+     */
+    private suspend fun statusAfterTransfers(
+        engine: EndpointEntry,
+        remainingMillis: Long,
+    ): WeightsStatus? {
+        val beganAt = clock.now()
+        val maxWaitMillis = remainingMillis.coerceIn(MIN_TRANSFER_WAIT_MILLIS, MAX_TRANSFER_WAIT_MILLIS)
+        while (clock.ageMillis(beganAt) < maxWaitMillis) {
             tracker.setLoading(engine.id, loading = true, weights = null)
+            if (!isInTransfer(engine.tag)) {
+                val status = control.status(engine)
+                tracker.setLoading(engine.id, loading = true, weights = null)
+                // A handover may have begun while the status was read.
+                if (status == null || !isInTransfer(engine.tag)) return status
+            }
             delay(DRAIN_CHECK_PERIOD_MILLIS)
         }
         logger.warn { "rollout: engine=${engine.id} still has runs that are handed over" }
+        return control.status(engine)
     }
 
     private suspend fun awaitLoaded(
@@ -253,6 +266,9 @@
         const val DRAIN_CHECK_PERIOD_MILLIS: Long = 60
         const val MAX_DRAIN_CHECKS: Int = 8
 
+        /** Time in which most runs that have been stopped go on, for engines that should have loaded already. */
+        const val MIN_TRANSFER_WAIT_MILLIS: Long = 1_000
+
         /** Longer than a transfer that began before the instance knew of the load, and its report, are valid. */
         const val MAX_TRANSFER_WAIT_MILLIS: Long = RunTransfers.VALIDITY_MILLIS + REPORT_PROPAGATION_MILLIS
     }
--- a/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/CallRelay.kt
@@ -271,6 +271,7 @@
         service: ServiceName,
         run: HandedOverRun,
     ): SendOutcome {
+        run.transfer.renew()
         state.beginRepeat(run.repeat, RepeatCause.HANDOVER)
         return sendOnce(state, admitted, service, run.reservation, run)
     }
--- a/src/main/kotlin/lacewingweir/transport/relay/RunHandovers.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/RunHandovers.kt
@@ -239,7 +239,9 @@
         stream.repeat = repeatBudgets.tryRepeat(source.service, RepeatCause.HANDOVER)
         if (stream.repeat != null) {
             steps.increment(HandoverStep.BEGUN)
-            stream.handover = scope.async { handOver(stream, target).also { if (it == null) stream.repeat?.release() } }
+            val transfer = transfers.begin(source.tag, target.endpoint.tag)
+            stream.handover =
+                scope.async { handOver(stream, target, transfer).also { if (it == null) stream.repeat?.release() } }
         } else {
             logger.info { "handover: id=${stream.id} stays at ${source.id}: repeat budget exhausted" }
             target.end(ReservationOutcome.NOT_SENT)
@@ -249,11 +251,11 @@
     private suspend fun handOver(
         stream: RunningStream,
         target: EndpointReservation,
+        transfer: RunTransfer,
         excluded: Set<EndpointId> = emptySet(),
     ): HandedOverRun? {
         val source = stream.reservation.endpoint
-        val transfer = transfers.begin(source.tag, target.endpoint.tag)
-        val result = copyWhileRunning(stream, target)
+        val result = copyWhileRunning(stream, target, transfer)
         val isAccepted = result is CopyResult.Copied && takesRun(target)
         // A load of the target that this instance doesn't know of yet is commanded only after its transfers are known.
         transfer.renew()
@@ -272,7 +274,9 @@
         if (result is CopyResult.Copied) copier.release(result.copy)
         val next = if (excluded.isEmpty()) nextTarget(stream, target, result, isAccepted && isExpected) else null
         if (next == null) steps.increment(HandoverStep.STAYED)
-        return next?.let { handOver(stream, it, excluded = setOf(target.endpoint.id)) }
+        return next?.let {
+            handOver(stream, it, transfers.begin(source.tag, it.endpoint.tag), excluded = setOf(target.endpoint.id))
+        }
     }
 
     private class StopPermission(
@@ -315,10 +319,12 @@
     private suspend fun copyWhileRunning(
         stream: RunningStream,
         target: EndpointReservation,
+        transfer: RunTransfer,
     ): CopyResult {
         var result: CopyResult
         var rounds = 0
         do {
+            transfer.renew()
             val startMillis = clock.nowMillis()
             result = copier.copy(stream.id, stream.reservation.endpoint, target.endpoint, stop = false)
             val copyMillis = clock.nowMillis() - startMillis
--- a/src/test/kotlin/lacewingweir/coordination/placement/RunTransfersTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/placement/RunTransfersTest.kt
@@ -7,6 +7,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isNull
 import strikt.assertions.isTrue
 
 internal class RunTransfersTest {
@@ -29,6 +30,30 @@
         expectThat(changes).isEqualTo(4)
     }
 
+    /** Guards against datagrams to all peers for each of many runs that leave an engine. */
+    @Test
+    fun `a report is due only if its engines have changed`() {
+        val first = transfers.begin(source, target)
+        val second = transfers.begin(source, target)
+        second.renew()
+        first.end()
+        expectThat(changes).isEqualTo(1)
+        second.end()
+        expectThat(changes).isEqualTo(2)
+    }
+
+    @Test
+    fun `peers are told of the end of a transfer for as long as they would believe in it`() {
+        nowMillis += RunTransfers.VALIDITY_MILLIS
+        expectThat(transfers.reportIfAny()).isNull()
+        transfers.begin(source, target)
+        expectThat(transfers.reportIfAny()?.engines?.toSet()).isEqualTo(setOf(source, target))
+        nowMillis += RunTransfers.VALIDITY_MILLIS
+        expectThat(transfers.reportIfAny()?.engines).isEqualTo(emptyList())
+        nowMillis += RunTransfers.VALIDITY_MILLIS
+        expectThat(transfers.reportIfAny()).isNull()
+    }
+
     /** Guards against loads that wait forever for a run whose instance hangs. */
     @Test
     fun `a transfer lasts for a limited time after it was renewed`() {
