--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointState.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointState.kt
@@ -31,7 +31,7 @@
     var weightsLearnedAtMillis = Long.MIN_VALUE
     var loadingUntilMillis = 0L
 
-    /** The instance that announced the load. Only its digests can say that the load has ended. */
+    /** The peer that announced the load, or null if this instance did. Only its digests can say that it has ended. */
     var loadingReporter: String? = null
 
     /** Requests per second that the endpoint accepts from all instances together, or null if it states no limit. */
--- a/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
+++ b/src/main/kotlin/lacewingweir/coordination/placement/EndpointTracker.kt
@@ -234,7 +234,7 @@
     /** Marks engines that this instance is about to instruct to load weights. */
     @Synchronized
     fun markLoading(ids: List<EndpointId>) {
-        for (id in ids) states[id]?.loadingUntilMillis = clock.nowMillis() + LOADING_VALIDITY_MILLIS
+        for (id in ids) states[id]?.let(::beginOwnLoad)
         notifyDraining()
     }
 
@@ -250,10 +250,16 @@
         weights: WeightsNumber?,
     ) {
         val state = states[id] ?: return
-        state.loadingUntilMillis = if (loading) clock.nowMillis() + LOADING_VALIDITY_MILLIS else 0
+        if (loading) beginOwnLoad(state) else state.loadingUntilMillis = 0
         if (weights != null) learnWeights(state, weights)
     }
 
+    private fun beginOwnLoad(state: EndpointState) {
+        state.loadingUntilMillis = clock.nowMillis() + LOADING_VALIDITY_MILLIS
+        // A peer that has announced an earlier load of the engine can't end this one.
+        state.loadingReporter = null
+    }
+
     @Synchronized
     fun weightsOf(id: EndpointId): WeightsNumber? = states[id]?.weights()
 
--- a/src/test/kotlin/lacewingweir/coordination/placement/EndpointTrackerTest.kt
+++ b/src/test/kotlin/lacewingweir/coordination/placement/EndpointTrackerTest.kt
@@ -21,6 +21,7 @@
 import strikt.assertions.isNotEqualTo
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
+import strikt.assertions.isTrue
 
 internal class EndpointTrackerTest {
     private val timers = ManualTimers()
@@ -77,6 +78,18 @@
         expectThat(tracker.place(request())).isNotNull()
     }
 
+    /** Guards against runs that are handed over to an engine that the next holder of the rollout lease loads. */
+    @Test
+    fun `the end of a load of the previous leader does not end the load of this instance`() {
+        val leader = EndpointTracker(timers, FLEET_DOMAIN, weightsAgePolicy).also { it.onFleet(engineFleet("a")) }
+        tracker.onFleet(engineFleet("a"))
+        tracker.onDigest(digest(leader, loading = setOf(EndpointId("a"))))
+        tracker.markLoading(listOf(EndpointId("a")))
+        leader.setLoading(EndpointId("a"), loading = false, weights = WeightsNumber(2))
+        tracker.onDigest(digest(leader, loading = emptySet()))
+        expectThat(tracker.isDraining(EndpointId("a"))).isTrue()
+    }
+
     /** Guards against ejecting engines that reject prompts while they load in turn, which overloaded the others. */
     @Test
     fun `an engine that rejects requests is avoided briefly and not ejected`() {
