--- a/src/test/kotlin/lacewingweir/transport/digest/DigestTrafficTest.kt
+++ b/src/test/kotlin/lacewingweir/transport/digest/DigestTrafficTest.kt
@@ -26,6 +26,7 @@
 import lacewingweir.state.fleet.RateLimit
 import lacewingweir.state.id.CustomerId
 import lacewingweir.state.id.EndpointId
+import lacewingweir.state.id.EndpointTag
 import lacewingweir.state.id.WeightsNumber
 import lacewingweir.state.time.SuspendAwareClock
 import lacewingweir.testing.FLEET_DOMAIN
@@ -105,10 +106,11 @@
                     windowTotals = if (withWindowTotals) limiter.windowTotals() else null,
                     demands = limiter.demands(),
                     speeds = tracker.takeSpeeds(),
+                    transfers = transferReport().takeIf { it.engines.isNotEmpty() },
                 )
             },
             createReport = { EngineReport(SELF, tracker.engineWeights(it, loading), validityMillis = 1_000) },
-            createTransferReport = { TransferReport(SELF, number = 1, engines = emptyList()) },
+            createTransferReport = ::transferReport,
             createCrashNews = { null },
         )
 
@@ -119,6 +121,12 @@
         sender.start()
     }
 
+    /** Runs are handed over from all engines that load to as many others. */
+    private fun transferReport(): TransferReport {
+        val sources = loading.map { EndpointTag.of(it, startedAtUnixMillis = 0) }
+        return TransferReport(SELF, number = 1_780_000_000_000, sources + sources.map { EndpointTag(it.value + 1) })
+    }
+
     /** Runs requests for [seconds]. Each engine answers with [weights]. */
     private fun runRequests(
         seconds: Int,
@@ -156,7 +164,10 @@
             timers.advance(25)
             loading -= id
             tracker.setLoading(id, loading = false, weights = WeightsNumber(2))
-            runBlocking { sender.reportEngines(listOf(id)) }
+            runBlocking {
+                sender.reportEngines(listOf(id))
+                sender.reportTransfers()
+            }
         }
         runRequests(seconds = 2, weights = 2)
         expectThat(network.maxBytesPerSecond()).isLessThan(2 * MAX_BYTES_PER_SECOND)
