--- a/src/main/kotlin/lacewingweir/coordination/weights/WeightsRollout.kt
+++ b/src/main/kotlin/lacewingweir/coordination/weights/WeightsRollout.kt
@@ -4,7 +4,7 @@
  * The holder of the rollout lease compares the weights of each engine with the announced ones and sends load commands
  * to a few engines at a time, or to all that calls may soon no longer be sent to. It always loads the newest weights,
  * even if an older version has not reached every engine. Peers learn from its digest which engines are loading and
- * which have finished. No command is sent to an engine from or to which a run is being handed over.
+ * which have finished. While runs are handed over from or to an engine, its command waits, for a limited time.
  */
 package lacewingweir.coordination.weights
 
--- a/src/main/kotlin/lacewingweir/transport/relay/RunHandovers.kt
+++ b/src/main/kotlin/lacewingweir/transport/relay/RunHandovers.kt
@@ -25,9 +25,10 @@
  *
  * @property source the reservation at the engine that stopped the run, which keeps its KV cache
  * @property stopConfirmed whether the source has said that it stopped the run; otherwise the run may have ended instead
- * @property returnRepeat the grant for the request to the source if the other engine refuses the run
- * @property transfer keeps both engines from being told to load until the run has gone on
  * @property stoppedAtMillis when the source was told to stop the run, by the monotonic clock
+ * @property transfer keeps both engines from being told to load until the run has gone on
+ * @property returnRepeat the grant for the request to the source if the other engine refuses the run, or null if the
+ *   budget had no room for it
  */
 internal class HandedOverRun(
     val source: EndpointReservation,
@@ -45,8 +46,8 @@
         returnRepeat?.release()
     }
 
-    /** Returns the run as it goes back to [reservation] at its own engine. */
-    fun at(
+    /** Returns the run as it goes back to its own engine, with the [reservation] there. */
+    fun returning(
         reservation: EndpointReservation,
         repeat: RepeatGrant,
     ) = HandedOverRun(
@@ -167,7 +168,7 @@
             reservation?.let {
                 run.returnRepeat ?: repeatBudgets.tryRepeat(source.service, RepeatCause.HANDOVER)
             }
-        if (reservation != null && repeat != null) return run.at(reservation, repeat)
+        if (reservation != null && repeat != null) return run.returning(reservation, repeat)
         reservation?.end(ReservationOutcome.NOT_SENT)
         logger.info {
             "handover: lost ${run.describe(clock.nowMillis())} " +
